--- /dev/null
+++ b/Libraries/LibPolicy/UpstreamTable.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibPolicy/UpstreamState.h>
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Lovageward {
+
+/**
+ * The upstreams that this node knows, with their last load reports. Thread-safe; its mutex is held for no I/O.
+ * An upstream whose last report is missing, too old or contradicted by a connection error counts as cold.
+ */
+class UpstreamTable
+{
+public:
+    /** Reports older than `maximumReportAge` don't count. */
+    UpstreamTable(const Clock &clock, Duration maximumReportAge);
+
+    /** Adds or changes an upstream as the host list shows it. The last report of a known upstream is kept. */
+    void setUpstream(const UpstreamState &state);
+
+    /** Removes an upstream that the host list no longer shows. */
+    void removeUpstream(const UpstreamId &id);
+
+    /** Stores a load report unless it is older than the stored one. Unknown upstreams are ignored. */
+    void applyReport(const UpstreamId &id, const LoadReport &report);
+
+    /** Marks an upstream cold after a failed connection, until a report measured later arrives. */
+    void markSuspect(const UpstreamId &id);
+
+    /** Marks the failure domains that get no new work. Replaces the earlier set. */
+    void setDrained(const std::set<FailureDomainId> &failureDomains);
+
+    /** State of an upstream with its effective phase: cold if the report can't be trusted, leaving if drained or listed so. */
+    std::optional<UpstreamState> find(const UpstreamId &id) const;
+
+    /** Effective states of all upstreams of a pool, sorted by id. */
+    std::vector<UpstreamState> upstreamsOf(const PoolId &pool) const;
+
+    /** Effective states of all upstreams, sorted by id. */
+    std::vector<UpstreamState> all() const;
+
+    /** Changes whenever any state changes; lets readers keep a derived copy. */
+    std::uint64_t version() const;
+
+private:
+    struct Entry
+    {
+        UpstreamState state;
+        bool hasReport = false;
+        bool isSuspect = false;
+    };
+
+    UpstreamState effective(const Entry &entry, TimePoint now) const;
+
+    const Clock &clock;
+    Duration maximumReportAge;
+    mutable std::mutex mutex;
+    std::map<UpstreamId, Entry> entries;
+    std::set<FailureDomainId> drained;
+    std::uint64_t changes = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/StandIns/main.cpp
@@ -0,0 +1,7 @@
+#include <fmt/format.h>
+
+int main()
+{
+    fmt::print("lovageward-standin {}\n", LOVAGEWARD_VERSION);
+    return 0;
+}
