--- /dev/null
+++ b/Libraries/LibNode/NodeSettings.cpp
@@ -0,0 +1,118 @@
+#include <LibNode/NodeSettings.h>
+
+#include <LibCore/Error.h>
+
+#include <fmt/format.h>
+
+#include <sstream>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr std::size_t shortestResumeKey = 32;
+constexpr double bytesPerMegabit = 1'000'000.0 / 8;
+
+void checkResumeKey(const std::string &text)
+{
+    if (!text.empty() && text.size() < shortestResumeKey) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, fmt::format("must have at least {} characters", shortestResumeKey));
+    }
+}
+
+void checkAdministrationKeys(const std::string &text)
+{
+    constexpr std::size_t digestLength = 64;
+    std::stringstream parts(text);
+    std::string part;
+    while (std::getline(parts, part, ',')) {
+        auto colon = part.rfind(':');
+        auto digest = colon == std::string::npos ? std::string() : part.substr(colon + 1);
+        auto isHexadecimal = digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (digest.size() != digestLength || !isHexadecimal) {
+            throw Error(ResultCode::InvalidSettings, RunState::NotRun, "every entry must be role:sha256 with 64 lower-case hexadecimal digits");
+        }
+    }
+}
+
+std::vector<std::string> splitAtCommas(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::stringstream stream(text);
+    std::string part;
+    while (std::getline(stream, part, ',')) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+void checkCombination(const NodeSettings &settings)
+{
+    std::string problems;
+    auto require = [&](bool isMet, const char *problem) {
+        if (!isMet) {
+            problems += problems.empty() ? problem : std::string("\n") + problem;
+        }
+    };
+    if (!settings.isEmbedded()) {
+        require(!settings.resumeKey.empty(), "--resume-key / LOVAGEWARD_RESUME_KEY: needed with --platform, and the same on all nodes");
+        require(settings.hostsFile.empty(), "--hosts-file / LOVAGEWARD_HOSTS_FILE: can't be combined with --platform, which has the host list");
+    }
+    if (!problems.empty()) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, problems);
+    }
+}
+
+}
+
+std::vector<SettingDefinition> nodeSettingDefinitions()
+{
+    using namespace SettingChecks;
+    return {
+        { "listen", "IP:port of the caller API", "127.0.0.1:8080", address },
+        { "admin-listen", "IP:port of the administration API", "127.0.0.1:8081", address },
+        { "peer-listen", "IP:port for messages between nodes", "127.0.0.1:8082", address },
+        { "host", "name of this entry host in the host list", "node-1", nonEmpty },
+        { "region", "region of this host", "local", nonEmpty },
+        { "failure-domain", "failure domain of this host", "local-a", nonEmpty },
+        { "platform", "IP:port of the platform; empty runs alone on an in-memory log", "", optionalAddress },
+        { "hosts-file", "JSON host list when no platform is given", "", anyText },
+        { "log-level", "debug, info, warning or error", "info", logLevel },
+        { "resume-key", "secret for resume tokens, the same on all nodes", "", checkResumeKey },
+        { "admin-keys", "comma-separated role:sha256 of administration keys", "", checkAdministrationKeys },
+        { "shutdown-seconds", "longest graceful shutdown", "600", wholeNumber(1, 86'400) },
+        { "gap-seconds", "silence after which a stream is resumed on a new connection", "5", wholeNumber(1, 600) },
+        { "link-megabits", "rate of the link between regions", "30", wholeNumber(1, 1'000'000) },
+        { "max-body-bytes", "largest request body", "1048576", wholeNumber(1'024, 1 << 28) },
+        { "max-connections", "open caller connections, one thread each", "1000", wholeNumber(1, 20'000) },
+        { "digest-fanout", "nodes that get this node's load digests; 0 for all", "0", wholeNumber(0, 1'000) },
+    };
+}
+
+NodeSettings readNodeSettings(const std::vector<std::string> &arguments, const EnvironmentLookup &environment)
+{
+    SettingsReader reader(nodeSettingDefinitions());
+    reader.read(arguments, environment);
+    NodeSettings settings;
+    settings.listen = reader.text("listen");
+    settings.administrationListen = reader.text("admin-listen");
+    settings.peerListen = reader.text("peer-listen");
+    settings.host = HostId(reader.text("host"));
+    settings.region = RegionId(reader.text("region"));
+    settings.failureDomain = FailureDomainId(reader.text("failure-domain"));
+    settings.platform = reader.text("platform");
+    settings.hostsFile = reader.text("hosts-file");
+    settings.logLevel = parseLogLevel(reader.text("log-level"));
+    settings.resumeKey = reader.text("resume-key");
+    settings.administrationKeys = splitAtCommas(reader.text("admin-keys"));
+    settings.shutdownLimit = seconds(reader.number("shutdown-seconds"));
+    settings.tokenGapLimit = seconds(reader.number("gap-seconds"));
+    settings.linkBytesPerSecond = static_cast<double>(reader.number("link-megabits")) * bytesPerMegabit;
+    settings.maximumBodyBytes = static_cast<std::uint64_t>(reader.number("max-body-bytes"));
+    settings.maximumConnections = static_cast<std::uint32_t>(reader.number("max-connections"));
+    settings.digestFanOut = static_cast<std::uint32_t>(reader.number("digest-fanout"));
+    checkCombination(settings);
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNode/NodeSettings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Logger.h>
+#include <LibCore/Time.h>
+#include <LibNode/SettingsReader.h>
+
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** Settings of a node, already checked. docs/settings.md describes them. */
+struct NodeSettings
+{
+    /** "IP:port" of the caller API. */
+    std::string listen;
+    /** "IP:port" of the administration API. */
+    std::string administrationListen;
+    /** "IP:port" of the peer socket. */
+    std::string peerListen;
+    HostId host;
+    RegionId region;
+    FailureDomainId failureDomain;
+    /** "IP:port" of the platform; empty for the embedded mode. */
+    std::string platform;
+    /** JSON file with the host list for the embedded mode. */
+    std::string hostsFile;
+    LogLevel logLevel = LogLevel::Info;
+    /** Shared secret that authenticates resume tokens. */
+    std::string resumeKey;
+    /** "role:sha256" of each administration key. */
+    std::vector<std::string> administrationKeys;
+    Duration shutdownLimit = Duration(0);
+    Duration tokenGapLimit = Duration(0);
+    double linkBytesPerSecond = 0;
+    std::uint64_t maximumBodyBytes = 0;
+    std::uint32_t maximumConnections = 0;
+    std::uint32_t digestFanOut = 0;
+
+    bool isEmbedded() const
+    {
+        return this->platform.empty();
+    }
+};
+
+/** All settings of a node with their checks. */
+std::vector<SettingDefinition> nodeSettingDefinitions();
+
+/** Throws Error(InvalidSettings) for a wrong setting or for settings that don't fit together. */
+NodeSettings readNodeSettings(const std::vector<std::string> &arguments, const EnvironmentLookup &environment);
+
+}
--- /dev/null
+++ b/Libraries/LibNode/SettingsReader.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** Looks up an environment variable; returns nullptr if it isn't set. Tests replace std::getenv by a table. */
+using EnvironmentLookup = std::function<const char *(const std::string &name)>;
+
+/** A setting: one flag and one environment variable of the same name, for example `--log-level` and `LOVAGEWARD_LOG_LEVEL`. */
+struct SettingDefinition
+{
+    std::string name;
+    std::string description;
+    std::string defaultValue;
+    /** Throws Error(InvalidSettings) with the reason if the text isn't valid. */
+    std::function<void(const std::string &text)> check;
+};
+
+/** Checks for SettingDefinition. Each throws Error(InvalidSettings). */
+namespace SettingChecks {
+
+void anyText(const std::string &text);
+void nonEmpty(const std::string &text);
+void logLevel(const std::string &text);
+/** "IP:port" with a numeric IP address. */
+void address(const std::string &text);
+/** As address, or empty. */
+void optionalAddress(const std::string &text);
+/** Whole number within the bounds. */
+std::function<void(const std::string &)> wholeNumber(std::int64_t lowest, std::int64_t highest);
+
+}
+
+/** Values of settings after the flags and the environment were read and checked. A flag goes before its variable. */
+class SettingsReader
+{
+public:
+    explicit SettingsReader(std::vector<SettingDefinition> definitions);
+
+    /**
+     * Reads `--name=value`, `--name value` and the environment.
+     * Throws one Error(InvalidSettings) that lists every wrong setting with its flag and variable.
+     */
+    void read(const std::vector<std::string> &arguments, const EnvironmentLookup &environment);
+
+    const std::string &text(const std::string &name) const;
+    std::int64_t number(const std::string &name) const;
+
+    /** Description of all settings for `--help`. */
+    std::string help() const;
+
+    /** "LOVAGEWARD_LOG_LEVEL" for "log-level". */
+    static std::string variableOf(const std::string &name);
+
+private:
+    struct Value
+    {
+        std::string name;
+        std::string text;
+    };
+
+    void readFlags(const std::vector<std::string> &arguments, std::vector<std::string> &problems);
+    void readEnvironment(const EnvironmentLookup &environment);
+    void checkValues(std::vector<std::string> &problems) const;
+    Value &valueOf(const std::string &name);
+
+    std::vector<SettingDefinition> definitions;
+    std::vector<Value> values;
+};
+
+}
--- /dev/null
+++ b/Tests/LibNode/TestNodeSettings.cpp
@@ -0,0 +1,61 @@
+#include <LibCore/Error.h>
+#include <LibNode/NodeSettings.h>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Lovageward;
+
+namespace {
+
+using Environment = std::map<std::string, std::string>;
+
+NodeSettings readWith(const std::vector<std::string> &arguments, const Environment &environment)
+{
+    return readNodeSettings(arguments, [&](const std::string &name) -> const char * {
+        auto found = environment.find(name);
+        return found == environment.end() ? nullptr : found->second.c_str();
+    });
+}
+
+struct WrongCase
+{
+    std::vector<std::string> arguments;
+    Environment environment;
+    std::vector<std::string> mentions;
+};
+
+}
+
+TEST_CASE("A flag goes before its environment variable, so one host can be overridden by hand", "[settings]")
+{
+    auto settings = readWith({ "--listen=127.0.0.1:1" }, { { "LOVAGEWARD_LISTEN", "127.0.0.1:2" }, { "LOVAGEWARD_HOST", "a" } });
+    CHECK(settings.listen == "127.0.0.1:1");
+    CHECK(settings.host == HostId("a"));
+}
+
+TEST_CASE("Every wrong setting is named with flag and variable, so that one start shows all mistakes", "[settings]")
+{
+    const std::vector<WrongCase> cases = {
+        { { "--listen=localhost:1", "--log-level=loud" }, {}, { "--listen / LOVAGEWARD_LISTEN", "--log-level / LOVAGEWARD_LOG_LEVEL" } },
+        { {}, { { "LOVAGEWARD_GAP_SECONDS", "0" }, { "LOVAGEWARD_HOST", "" } }, { "--gap-seconds / LOVAGEWARD_GAP_SECONDS", "--host / LOVAGEWARD_HOST" } },
+        { { "--no-such-flag=1" }, {}, { "--no-such-flag" } },
+        { { "--platform=127.0.0.1:9000" }, {}, { "--resume-key / LOVAGEWARD_RESUME_KEY" } },
+        { { "--platform=127.0.0.1:70000" }, {}, { "--platform / LOVAGEWARD_PLATFORM" } },
+        { { "--resume-key=short" }, {}, { "--resume-key / LOVAGEWARD_RESUME_KEY" } },
+        { { "--admin-keys=operator:xyz" }, {}, { "--admin-keys / LOVAGEWARD_ADMIN_KEYS" } },
+        { { "--max-body-bytes=1e9" }, {}, { "--max-body-bytes / LOVAGEWARD_MAX_BODY_BYTES" } },
+    };
+    for (const auto &wrong : cases) {
+        try {
+            readWith(wrong.arguments, wrong.environment);
+            FAIL("wrong settings were accepted");
+        } catch (const Error &error) {
+            CHECK(error.code() == ResultCode::InvalidSettings);
+            for (const auto &mention : wrong.mentions) {
+                CHECK_THAT(error.what(), Catch::Matchers::Contains(mention));
+            }
+        }
+    }
+}
