LibDispatch: Add the queueing dispatcher

Requests need one place that bounds, orders and places them. DispatchCore holds the decisions without threads: admission, deficit round robin over teams, class priority by due time, retry budget, early refusal. Placer puts requests on upstreams and takes credits for cold ones. QueueingDispatcher adds the lock, one condition variable per waiting request and a background thread. LinkBudget bounds the traffic between regions, CircuitBreaker keeps work away from an upstream that fails.

Dispatcher gains `cancel` and `account` with default implementations, so other implementations keep compiling.

The tests cover only immediate placement and the queue deadline so far.

--- /dev/null
+++ b/Libraries/LibDispatch/CircuitBreaker.cpp
@@ -0,0 +1,124 @@
+#include <LibDispatch/CircuitBreaker.h>
+
+#include <LibCore/Backoff.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr Duration bucketWidth = seconds(1);
+
+/** Five failures and half of all requests: a single slow or broken request must not take an upstream out of service. */
+constexpr std::uint32_t minimumFailures = 5;
+
+constexpr Duration firstPause = seconds(1);
+constexpr Duration longestPause = seconds(30);
+constexpr unsigned probesToClose = 2;
+
+std::int64_t periodOf(TimePoint time)
+{
+    return time.time_since_epoch() / bucketWidth;
+}
+
+}
+
+bool CircuitBreaker::allows(TimePoint now) const
+{
+    if (this->isClosed) {
+        return true;
+    }
+    return now >= this->probeAt && !this->isProbeRunning;
+}
+
+bool CircuitBreaker::started()
+{
+    if (this->isClosed) {
+        return false;
+    }
+    this->isProbeRunning = true;
+    return true;
+}
+
+void CircuitBreaker::succeeded(TimePoint now, bool isProbe)
+{
+    if (this->isClosed) {
+        ++this->bucketAt(now).successes;
+        return;
+    }
+    if (!isProbe) {
+        return;
+    }
+    this->isProbeRunning = false;
+    ++this->probesSucceeded;
+    if (this->probesSucceeded >= probesToClose) {
+        *this = CircuitBreaker();
+    }
+}
+
+bool CircuitBreaker::failed(TimePoint now, bool isProbe, RandomSource &random)
+{
+    if (!this->isClosed) {
+        if (isProbe) {
+            this->isProbeRunning = false;
+            this->open(now, random);
+        }
+        return false;
+    }
+    ++this->bucketAt(now).failures;
+    auto sum = this->recent(now);
+    if (sum.failures < minimumFailures || sum.failures < sum.successes) {
+        return false;
+    }
+    this->open(now, random);
+    return true;
+}
+
+void CircuitBreaker::abandoned(bool isProbe)
+{
+    if (isProbe) {
+        this->isProbeRunning = false;
+    }
+}
+
+bool CircuitBreaker::isIdle(TimePoint now) const
+{
+    return this->isClosed && this->recent(now).failures == 0;
+}
+
+CircuitBreaker::Bucket &CircuitBreaker::bucketAt(TimePoint now)
+{
+    auto period = periodOf(now);
+    auto &bucket = this->buckets[static_cast<std::size_t>(period) % bucketCount];
+    if (bucket.period != period) {
+        bucket = Bucket { .period = period };
+    }
+    return bucket;
+}
+
+CircuitBreaker::Bucket CircuitBreaker::recent(TimePoint now) const
+{
+    auto oldest = periodOf(now) - static_cast<std::int64_t>(bucketCount) + 1;
+    Bucket sum;
+    for (const auto &bucket : this->buckets) {
+        if (bucket.period >= oldest) {
+            sum.successes += bucket.successes;
+            sum.failures += bucket.failures;
+        }
+    }
+    return sum;
+}
+
+void CircuitBreaker::open(TimePoint now, RandomSource &random)
+{
+    Backoff backoff(random, firstPause, longestPause);
+    // Jitter on top of a fixed first part: full jitter alone could reopen at once.
+    auto pause = firstPause / 2 + backoff.delay(this->openings);
+    this->isClosed = false;
+    this->probeAt = now + std::min(pause, longestPause);
+    this->probesSucceeded = 0;
+    ++this->openings;
+}
+
+}
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -73,6 +73,25 @@
 
     /** Ends the placement. Each placement is released exactly once. */
     virtual void release(PlacementId id, PlacementOutcome outcome) = 0;
+
+    /**
+     * Withdraws a request whose caller is gone: its `acquire` throws Error(DeadlineExceeded, NotRun) at once. Has no effect on a
+     * request that isn't waiting, whose placement is still to be released.
+     */
+    virtual void cancel(const RequestId &request)
+    {
+        static_cast<void>(request);
+    }
+
+    /**
+     * Counts bytes that a placement with `isCrossRegion` moved, in either direction. Returns the time before which the relay
+     * should move no more; it delays the stream and never cuts it.
+     */
+    virtual TimePoint account(ByteCount bytes)
+    {
+        static_cast<void>(bytes);
+        return TimePoint();
+    }
 };
 
 /** Releases a placement at the end of a scope; the outcome defaults to Failed until it is set. */
--- /dev/null
+++ b/Libraries/LibDispatch/OverloadEstimator.cpp
@@ -0,0 +1,75 @@
+#include <LibDispatch/OverloadEstimator.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr Duration bucketWidth = seconds(1);
+
+/** With fewer placements or less waiting time than this, the rate is mostly noise and refuses work that could be placed. */
+constexpr std::uint32_t minimumPlaced = 8;
+constexpr Duration minimumWaitingTime = seconds(1);
+
+std::int64_t periodOf(TimePoint time)
+{
+    return time.time_since_epoch() / bucketWidth;
+}
+
+}
+
+void OverloadEstimator::setWaiting(TimePoint now, bool newIsWaiting)
+{
+    this->accumulate(now);
+    this->isWaiting = newIsWaiting;
+}
+
+void OverloadEstimator::countPlaced(TimePoint now)
+{
+    if (this->isWaiting) {
+        ++this->bucketAt(now).placed;
+    }
+}
+
+std::optional<Duration> OverloadEstimator::expectedWait(TimePoint now, double ahead)
+{
+    this->accumulate(now);
+    auto oldest = periodOf(now) - static_cast<std::int64_t>(bucketCount) + 1;
+    Duration waitingTime(0);
+    std::uint32_t placed = 0;
+    for (const auto &bucket : this->buckets) {
+        if (bucket.period >= oldest) {
+            waitingTime += bucket.waitingTime;
+            placed += bucket.placed;
+        }
+    }
+    if (placed < minimumPlaced || waitingTime < minimumWaitingTime) {
+        return std::nullopt;
+    }
+    auto perRequest = static_cast<double>(waitingTime.count()) / placed;
+    return Duration(static_cast<Duration::rep>((ahead + 1) * perRequest));
+}
+
+OverloadEstimator::Bucket &OverloadEstimator::bucketAt(TimePoint time)
+{
+    auto period = periodOf(time);
+    auto &bucket = this->buckets[static_cast<std::size_t>(period) % bucketCount];
+    if (bucket.period != period) {
+        bucket = Bucket { .period = period };
+    }
+    return bucket;
+}
+
+void OverloadEstimator::accumulate(TimePoint now)
+{
+    auto from = std::max<TimePoint>(this->accumulatedUntil, now - bucketWidth * bucketCount);
+    while (this->isWaiting && from < now) {
+        auto until = std::min<TimePoint>(now, TimePoint((periodOf(from) + 1) * bucketWidth));
+        this->bucketAt(from).waitingTime += until - from;
+        from = until;
+    }
+    this->accumulatedUntil = now;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/PlacementDue.cpp
@@ -0,0 +1,24 @@
+#include <LibDispatch/PlacementDue.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+TimePoint placementDue(TargetKind target, Duration targetTime, TimePoint arrivedAt, TimePoint queueDeadline)
+{
+    auto latest = std::max(Duration(0), (queueDeadline - arrivedAt) / 2);
+    switch (target) {
+    case TargetKind::FirstToken:
+        // The other half remains for the upstream's prefill.
+        return arrivedAt + std::min(latest, targetTime / 2);
+    case TargetKind::Completion:
+        // Generating takes most of the time until the answer is complete.
+        return arrivedAt + std::min(latest, targetTime / 4);
+    case TargetKind::TokenGap:
+        // The gap between tokens doesn't depend on the time in the queue.
+        break;
+    }
+    return arrivedAt + latest;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/Placer.cpp
@@ -0,0 +1,146 @@
+#include <LibDispatch/Placer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageward {
+
+namespace {
+
+/** Upstreams that are tried for one request in one pass when a choice can't be used. */
+constexpr unsigned maximumChoices = 3;
+
+}
+
+Placer::Placer(const Clock &clock,
+               RandomSource &random,
+               UpstreamTable &table,
+               UpstreamChooser &chooser,
+               CreditSource &credits,
+               LinkBudget &link,
+               Counters &counters,
+               const Logger &logger,
+               RegionId ownRegion)
+    : clock(clock)
+    , table(table)
+    , chooser(chooser)
+    , credits(credits)
+    , link(link)
+    , logger(logger)
+    , ownRegion(std::move(ownRegion))
+    , breakers(random)
+    , crossRegionPlacements(counters.counter("lovageward_placements_cross_region_total"))
+    , creditWaits(counters.counter("lovageward_credit_waits_total"))
+    , staleChoices(counters.counter("lovageward_stale_choices_total"))
+    , breakersOpened(counters.counter("lovageward_breakers_opened_total"))
+    , linkHolds(counters.counter("lovageward_link_holds_total"))
+{
+}
+
+Placer::Attempt Placer::tryPlace(PlacementRequest request)
+{
+    Attempt attempt;
+    this->breakers.appendBlocked(this->clock.now(), request.excluded);
+    if (!request.isOwnRegionOnly && this->link.isExhausted()) {
+        request.isOwnRegionOnly = true;
+        this->linkHolds.add();
+    }
+    for (unsigned number = 0; number < maximumChoices; ++number) {
+        auto choice = this->chooser.choose(request);
+        if (!choice) {
+            return attempt;
+        }
+        attempt.hadChoice = true;
+        Running work;
+        auto placement = this->confirm(*choice, request, work);
+        if (placement) {
+            this->chooser.started(placement->id, choice->upstream, request);
+            this->placements.emplace(placement->id, work);
+            attempt.placement = std::move(placement);
+            return attempt;
+        }
+        request.excluded.push_back(choice->upstream);
+    }
+    return attempt;
+}
+
+void Placer::progress(PlacementId id, TokenCount produced)
+{
+    auto found = this->placements.find(id);
+    if (found == this->placements.end()) {
+        return;
+    }
+    auto &work = found->second;
+    work.produced = std::max(work.produced, produced);
+    this->chooser.progressed(id, produced);
+    if (work.isProbe && produced > TokenCount(0)) {
+        // A long generation shows with its first token that the upstream works; its end would come too late.
+        this->breakers.ended(work.upstream, PlacementOutcome::Completed, true, this->clock.now());
+        work.isProbe = false;
+    }
+}
+
+std::optional<TokenCount> Placer::release(PlacementId id, PlacementOutcome outcome)
+{
+    auto found = this->placements.find(id);
+    if (found == this->placements.end()) {
+        return std::nullopt;
+    }
+    auto work = found->second;
+    this->placements.erase(found);
+    this->chooser.finished(id, work.produced, outcome == PlacementOutcome::Completed);
+    if (work.usesCredit) {
+        this->credits.release(work.upstream);
+    }
+    if (outcome == PlacementOutcome::ConnectionFailed) {
+        this->table.markSuspect(work.upstream);
+    }
+    if (this->breakers.ended(work.upstream, outcome, work.isProbe, this->clock.now())) {
+        this->breakersOpened.add();
+        this->logger.warning("Upstream {} keeps failing and gets no new work for now.", work.upstream.value());
+    }
+    return work.produced;
+}
+
+bool Placer::hasUpstream(const PlacementRequest &request) const
+{
+    for (const auto &pool : request.pools) {
+        for (const auto &state : this->table.upstreamsOf(pool)) {
+            auto isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.id) != request.excluded.end();
+            auto isReachable = !request.isOwnRegionOnly || state.region == this->ownRegion;
+            if (state.report.phase != UpstreamPhase::Leaving && isReachable && !isExcluded) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::optional<Placement> Placer::confirm(const UpstreamChoice &choice, const PlacementRequest &request, Running &work)
+{
+    // The chooser may work on an older copy of the table; a drain or a connection failure since then must win.
+    auto state = this->table.find(choice.upstream);
+    if (!state || state->report.phase == UpstreamPhase::Leaving) {
+        this->staleChoices.add();
+        return std::nullopt;
+    }
+    work.upstream = choice.upstream;
+    auto isCrossRegion = state->region != this->ownRegion;
+    if (isCrossRegion && request.isOwnRegionOnly) {
+        this->staleChoices.add();
+        return std::nullopt;
+    }
+    work.usesCredit = choice.needsCredit || state->report.phase == UpstreamPhase::Cold;
+    if (work.usesCredit && !this->credits.tryAcquire(choice.upstream)) {
+        this->creditWaits.add();
+        return std::nullopt;
+    }
+    work.isProbe = this->breakers.started(choice.upstream);
+    if (isCrossRegion) {
+        this->crossRegionPlacements.add();
+    }
+    ++this->lastId;
+    return Placement { .id = PlacementId(this->lastId), .upstream = choice.upstream, .address = state->address, .isCrossRegion = isCrossRegion };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/QueueingDispatcher.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <LibDispatch/DispatchCore.h>
+#include <LibDispatch/Dispatcher.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+
+namespace Lovageward {
+
+/**
+ * The node's dispatcher: request threads wait in `acquire` on a condition variable of their own, so that a decision wakes only the
+ * request that it concerns. One background thread runs while requests wait.
+ *
+ * Lock order: the mutex of this class is taken first; under it come the upstream table, credits, configuration, link budget and
+ * counters. The chooser is called under it and needs no lock of its own. No I/O happens under it.
+ */
+class QueueingDispatcher final : public Dispatcher
+{
+public:
+    QueueingDispatcher(const DispatchSettings &settings,
+                       const Clock &clock,
+                       RandomSource &random,
+                       const Configuration &configuration,
+                       UpstreamTable &table,
+                       UpstreamChooser &chooser,
+                       CreditSource &credits,
+                       LinkBudget &link,
+                       Counters &counters,
+                       LogSink &logSink);
+
+    /** No call of `acquire` may be running any more. */
+    ~QueueingDispatcher() override;
+
+    QueueingDispatcher(const QueueingDispatcher &) = delete;
+    QueueingDispatcher &operator=(const QueueingDispatcher &) = delete;
+
+    Placement acquire(const WorkItem &item) override;
+    void reportProgress(PlacementId id, TokenCount produced) override;
+    void release(PlacementId id, PlacementOutcome outcome) override;
+    void cancel(const RequestId &request) override;
+    TimePoint account(ByteCount bytes) override;
+
+    /** From now on refuses new work with ShuttingDown. Waiting requests are still placed and running ones go on. */
+    void stop();
+
+    /** While isolated, refuses new and waiting work with NodeIsolated; running work goes on. */
+    void setIsolated(bool newIsIsolated);
+
+    /** One background pass; called by the background thread, or by the owner if the settings have no ticker. */
+    void tick();
+
+    std::size_t waiting() const;
+    std::size_t running() const;
+
+private:
+    struct Waiter
+    {
+        std::condition_variable changed;
+        std::optional<std::variant<Placement, Error>> result;
+    };
+
+    void deliver();
+    void wakeTicker();
+    TimePoint nextTick() const;
+    void runTicker();
+
+    Duration tickInterval;
+    const Clock &clock;
+    LinkBudget &link;
+    Logger logger;
+    mutable std::mutex mutex;
+    Placer placer;
+    DispatchCore core;
+    std::unordered_map<TicketId, Waiter *> waiters;
+    std::condition_variable tickerChanged;
+    /** Time at which the ticker runs next; nothing while it sleeps because no request waits. */
+    std::optional<TimePoint> tickerWakesAt;
+    bool isEnding = false;
+    std::thread ticker;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/RetryBudget.cpp
@@ -0,0 +1,53 @@
+#include <LibDispatch/RetryBudget.h>
+
+namespace Lovageward {
+
+RetryBudget::RetryBudget(double share, std::uint32_t floor, Duration window) : share(share), floor(floor), bucketWidth(window / bucketCount)
+{
+}
+
+void RetryBudget::countRequest(TimePoint now)
+{
+    ++this->bucketAt(now).requests;
+}
+
+bool RetryBudget::tryRetry(TimePoint now)
+{
+    auto oldest = this->periodOf(now) - static_cast<std::int64_t>(bucketCount) + 1;
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    for (const auto &bucket : this->buckets) {
+        if (bucket.period >= oldest) {
+            requests += bucket.requests;
+            retries += bucket.retries;
+        }
+    }
+    auto allowed = this->floor + this->share * static_cast<double>(requests);
+    if (static_cast<double>(retries + 1) > allowed) {
+        return false;
+    }
+    ++this->bucketAt(now).retries;
+    return true;
+}
+
+TimePoint RetryBudget::nextChange(TimePoint now) const
+{
+    return TimePoint((this->periodOf(now) + 1) * this->bucketWidth);
+}
+
+std::int64_t RetryBudget::periodOf(TimePoint time) const
+{
+    return time.time_since_epoch() / this->bucketWidth;
+}
+
+RetryBudget::Bucket &RetryBudget::bucketAt(TimePoint now)
+{
+    auto period = this->periodOf(now);
+    auto &bucket = this->buckets[static_cast<std::size_t>(period) % bucketCount];
+    if (bucket.period != period) {
+        bucket = Bucket { .period = period };
+    }
+    return bucket;
+}
+
+}
