LibPolicy: Place work by forecast KV memory

Cause: output lengths are unknown and engines fill up while they decode, so a choice by the number of requests overfills them.

Change: LengthModel learns lengths per class and team with running work as censored observations. MemoryForecast expects the blocks of own and other work at eight horizons. ForecastChooser admits work where that fits, each node using its share of the room a report shows. UpstreamTable gets an index per pool and region, so a choice copies no states.

--- /dev/null
+++ b/Libraries/LibPolicy/ForecastChooser.cpp
@@ -0,0 +1,250 @@
+#include <LibPolicy/ForecastChooser.h>
+#include <LibPolicy/Hashing.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Work with a completion target above this can wait without missing it. */
+constexpr auto patientTarget = seconds(15);
+/** Waiting for this share of the target makes patient work as urgent as any other, so that it ends in time. */
+constexpr double agedShare = 0.1;
+/** How long one request with a token gap target keeps the pool's stricter bound. */
+constexpr auto gapProtection = seconds(60);
+/** Fill that an upstream starts with after it turned warm. */
+constexpr double rampStart = 0.3;
+/** Profiles are computed again after this many tokens, or a share of those produced, which keeps the cost per token low. */
+constexpr std::uint64_t updateTokens = 16;
+constexpr std::uint64_t updateDivisor = 16;
+/** Calls of sample per decision in a pool that is larger than the sample. */
+constexpr int sampleRounds = 2;
+
+bool isPatient(const PlacementRequest &request)
+{
+    return request.target == TargetKind::Completion && request.targetTime > patientTarget;
+}
+
+}
+
+ForecastChooser::ForecastChooser(const Clock &clock, RandomSource &random, const UpstreamTable &table, const ForecastSettings &settings)
+    : clock(clock), random(random), table(table), settings(settings)
+{
+}
+
+std::optional<UpstreamChoice> ForecastChooser::choose(const PlacementRequest &request)
+{
+    const auto &curve = this->lengths.curve(this->lengths.group(request.workClass, request.team));
+    auto need = MemoryProfile::of(curve, static_cast<double>(request.promptTokens.value()), 0, this->settings.tokensPerBlock);
+    this->excludedSlots.clear();
+    for (const auto &id : request.excluded) {
+        this->excludedSlots.push_back(this->table.slotOf(id).value_or(0));
+    }
+    for (auto isInside : { true, false }) {
+        if (!isInside && request.isOwnRegionOnly) {
+            break;
+        }
+        this->warm.clear();
+        this->cold.clear();
+        for (const auto &pool : request.pools) {
+            this->collect(request, pool, isInside, need);
+        }
+        if (auto choice = this->pick()) {
+            return choice;
+        }
+    }
+    return std::nullopt;
+}
+
+void ForecastChooser::collect(const PlacementRequest &request, const PoolId &pool, bool isInside, const MemoryProfile &need)
+{
+    auto &work = this->pools[pool];
+    if (request.target == TargetKind::TokenGap) {
+        work.gapProtectedUntil = this->clock.now() + gapProtection;
+    }
+    UpstreamSample sample { .pool = pool, .region = this->settings.ownRegion, .isInside = isInside, .limit = this->settings.sampleSize };
+    for (int round = 0; round < sampleRounds; ++round) {
+        this->briefs.clear();
+        sample.affinityHash = round == 0 ? request.prefixHash : 0;
+        auto size = this->table.sample(sample, this->random, this->briefs);
+        this->keepTeamSubset(request);
+        for (std::size_t index = 0; index < this->briefs.size(); ++index) {
+            auto isAffine = index == 0 && sample.affinityHash != 0;
+            this->consider(request, work, this->briefs[index], isAffine, need);
+        }
+        if (size <= sample.limit || !this->warm.empty()) {
+            break;
+        }
+    }
+}
+
+void ForecastChooser::keepTeamSubset(const PlacementRequest &request)
+{
+    if (this->settings.teamSubset == 0 || this->briefs.size() <= this->settings.teamSubset) {
+        return;
+    }
+    auto team = hashText(request.team.value());
+    std::sort(this->briefs.begin(), this->briefs.end(), [team](const UpstreamBrief &left, const UpstreamBrief &right) {
+        return hashPair(left.idHash, team) > hashPair(right.idHash, team);
+    });
+    this->briefs.resize(this->settings.teamSubset);
+}
+
+void ForecastChooser::consider(const PlacementRequest &request, PoolWork &pool, const UpstreamBrief &brief, bool isAffine, const MemoryProfile &need)
+{
+    if (brief.phase == UpstreamPhase::Leaving || std::ranges::find(this->excludedSlots, brief.slot) != this->excludedSlots.end()) {
+        return;
+    }
+    auto &site = this->sites[brief.slot];
+    site.forecast.refresh(brief, pool.profile, this->random.unit());
+    if (brief.phase == UpstreamPhase::Cold) {
+        site.wasCold = site.wasCold || brief.hasReport;
+        auto outstanding = static_cast<std::uint32_t>(site.forecast.outstanding());
+        if (std::max(outstanding, brief.running) < brief.coldLimit) {
+            this->cold.push_back({ .slot = brief.slot, .isCold = true, .load = static_cast<double>(brief.running) });
+        }
+        return;
+    }
+    if (site.wasCold) {
+        site.wasCold = false;
+        site.rampEnd = this->clock.now() + this->settings.rampTime;
+    }
+    if (!this->admits(request, pool, site, brief, need)) {
+        return;
+    }
+    auto nodes = static_cast<double>(this->settings.nodeCount);
+    auto pieces = static_cast<double>(brief.running + brief.waiting + static_cast<std::uint32_t>(site.forecast.outstanding()));
+    auto load = brief.kvBlocksTotal > 0 ? site.forecast.load(nodes) : pieces;
+    this->warm.push_back({ .slot = brief.slot, .isAffine = isAffine, .load = load });
+}
+
+bool ForecastChooser::admits(const PlacementRequest &request, const PoolWork &pool, Site &site, const UpstreamBrief &brief, const MemoryProfile &need)
+{
+    if (brief.kvBlocksTotal == 0) {
+        // Plain services have no KV memory and queue for themselves.
+        return true;
+    }
+    auto isGapProtected = this->clock.now() < pool.gapProtectedUntil;
+    AdmissionBound bound { .deviations = isGapProtected ? this->settings.gapDeviations : this->settings.completionDeviations,
+                           .fill = this->fillFor(request, site),
+                           .nodes = static_cast<double>(this->settings.nodeCount) };
+    return site.forecast.admits(need, bound);
+}
+
+double ForecastChooser::fillFor(const PlacementRequest &request, const Site &site) const
+{
+    auto now = this->clock.now();
+    double fill = 1;
+    if (isPatient(request)) {
+        auto waited = std::chrono::duration<double>(now - request.arrivedAt).count();
+        auto aged = std::chrono::duration<double>(request.targetTime).count() * agedShare;
+        auto age = std::clamp(waited / aged, 0.0, 1.0);
+        fill = this->settings.patientFill + (1 - this->settings.patientFill) * age;
+    }
+    if (now < site.rampEnd) {
+        auto left = std::chrono::duration<double>(site.rampEnd - now) / std::chrono::duration<double>(this->settings.rampTime);
+        fill *= 1 - (1 - rampStart) * left;
+    }
+    return fill;
+}
+
+std::optional<UpstreamChoice> ForecastChooser::pick()
+{
+    auto useCold = !this->cold.empty() && (this->warm.empty() || this->random.unit() < this->settings.coldChance);
+    auto &candidates = useCold ? this->cold : this->warm;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    if (candidates.front().isAffine && candidates.front().load < this->settings.affinityLoad) {
+        return this->choiceOf(candidates.front());
+    }
+    // The least loaded of a few drawn at random: the least loaded of all would be the same on every node.
+    auto drawn = std::min(candidates.size(), this->settings.drawnCandidates);
+    for (std::size_t index = 0; index < drawn; ++index) {
+        auto other = index + this->random.below(candidates.size() - index);
+        std::swap(candidates[index], candidates[other]);
+    }
+    auto end = candidates.begin() + static_cast<std::ptrdiff_t>(drawn);
+    auto best = std::min_element(candidates.begin(), end, [](const auto &left, const auto &right) { return left.load < right.load; });
+    return this->choiceOf(*best);
+}
+
+std::optional<UpstreamChoice> ForecastChooser::choiceOf(const Candidate &candidate) const
+{
+    auto id = this->table.idOf(candidate.slot);
+    if (!id) {
+        return std::nullopt;
+    }
+    return UpstreamChoice { .upstream = *id, .needsCredit = candidate.isCold };
+}
+
+void ForecastChooser::started(PlacementId id, const UpstreamId &upstream, const PlacementRequest &request)
+{
+    Work work;
+    work.slot = this->table.slotOf(upstream).value_or(0);
+    work.group = this->lengths.group(request.workClass, request.team);
+    work.pool = request.pools.empty() ? &this->pools[PoolId()] : &this->pools[request.pools.front()];
+    work.promptTokens = request.promptTokens;
+    this->lengths.started(work.group);
+    const auto &curve = this->lengths.curve(work.group);
+    work.profile = MemoryProfile::of(curve, static_cast<double>(request.promptTokens.value()), 0, this->settings.tokensPerBlock);
+    work.nextUpdate = updateTokens;
+    work.pool->profile += work.profile;
+    this->sites[work.slot].forecast.change({}, work.profile, 1, this->clock.now());
+    this->works.emplace(id, work);
+    this->pruneSites();
+}
+
+void ForecastChooser::progressed(PlacementId id, TokenCount produced)
+{
+    auto found = this->works.find(id);
+    if (found == this->works.end() || produced.value() < found->second.nextUpdate) {
+        return;
+    }
+    auto &work = found->second;
+    this->lengths.progressed(work.group, work.produced, produced);
+    work.produced = produced;
+    work.nextUpdate = produced.value() + std::max(updateTokens, produced.value() / updateDivisor);
+    auto prompt = static_cast<double>(work.promptTokens.value());
+    const auto &curve = this->lengths.curve(work.group);
+    auto profile = MemoryProfile::of(curve, prompt, static_cast<double>(produced.value()), this->settings.tokensPerBlock);
+    work.pool->profile -= work.profile;
+    work.pool->profile += profile;
+    this->sites[work.slot].forecast.change(work.profile, profile, 0, this->clock.now());
+    work.profile = profile;
+}
+
+void ForecastChooser::finished(PlacementId id, TokenCount produced, bool isComplete)
+{
+    auto found = this->works.find(id);
+    if (found == this->works.end()) {
+        return;
+    }
+    auto &work = found->second;
+    this->lengths.finished(work.group, work.produced, produced, isComplete);
+    work.pool->profile -= work.profile;
+    this->sites[work.slot].forecast.change(work.profile, {}, -1, this->clock.now());
+    this->works.erase(found);
+}
+
+void ForecastChooser::setNodeCount(std::size_t count)
+{
+    this->settings.nodeCount = std::max<std::size_t>(count, 1);
+}
+
+LengthModel &ForecastChooser::lengthModel()
+{
+    return this->lengths;
+}
+
+void ForecastChooser::pruneSites()
+{
+    if (this->sites.size() < 2 * this->sitesAtLastPrune) {
+        return;
+    }
+    std::erase_if(this->sites, [this](const auto &item) { return item.second.forecast.outstanding() == 0 && !this->table.idOf(item.first); });
+    this->sitesAtLastPrune = std::max<std::size_t>(this->sites.size(), 64);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/ForecastSettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Time.h>
+
+#include <cstddef>
+
+namespace Lovageward {
+
+/** Parameters of ForecastChooser. Operators set none of them but the region. */
+struct ForecastSettings
+{
+    RegionId ownRegion;
+    /** Live nodes that use the same upstreams; updated later with ForecastChooser::setNodeCount. */
+    std::size_t nodeCount = 1;
+    double tokensPerBlock = 16;
+    /** Upstreams looked at per region group and decision. */
+    std::size_t sampleSize = 16;
+    /** Admissible upstreams of which the least loaded is taken. */
+    std::size_t drawnCandidates = 3;
+    /** Load above which an upstream gets no work for its prefix cache alone. */
+    double affinityLoad = 0.75;
+    /** Standard deviations of headroom if some class of the pool protects the gap between tokens. */
+    double gapDeviations = 2.5;
+    /** The same where classes protect only first token or completion. */
+    double completionDeviations = 2;
+    /** Share of memory that long work may fill while it is young; the rest is for short work and for work that has aged. */
+    double patientFill = 0.97;
+    /** Chance that a cold upstream is offered work although warm ones have room, so that it gets warm. */
+    double coldChance = 0.3;
+    /** Time over which an upstream that turned warm is opened fully. */
+    Duration rampTime = seconds(20);
+    /** Upstreams per team by rendezvous hashing; 0 for all. */
+    std::size_t teamSubset = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/LengthModel.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibPolicy/LengthCurve.h>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Lovageward {
+
+/**
+ * Output lengths per class and team, learned from finished and running work. Team estimates fall back to the class and the
+ * class to a prior wherever there are few observations. Running work counts as "at least so long" (Kaplan–Meier); without
+ * it the model would see short answers first and expect too little.
+ */
+class LengthModel
+{
+public:
+    /** Number of a (class, team) pair; index 0 is never used. */
+    using Group = std::uint32_t;
+
+    LengthModel();
+
+    /** Group of the pair; made on first use. */
+    Group group(const WorkClassId &workClass, const TeamId &team);
+
+    /** Work starts to run. */
+    void started(Group group);
+
+    /** Running work has moved from `before` to `after` tokens. */
+    void progressed(Group group, TokenCount before, TokenCount after);
+
+    /** Running work ended, last reported at `before`. An incomplete length is only a lower bound. */
+    void finished(Group group, TokenCount before, TokenCount length, bool isComplete);
+
+    /** Current distribution of the group. The reference is valid until the next call. */
+    const LengthCurve &curve(Group group);
+
+private:
+    struct Level
+    {
+        std::array<double, LengthCurve::bucketCount> ended {};
+        std::array<double, LengthCurve::bucketCount> censored {};
+        std::array<std::int32_t, LengthCurve::bucketCount> running {};
+        /** Weight of the next observation. It grows, which lets older observations fade without touching them. */
+        double weight = 1;
+        LengthCurve curve;
+        std::uint32_t changes = 0;
+        bool hasCurve = false;
+        /** Position of the level that this one falls back to. */
+        std::uint32_t parent = 0;
+
+        Level();
+        void observe(std::size_t bucket, bool isComplete);
+        LengthCurve::Hazards hazards(const LengthCurve::Hazards &fallback) const;
+    };
+
+    void touch(Group group);
+    LengthCurve::Hazards hazardsOf(std::uint32_t level) const;
+
+    /** Level 0 is the prior; then classes and groups in order of first use. A deque keeps references valid. */
+    std::deque<Level> levels;
+    std::map<WorkClassId, std::uint32_t> classLevels;
+    std::map<std::pair<WorkClassId, TeamId>, Group> groups;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/MemoryForecast.cpp
@@ -0,0 +1,105 @@
+#include <LibPolicy/MemoryForecast.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Lovageward {
+
+namespace {
+
+/** Sixteen snapshots at this distance cover a report that is four seconds late. */
+constexpr auto snapshotSpacing = milliseconds(300);
+/** Blocks of own work below which it says little about the others' work; a flat development is mixed in with this weight. */
+constexpr double typicalWeight = 500;
+
+}
+
+void MemoryForecast::change(const MemoryProfile &removed, const MemoryProfile &added, int countChange, TimePoint now)
+{
+    this->own -= removed;
+    this->own += added;
+    this->ownCount += countChange;
+    if (this->ownCount == 0) {
+        // Ends the drift from adding and subtracting rounded numbers.
+        this->own = MemoryProfile();
+    }
+    this->remember(now);
+}
+
+void MemoryForecast::remember(TimePoint now)
+{
+    if (this->snapshots[this->newest].at + snapshotSpacing < now) {
+        this->newest = (this->newest + 1) % snapshotCount;
+        this->snapshots[this->newest].at = now;
+    }
+    this->snapshots[this->newest].count = this->ownCount;
+    this->snapshots[this->newest].mean = this->own.mean;
+}
+
+MemoryForecast::Snapshot MemoryForecast::ownAt(TimePoint time) const
+{
+    for (std::size_t back = 0; back < snapshotCount; ++back) {
+        const auto &snapshot = this->snapshots[(this->newest + snapshotCount - back) % snapshotCount];
+        if (snapshot.at <= time) {
+            return snapshot;
+        }
+    }
+    return this->snapshots[(this->newest + 1) % snapshotCount];
+}
+
+void MemoryForecast::refresh(const UpstreamBrief &brief, const MemoryProfile &typical, double newDraw)
+{
+    if (!brief.hasReport || (this->hasReport && brief.measuredAt == this->reportedAt)) {
+        return;
+    }
+    this->hasReport = true;
+    this->reportedAt = brief.measuredAt;
+    this->draw = newDraw;
+    this->totalBlocks = static_cast<double>(brief.kvBlocksTotal);
+    this->ownAtReport = this->ownAt(brief.measuredAt);
+    auto used = static_cast<double>(brief.kvBlocksUsed);
+    auto foreign = std::max(0.0, used - this->ownAtReport.mean[0]);
+    // Work that waits at the engine holds no memory yet, but will hold about as much as what runs.
+    auto perPiece = used / std::max(1U, brief.running);
+    foreign += perPiece * brief.waiting;
+    for (std::size_t index = 0; index < MemoryProfile::horizonCount; ++index) {
+        auto scale = foreign / (typical.mean[0] + typicalWeight);
+        this->others.mean[index] = scale * (typical.mean[index] + typicalWeight);
+        this->others.variance[index] = scale * typical.variance[index];
+    }
+}
+
+bool MemoryForecast::admits(const MemoryProfile &need, const AdmissionBound &bound) const
+{
+    for (std::size_t index = 0; index < MemoryProfile::horizonCount; ++index) {
+        auto variance = this->own.variance[index] + this->others.variance[index] + need.variance[index];
+        auto margin = bound.deviations * std::sqrt(std::max(0.0, variance));
+        auto expected = this->ownAtReport.mean[index] + this->others.mean[index];
+        auto room = this->totalBlocks * bound.fill - expected - margin;
+        auto share = room > 0 ? room / bound.nodes : room;
+        auto sent = this->own.mean[index] - this->ownAtReport.mean[index];
+        // The draw rounds a share of less than one piece of work up or down at random, once per report, so that all nodes
+        // together use the room once.
+        if (sent + need.mean[index] > share + this->draw * need.mean[index]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+double MemoryForecast::load(double nodes) const
+{
+    if (this->totalBlocks <= 0) {
+        return 1;
+    }
+    auto sent = this->own.mean[0] - this->ownAtReport.mean[0];
+    auto scaled = sent > 0 ? sent * nodes : sent;
+    return (this->ownAtReport.mean[0] + this->others.mean[0] + scaled) / this->totalBlocks;
+}
+
+std::int32_t MemoryForecast::outstanding() const
+{
+    return this->ownCount;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/MemoryForecast.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPolicy/MemoryProfile.h>
+#include <LibPolicy/UpstreamBrief.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace Lovageward {
+
+/** What an admission may use of an engine's memory. */
+struct AdmissionBound
+{
+    /** Standard deviations that the forecast must stay below the memory. */
+    double deviations = 2;
+    /** Share of the memory that may be filled. */
+    double fill = 1;
+    /** Nodes that send work to the same engine. */
+    double nodes = 1;
+};
+
+/**
+ * Forecast of one engine's KV memory on one node. The last report gives the memory in use by all nodes; own work is known
+ * piece by piece, before and after the report. Each node may use only its share of the room that a report shows, since the
+ * other nodes see the same report; memory that its own work frees afterwards is its own to use again.
+ */
+class MemoryForecast
+{
+public:
+    /** Work was placed or its profile changed: `added` replaces `removed`. Either may be empty. */
+    void change(const MemoryProfile &removed, const MemoryProfile &added, int countChange, TimePoint now);
+
+    /**
+     * Takes a report into account if it is new. `typical` is the summed profile of this node's work in the pool; other
+     * nodes' work is assumed to develop like it. `draw` is uniform in [0, 1).
+     */
+    void refresh(const UpstreamBrief &brief, const MemoryProfile &typical, double draw);
+
+    /** True if the work fits at every horizon. */
+    bool admits(const MemoryProfile &need, const AdmissionBound &bound) const;
+
+    /** Expected share of the memory in use now, with the other nodes' unreported work; 1 is full. */
+    double load(double nodes) const;
+
+    /** Pieces of own work. */
+    std::int32_t outstanding() const;
+
+private:
+    struct Snapshot
+    {
+        TimePoint at;
+        std::int32_t count = 0;
+        std::array<double, MemoryProfile::horizonCount> mean {};
+    };
+
+    void remember(TimePoint now);
+    Snapshot ownAt(TimePoint time) const;
+
+    static constexpr std::size_t snapshotCount = 16;
+
+    MemoryProfile own;
+    std::int32_t ownCount = 0;
+    /** Ring of own work over the last seconds, for comparison with late reports. */
+    std::array<Snapshot, snapshotCount> snapshots {};
+    std::size_t newest = 0;
+
+    TimePoint reportedAt;
+    bool hasReport = false;
+    double totalBlocks = 0;
+    double draw = 0;
+    Snapshot ownAtReport;
+    MemoryProfile others;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPolicy/MemoryProfile.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibPolicy/LengthCurve.h>
+
+#include <array>
+#include <cstddef>
+
+namespace Lovageward {
+
+/**
+ * Expected KV memory of work, in blocks, now and after further decoding steps. Work that has ended by then counts as zero, so
+ * the mean first grows with the produced tokens and later falls with the chance that the work still runs.
+ */
+struct MemoryProfile
+{
+    /** Decoding steps ahead. Wider steps than a doubling would miss the peak of work of similar lengths. */
+    static constexpr std::array<double, 8> horizons { 0, 64, 256, 512, 1024, 2048, 4096, 8192 };
+    static constexpr std::size_t horizonCount = horizons.size();
+
+    std::array<double, horizonCount> mean {};
+    std::array<double, horizonCount> variance {};
+
+    /** Profile of one piece of work with the given prompt and produced tokens. */
+    static MemoryProfile of(const LengthCurve &curve, double promptTokens, double produced, double tokensPerBlock);
+
+    MemoryProfile &operator+=(const MemoryProfile &other);
+    MemoryProfile &operator-=(const MemoryProfile &other);
+};
+
+}
--- a/Libraries/LibPolicy/UpstreamTable.cpp
+++ b/Libraries/LibPolicy/UpstreamTable.cpp
@@ -1,5 +1,8 @@
+#include <LibPolicy/Hashing.h>
 #include <LibPolicy/UpstreamTable.h>
 
+#include <algorithm>
+
 namespace Lovageward {
 
 UpstreamTable::UpstreamTable(const Clock &clock, Duration maximumReportAge) : clock(clock), maximumReportAge(maximumReportAge)
@@ -9,17 +12,32 @@
 void UpstreamTable::setUpstream(const UpstreamState &state)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    auto &entry = this->entries[state.id];
+    auto [position, isNew] = this->entries.try_emplace(state.id);
+    auto &entry = position->second;
+    if (isNew) {
+        entry.slot = this->nextSlot++;
+        entry.idHash = hashText(state.id.value());
+        this->entryBySlot[entry.slot] = &entry;
+    } else {
+        this->removeFromGroup(entry);
+    }
     auto report = entry.state.report;
     entry.state = state;
     entry.state.report = report;
+    entry.isDrained = this->drained.contains(state.failureDomain);
+    this->addToGroup(entry);
     ++this->changes;
 }
 
 void UpstreamTable::removeUpstream(const UpstreamId &id)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    this->entries.erase(id);
+    auto found = this->entries.find(id);
+    if (found != this->entries.end()) {
+        this->removeFromGroup(found->second);
+        this->entryBySlot.erase(found->second.slot);
+        this->entries.erase(found);
+    }
     ++this->changes;
 }
 
@@ -57,6 +75,9 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     this->drained = failureDomains;
+    for (auto &[id, entry] : this->entries) {
+        entry.isDrained = this->drained.contains(entry.state.failureDomain);
+    }
     ++this->changes;
 }
 
@@ -101,17 +122,115 @@
     return this->changes;
 }
 
+std::size_t UpstreamTable::sample(const UpstreamSample &request, RandomSource &random, std::vector<UpstreamBrief> &briefs) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->groupsByPool.find(request.pool);
+    if (found == this->groupsByPool.end()) {
+        return 0;
+    }
+    const auto &groups = found->second;
+    auto size = groupSize(groups, request);
+    auto now = this->clock.now();
+    auto count = std::min(size, request.limit);
+    if (count == 0) {
+        return size;
+    }
+    auto first = request.affinityHash == 0 ? random.below(size) : jumpHash(request.affinityHash, size);
+    // Steps of one through a small group return all of it; equal steps through a large one return distinct positions.
+    auto stride = size / count;
+    for (std::size_t index = 0; index < count; ++index) {
+        auto jitter = index == 0 || stride == 1 ? 0 : random.below(stride);
+        auto position = (first + index * stride + jitter) % size;
+        briefs.push_back(this->brief(groupMember(groups, request, position), now));
+    }
+    return size;
+}
+
+std::optional<std::uint32_t> UpstreamTable::slotOf(const UpstreamId &id) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->entries.find(id);
+    return found == this->entries.end() ? std::nullopt : std::optional(found->second.slot);
+}
+
+std::optional<UpstreamId> UpstreamTable::idOf(std::uint32_t slot) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->entryBySlot.find(slot);
+    return found == this->entryBySlot.end() ? std::nullopt : std::optional(found->second->state.id);
+}
+
+UpstreamPhase UpstreamTable::effectivePhase(const Entry &entry, TimePoint now) const
+{
+    if (entry.state.isLeaving || entry.isDrained) {
+        return UpstreamPhase::Leaving;
+    }
+    auto isStale = !entry.hasReport || entry.state.report.measuredAt + this->maximumReportAge < now;
+    return isStale || entry.isSuspect ? UpstreamPhase::Cold : entry.state.report.phase;
+}
+
 UpstreamState UpstreamTable::effective(const Entry &entry, TimePoint now) const
 {
     auto state = entry.state;
-    auto isStale = !entry.hasReport || state.report.measuredAt + this->maximumReportAge < now;
-    if (isStale || entry.isSuspect) {
-        state.report.phase = UpstreamPhase::Cold;
+    state.report.phase = this->effectivePhase(entry, now);
+    return state;
+}
+
+UpstreamBrief UpstreamTable::brief(const Entry &entry, TimePoint now) const
+{
+    const auto &report = entry.state.report;
+    return { .slot = entry.slot,
+             .phase = this->effectivePhase(entry, now),
+             .hasReport = entry.hasReport,
+             .running = report.running,
+             .waiting = report.waiting,
+             .coldLimit = report.coldLimit,
+             .kvBlocksUsed = report.kvBlocksUsed.value(),
+             .kvBlocksTotal = report.kvBlocksTotal.value(),
+             .measuredAt = report.measuredAt,
+             .idHash = entry.idHash };
+}
+
+void UpstreamTable::addToGroup(const Entry &entry)
+{
+    auto &group = this->groupsByPool[entry.state.pool][entry.state.region];
+    // The order by id makes positions the same on every node, which prefix affinity relies on.
+    auto place = std::lower_bound(group.begin(), group.end(), &entry, [](const Entry *left, const Entry *right) { return left->state.id < right->state.id; });
+    group.insert(place, &entry);
+}
+
+void UpstreamTable::removeFromGroup(const Entry &entry)
+{
+    auto &groups = this->groupsByPool[entry.state.pool];
+    auto &group = groups[entry.state.region];
+    std::erase(group, &entry);
+    if (group.empty()) {
+        groups.erase(entry.state.region);
     }
-    if (state.isLeaving || this->drained.contains(state.failureDomain)) {
-        state.report.phase = UpstreamPhase::Leaving;
+}
+
+std::size_t UpstreamTable::groupSize(const PoolGroups &groups, const UpstreamSample &request)
+{
+    std::size_t size = 0;
+    for (const auto &[region, group] : groups) {
+        size += (region == request.region) == request.isInside ? group.size() : 0;
+    }
+    return size;
+}
+
+const UpstreamTable::Entry &UpstreamTable::groupMember(const PoolGroups &groups, const UpstreamSample &request, std::size_t position)
+{
+    auto current = groups.begin();
+    for (;; ++current) {
+        if ((current->first == request.region) != request.isInside) {
+            continue;
+        }
+        if (position < current->second.size()) {
+            return *current->second[position];
+        }
+        position -= current->second.size();
     }
-    return state;
 }
 
 }
--- a/Libraries/LibPolicy/UpstreamTable.h
+++ b/Libraries/LibPolicy/UpstreamTable.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/RandomSource.h>
+#include <LibPolicy/UpstreamBrief.h>
+#include <LibPolicy/UpstreamSample.h>
 #include <LibPolicy/UpstreamState.h>
 
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Lovageward {
@@ -48,21 +52,48 @@
     /** Changes whenever any state changes; lets readers keep a derived copy. */
     std::uint64_t version() const;
 
+    /**
+     * Appends briefs of distinct upstreams to `briefs`: the whole group if it is small enough, else random ones. The cost
+     * depends on the limit and not on the size of the pool. Returns the size of the group.
+     */
+    std::size_t sample(const UpstreamSample &request, RandomSource &random, std::vector<UpstreamBrief> &briefs) const;
+
+    /** Slot of a known upstream, as in its brief. */
+    std::optional<std::uint32_t> slotOf(const UpstreamId &id) const;
+
+    /** Id of the upstream in the slot, unless it was removed. */
+    std::optional<UpstreamId> idOf(std::uint32_t slot) const;
+
 private:
     struct Entry
     {
         UpstreamState state;
+        std::uint32_t slot = 0;
+        std::uint64_t idHash = 0;
         bool hasReport = false;
         bool isSuspect = false;
+        bool isDrained = false;
     };
 
+    using Group = std::vector<const Entry *>;
+    using PoolGroups = std::map<RegionId, Group>;
+
+    UpstreamPhase effectivePhase(const Entry &entry, TimePoint now) const;
     UpstreamState effective(const Entry &entry, TimePoint now) const;
+    UpstreamBrief brief(const Entry &entry, TimePoint now) const;
+    void addToGroup(const Entry &entry);
+    void removeFromGroup(const Entry &entry);
+    static std::size_t groupSize(const PoolGroups &groups, const UpstreamSample &request);
+    static const Entry &groupMember(const PoolGroups &groups, const UpstreamSample &request, std::size_t position);
 
     const Clock &clock;
     Duration maximumReportAge;
     mutable std::mutex mutex;
     std::map<UpstreamId, Entry> entries;
+    std::unordered_map<PoolId, PoolGroups> groupsByPool;
+    std::unordered_map<std::uint32_t, const Entry *> entryBySlot;
     std::set<FailureDomainId> drained;
+    std::uint32_t nextSlot = 1;
     std::uint64_t changes = 0;
 };
 
--- /dev/null
+++ b/Tests/LibPolicy/TestChoosers.cpp
@@ -0,0 +1,226 @@
+#include <LibCore/ManualClock.h>
+#include <LibCore/SeededRandom.h>
+#include <LibPolicy/ForecastChooser.h>
+#include <LibPolicy/LeastOutstandingChooser.h>
+#include <LibPolicy/RoundRobinChooser.h>
+#include <LibPolicy/TwoChoicesChooser.h>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+
+using namespace Lovageward;
+
+namespace {
+
+const PoolId pool("writers");
+const RegionId home("home");
+const RegionId away("away");
+
+struct Upstream
+{
+    const char *id = "";
+    RegionId region = home;
+    const char *failureDomain = "a";
+    UpstreamPhase phase = UpstreamPhase::Warm;
+    std::uint64_t used = 100;
+    bool isLeaving = false;
+    bool hasReport = true;
+    bool isSuspect = false;
+    Duration reportAge = seconds(1);
+};
+
+struct Fixture
+{
+    ManualClock clock;
+    SeededRandom random { 7 };
+    UpstreamTable table { clock, seconds(5) };
+
+    explicit Fixture(const std::vector<Upstream> &upstreams)
+    {
+        this->clock.advance(seconds(100));
+        this->table.setDrained({ FailureDomainId("drained") });
+        for (const auto &upstream : upstreams) {
+            this->add(upstream);
+        }
+    }
+
+    void add(const Upstream &upstream)
+    {
+        UpstreamState state;
+        state.id = UpstreamId(upstream.id);
+        state.pool = pool;
+        state.region = upstream.region;
+        state.failureDomain = FailureDomainId(upstream.failureDomain);
+        state.isLeaving = upstream.isLeaving;
+        this->table.setUpstream(state);
+        if (upstream.hasReport) {
+            LoadReport report;
+            report.phase = upstream.phase;
+            report.running = 10;
+            report.coldLimit = 20;
+            report.kvBlocksUsed = BlockCount(upstream.used);
+            report.kvBlocksTotal = BlockCount(10000);
+            report.measuredAt = this->clock.now() - upstream.reportAge;
+            this->table.applyReport(state.id, report);
+        }
+        if (upstream.isSuspect) {
+            this->table.markSuspect(state.id);
+        }
+    }
+
+    std::vector<std::unique_ptr<UpstreamChooser>> choosers()
+    {
+        ForecastSettings settings;
+        settings.ownRegion = home;
+        std::vector<std::unique_ptr<UpstreamChooser>> list;
+        list.push_back(std::make_unique<ForecastChooser>(this->clock, this->random, this->table, settings));
+        list.push_back(std::make_unique<RoundRobinChooser>(this->random, this->table, home));
+        list.push_back(std::make_unique<LeastOutstandingChooser>(this->random, this->table, home));
+        list.push_back(std::make_unique<TwoChoicesChooser>(this->random, this->table, home));
+        return list;
+    }
+};
+
+PlacementRequest request(TimePoint now)
+{
+    PlacementRequest result;
+    result.team = TeamId("team");
+    result.workClass = WorkClassId("story");
+    result.pools = { pool };
+    result.promptTokens = TokenCount(100);
+    result.arrivedAt = now;
+    return result;
+}
+
+}
+
+TEST_CASE("Unusable upstreams are never chosen, cold ones only with a credit", "[policy]")
+{
+    struct Case
+    {
+        const char *guards;
+        Upstream upstream;
+        bool isChosen;
+        bool needsCredit;
+        bool isOwnRegionOnly = false;
+        bool isExcluded = false;
+    };
+    auto withDefaults = [](auto change) {
+        Upstream upstream;
+        upstream.id = "only";
+        change(upstream);
+        return upstream;
+    };
+    const std::vector<Case> cases = {
+        { "warm", withDefaults([](auto &) {}), true, false },
+        { "drained domain", withDefaults([](auto &it) { it.failureDomain = "drained"; }), false, false },
+        { "leaving by host list", withDefaults([](auto &it) { it.isLeaving = true; }), false, false },
+        { "leaving by report", withDefaults([](auto &it) { it.phase = UpstreamPhase::Leaving; }), false, false },
+        { "cold by report", withDefaults([](auto &it) { it.phase = UpstreamPhase::Cold; }), true, true },
+        { "stale report", withDefaults([](auto &it) { it.reportAge = seconds(6); }), true, true },
+        { "connection failed", withDefaults([](auto &it) { it.isSuspect = true; }), true, true },
+        { "no report yet", withDefaults([](auto &it) { it.hasReport = false; }), true, true },
+        { "excluded", withDefaults([](auto &) {}), false, false, false, true },
+        { "other region allowed", withDefaults([](auto &it) { it.region = away; }), true, false },
+        { "other region forbidden", withDefaults([](auto &it) { it.region = away; }), false, false, true },
+    };
+    for (const auto &test : cases) {
+        Fixture fixture({ test.upstream });
+        auto wanted = request(fixture.clock.now());
+        wanted.isOwnRegionOnly = test.isOwnRegionOnly;
+        if (test.isExcluded) {
+            wanted.excluded.emplace_back("only");
+        }
+        for (const auto &chooser : fixture.choosers()) {
+            INFO(test.guards);
+            auto choice = chooser->choose(wanted);
+            REQUIRE(choice.has_value() == test.isChosen);
+            CHECK((!choice || choice->needsCredit == test.needsCredit));
+        }
+    }
+}
+
+TEST_CASE("The own region is preferred while it has room, since the link between regions is slow", "[policy]")
+{
+    for (auto used : { 100U, 9990U }) {
+        Fixture fixture({ { .id = "near", .used = used }, { .id = "far", .region = away } });
+        auto chooser = std::move(fixture.choosers().front());
+        for (int count = 0; count < 20; ++count) {
+            auto choice = chooser->choose(request(fixture.clock.now()));
+            REQUIRE(choice);
+            CHECK(choice->upstream.value() == (used < 9000 ? "near" : "far"));
+        }
+    }
+}
+
+TEST_CASE("Work waits when every engine is nearly full, since engines preempt then", "[policy]")
+{
+    Fixture fixture({ { .id = "one", .used = 9950 }, { .id = "two", .used = 9990 } });
+    auto chooser = std::move(fixture.choosers().front());
+    CHECK_FALSE(chooser->choose(request(fixture.clock.now())));
+}
+
+TEST_CASE("Equal prompts go to one engine only while it isn't crowded", "[policy]")
+{
+    for (auto used : { 1000U, 9000U }) {
+        Fixture fixture({ { .id = "one", .used = used }, { .id = "two", .used = used }, { .id = "three", .used = used } });
+        auto chooser = std::move(fixture.choosers().front());
+        std::set<UpstreamId> seen;
+        for (int count = 0; count < 30; ++count) {
+            auto wanted = request(fixture.clock.now());
+            wanted.prefixHash = 4711;
+            seen.insert(chooser->choose(wanted)->upstream);
+        }
+        CHECK((seen.size() == 1) == (used < 5000));
+    }
+}
+
+TEST_CASE("An upstream that turned warm is opened step by step", "[policy]")
+{
+    Fixture fixture({ { .id = "one", .phase = UpstreamPhase::Cold, .used = 5000 } });
+    auto chooser = std::move(fixture.choosers().front());
+    REQUIRE(chooser->choose(request(fixture.clock.now()))->needsCredit);
+    fixture.add({ .id = "one", .used = 5000, .reportAge = Duration(0) });
+    CHECK_FALSE(chooser->choose(request(fixture.clock.now())));
+    fixture.clock.advance(seconds(21));
+    fixture.add({ .id = "one", .used = 5000, .reportAge = Duration(0) });
+    CHECK(chooser->choose(request(fixture.clock.now())));
+}
+
+TEST_CASE("Long work that has waited gets the room that is kept from it at first", "[policy]")
+{
+    Fixture fixture({ { .id = "one", .used = 9750 } });
+    auto chooser = std::move(fixture.choosers().front());
+    auto wanted = request(fixture.clock.now());
+    wanted.targetTime = seconds(600);
+    CHECK_FALSE(chooser->choose(wanted));
+    wanted.arrivedAt -= seconds(120);
+    CHECK(chooser->choose(wanted));
+}
+
+TEST_CASE("Sampling returns distinct upstreams of the group, and all of a small group", "[policy]")
+{
+    for (auto size : { 1U, 7U, 16U, 17U, 100U }) {
+        Fixture fixture({});
+        std::vector<std::string> names;
+        for (std::size_t index = 0; index < size; ++index) {
+            names.push_back("upstream-" + std::to_string(index));
+        }
+        for (const auto &name : names) {
+            fixture.add({ .id = name.c_str() });
+        }
+        std::vector<UpstreamBrief> briefs;
+        UpstreamSample sample;
+        sample.pool = pool;
+        sample.region = home;
+        CHECK(fixture.table.sample(sample, fixture.random, briefs) == size);
+        std::set<std::uint32_t> slots;
+        for (const auto &brief : briefs) {
+            slots.insert(brief.slot);
+        }
+        CHECK(briefs.size() == std::min<std::size_t>(size, 16));
+        CHECK(slots.size() == briefs.size());
+    }
+}
