LibClaims: Add the claim table, the partition owner and the runner

Change: records and a pure table per partition; ClaimOwner batches claims into one append at a time and reads it back; ClaimService drives the owned partitions and answers ClaimRequest and ClaimResult; ClaimedCallRunner implements AtMostOnceCaller. An epoch lasts five minutes of log time and each batch has a sequence number, so a delayed or duplicated append has no effect and a new owner reads at most 18 minutes back. IdempotencyKeyExpired now has the run state unknown, since an earlier request with that key may have run.

--- a/Libraries/LibClaims/AtMostOnceCaller.h
+++ b/Libraries/LibClaims/AtMostOnceCaller.h
@@ -38,8 +38,10 @@
     /**
      * Claims the key, then calls `execute` at most once and records its answer; a repeat gets the recorded answer.
      * `execute` throws Error with RunState::NotRun only if the call certainly did not run.
-     * Throws Error: IdempotencyKeyMissing, IdempotencyKeyInvalid, IdempotencyKeyExpired, IdempotencyKeyReused, LogUnavailable,
-     * ClaimOwnerUnavailable or DeadlineExceeded with NotRun; CallStillRunning or CallOutcomeUnknown with Unknown.
+     * Throws Error: IdempotencyKeyMissing, IdempotencyKeyInvalid, IdempotencyKeyReused, LogUnavailable, ClaimRefused,
+     * ClaimOwnerUnavailable or DeadlineExceeded with NotRun; CallStillRunning, CallOutcomeUnknown or IdempotencyKeyExpired
+     * with Unknown, the last because an earlier request with the key may have run; CallOutcomeUnknown with Ran if the call has
+     * run but its answer was too large to be recorded. NotRun speaks of this request; the caller keeps its key for a retry.
      */
     virtual RecordedAnswer run(const ClaimedCall &call, const std::function<RecordedAnswer()> &execute) = 0;
 };
--- /dev/null
+++ b/Libraries/LibClaims/ClaimOwner.cpp
@@ -0,0 +1,245 @@
+#include <LibClaims/ClaimOwner.h>
+
+#include <LibClaims/IdempotencyKey.h>
+#include <LibCore/Error.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+// News that is older isn't good enough for the final answer `Unknown`.
+constexpr Duration freshness = seconds(1);
+constexpr Duration maximumBudget = minutes(10);
+
+ResultCode codeOf(ClaimOutcome outcome)
+{
+    return outcome == ClaimOutcome::KeyTooOld ? ResultCode::IdempotencyKeyExpired : ResultCode::IdempotencyKeyInvalid;
+}
+
+ClaimAnswer refusal(ResultCode code)
+{
+    ClaimAnswer answer;
+    answer.state = GrantState::Refused;
+    answer.code = code;
+    return answer;
+}
+
+ClaimAnswer stateOnly(GrantState state)
+{
+    ClaimAnswer answer;
+    answer.state = state;
+    return answer;
+}
+
+}
+
+ClaimOwner::ClaimOwner(PartitionId partition,
+                       LogService &log,
+                       const Clock &clock,
+                       RandomSource &random,
+                       const HostId &host,
+                       Incarnation incarnation,
+                       const ClaimSettings &settings)
+    : stream(streamOf(partition)), log(log), clock(clock), random(random), host(host), incarnation(incarnation), settings(settings)
+{
+}
+
+ClaimAnswer ClaimOwner::submit(const ClaimRequest &request)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto report = this->reports.find(request.attempt);
+    auto isGivenUp = report != this->reports.end() && !report->second.report.hasRun;
+    if (isGivenUp || this->releases.contains(request.attempt)) {
+        return refusal(ResultCode::DeadlineExceeded);
+    }
+    if (const auto *entry = this->table.find(request.key)) {
+        if (auto answer = this->answerFromEntry(request, *entry)) {
+            this->removePending(request.attempt);
+            return *answer;
+        }
+    }
+    auto pending = this->pendings.find(request.attempt);
+    if (pending != this->pendings.end()) {
+        return this->answerFromPending(request, pending->second);
+    }
+    return this->addPending(request);
+}
+
+ReportState ClaimOwner::report(const ClaimReport &report)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto known = this->reports.find(report.attempt);
+    if (known != this->reports.end()) {
+        return ReportState::Pending;
+    }
+    auto pending = this->pendings.find(report.attempt);
+    if (!report.hasRun && pending != this->pendings.end() && !pending->second.isSent) {
+        this->pendings.erase(pending);
+        return ReportState::Recorded;
+    }
+    const auto *entry = this->table.find(report.key);
+    auto isOpen = entry != nullptr && entry->state == ClaimState::Open && entry->attempt == report.attempt;
+    if (this->ownsNewestEpoch() && !isOpen && pending == this->pendings.end() && !this->releases.contains(report.attempt)) {
+        return ReportState::Recorded;
+    }
+    auto isFull = this->reports.size() >= this->settings.maximumPending || this->reportBytes + report.body.size() > this->settings.maximumReportBytes;
+    if (isFull) {
+        return ReportState::Pending;
+    }
+    this->removePending(report.attempt);
+    this->reportBytes += report.body.size();
+    this->reports.emplace(report.attempt, PendingReport { report, 0 });
+    return ReportState::Pending;
+}
+
+bool ClaimOwner::hasWork() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->wantsRead || !this->pendings.empty() || !this->reports.empty() || !this->releases.empty();
+}
+
+ClaimOwnerCounts ClaimOwner::counts() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->countsSoFar;
+}
+
+std::size_t ClaimOwner::rememberedKeys() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->table.size();
+}
+
+std::optional<ClaimAnswer> ClaimOwner::answerFromEntry(const ClaimRequest &request, const ClaimEntry &entry)
+{
+    auto isSameBody = entry.requestHash == request.requestHash;
+    if (isSameBody && entry.state == ClaimState::Finished) {
+        return ClaimAnswer { GrantState::Finished, ResultCode::Ok, entry.status, entry.body, entry.isTooLarge };
+    }
+    // Anything else may be outdated by records that this node has not read; its own ownership record ends that doubt.
+    if (!this->ownsNewestEpoch()) {
+        return std::nullopt;
+    }
+    if (!isSameBody) {
+        return refusal(ResultCode::IdempotencyKeyReused);
+    }
+    if (entry.attempt == request.attempt) {
+        return stateOnly(GrantState::Granted);
+    }
+    if (this->clock.now() > this->lastReadAt + freshness) {
+        this->wantsRead = true;
+        return stateOnly(GrantState::AlreadyRunning);
+    }
+    auto isOverdue = this->reachedLogTime() >= entry.runDeadline;
+    return stateOnly(isOverdue ? GrantState::Unknown : GrantState::AlreadyRunning);
+}
+
+ClaimAnswer ClaimOwner::answerFromPending(const ClaimRequest &request, Pending &pending)
+{
+    if (pending.refusal) {
+        auto code = codeOf(*pending.refusal);
+        this->pendings.erase(request.attempt);
+        return refusal(code);
+    }
+    pending.deadline = std::max(pending.deadline, this->clock.now() + request.remaining);
+    auto answer = stateOnly(GrantState::Pending);
+    answer.code = this->failingSince ? ResultCode::LogUnavailable : ResultCode::Ok;
+    return answer;
+}
+
+ClaimAnswer ClaimOwner::addPending(const ClaimRequest &request)
+{
+    // During an outage one claim stays in the queue to probe the log; more would only occupy request threads.
+    if (this->isLogDown() && !this->pendings.empty()) {
+        return refusal(ResultCode::LogUnavailable);
+    }
+    if (this->table.size() >= this->settings.maximumKeys) {
+        this->table.forget(this->reachedLogTime());
+    }
+    if (this->pendings.size() >= this->settings.maximumPending || this->table.size() >= this->settings.maximumKeys) {
+        return refusal(ResultCode::ClaimRefused);
+    }
+    if (request.remaining <= Duration(0)) {
+        return refusal(ResultCode::DeadlineExceeded);
+    }
+    Pending pending;
+    pending.claim = Claim { request.key, request.keyTime, request.requestHash, request.attempt, Duration(0) };
+    pending.deadline = this->clock.now() + std::min(request.remaining, maximumBudget);
+    this->pendings.emplace(request.attempt, std::move(pending));
+    return stateOnly(GrantState::Pending);
+}
+
+void ClaimOwner::removePending(const AttemptId &attempt)
+{
+    this->pendings.erase(attempt);
+}
+
+bool ClaimOwner::ownsNewestEpoch() const
+{
+    return this->table.epoch() != Offset() && this->table.epochRecord() == this->ownershipId;
+}
+
+bool ClaimOwner::isLogDown() const
+{
+    return this->failingSince && this->clock.now() >= *this->failingSince + this->settings.outageDelay;
+}
+
+LogTime ClaimOwner::reachedLogTime() const
+{
+    return this->newestAppend + (this->clock.now() - this->newestAppendSeenAt);
+}
+
+void ClaimOwner::dropExpired()
+{
+    auto now = this->clock.now();
+    for (auto position = this->pendings.begin(); position != this->pendings.end();) {
+        const auto &pending = position->second;
+        if (now < pending.deadline) {
+            ++position;
+            continue;
+        }
+        // The claim may have taken effect or may yet. No answer has granted it, since a grant removes it from here.
+        if (pending.isSent && !pending.refusal) {
+            Release release { pending.claim.key, pending.claim.attempt, false };
+            this->releases.emplace(pending.claim.attempt, PendingRelease { release, 0 });
+        }
+        position = this->pendings.erase(position);
+    }
+}
+
+void ClaimOwner::removeDecided()
+{
+    if (!this->ownsNewestEpoch()) {
+        return;
+    }
+    std::erase_if(this->pendings, [&](const auto &item) {
+        const auto *entry = this->table.find(item.second.claim.key);
+        return entry != nullptr && entry->attempt != item.first;
+    });
+    for (auto position = this->reports.begin(); position != this->reports.end();) {
+        auto current = position++;
+        if (this->isReportDone(current->second)) {
+            this->eraseReport(current);
+        }
+    }
+}
+
+bool ClaimOwner::isReportDone(const PendingReport &pending) const
+{
+    // A release must be in a valid batch, because the claim may be in a batch that has not taken effect yet.
+    if (!pending.report.hasRun) {
+        return false;
+    }
+    const auto *entry = this->table.find(pending.report.key);
+    return entry == nullptr || entry->attempt != pending.report.attempt || entry->state == ClaimState::Finished;
+}
+
+void ClaimOwner::eraseReport(std::unordered_map<AttemptId, PendingReport>::iterator position)
+{
+    this->reportBytes -= position->second.report.body.size();
+    this->reports.erase(position);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/ClaimOwnerRounds.cpp
@@ -0,0 +1,300 @@
+// The rounds of append and read-back of ClaimOwner.
+#include <LibClaims/ClaimOwner.h>
+
+#include <LibCore/Error.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr std::size_t recordsPerRead = 500;
+constexpr Duration maximumBackoff = seconds(2);
+// Two nodes that both believe they are the owner must not take the epoch from each other in step.
+constexpr std::uint64_t contentionMicroseconds = 2'000'000;
+// Encoding around the texts of one entry.
+constexpr std::size_t entryOverhead = 32;
+
+}
+
+TimePoint ClaimOwner::step()
+{
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->dropExpired();
+        if (!this->wantsRead && this->pendings.empty() && this->reports.empty() && this->releases.empty()) {
+            return TimePoint::max();
+        }
+        if (this->clock.now() < this->nextAppendAt) {
+            return this->nextAppendAt;
+        }
+    }
+    try {
+        this->makeRound();
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->failures = 0;
+        this->failingSince.reset();
+    } catch (const Error &error) {
+        this->noteFailure(error.code() == ResultCode::OutcomeUnknown);
+    }
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->removeDecided();
+    // Claims that only wait to be asked for need no round of their own.
+    constexpr Duration idleInterval = milliseconds(50);
+    return std::max(this->nextAppendAt, this->clock.now() + idleInterval);
+}
+
+void ClaimOwner::makeRound()
+{
+    bool mustRead = false;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        mustRead = this->needsRead || this->wantsRead;
+    }
+    if (mustRead) {
+        this->readToEnd(this->clock.now() + this->settings.appendTimeout);
+    }
+    std::optional<std::string> payload;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->removeDecided();
+        payload = this->buildBatch();
+    }
+    if (payload) {
+        this->append(*payload);
+        this->readToEnd(this->clock.now() + this->settings.appendTimeout);
+    }
+}
+
+void ClaimOwner::append(const std::string &payload)
+{
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->needsRead = true;
+        this->nextAppendAt = this->clock.now() + this->settings.appendInterval;
+        ++this->countsSoFar.appends;
+        this->countsSoFar.appendedBytes += payload.size();
+    }
+    this->log.append(this->stream, payload, this->clock.now() + this->settings.appendTimeout);
+}
+
+void ClaimOwner::readToEnd(TimePoint deadline)
+{
+    Offset from;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        from = this->next;
+    }
+    if (from == Offset()) {
+        from = this->startOffset();
+    }
+    while (true) {
+        if (this->clock.now() > deadline) {
+            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "the claim stream could not be read in time");
+        }
+        auto result = this->log.read(this->stream, from, recordsPerRead, this->clock.now());
+        this->applyRead(result);
+        if (result.records.empty() || result.records.back().offset >= result.end) {
+            break;
+        }
+        from = Offset(result.records.back().offset.value() + 1);
+    }
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->needsRead = false;
+    this->wantsRead = false;
+    this->lastReadAt = this->clock.now();
+}
+
+Offset ClaimOwner::startOffset()
+{
+    auto head = this->log.read(this->stream, Offset(1), 1, this->clock.now());
+    if (head.records.empty()) {
+        return Offset(1);
+    }
+    auto tail = this->log.read(this->stream, head.end, 1, this->clock.now());
+    if (tail.records.empty()) {
+        return head.firstRetained;
+    }
+    auto target = tail.records.front().appendedAt - claimReadSpan;
+    auto low = head.firstRetained.value();
+    auto high = head.end.value();
+    // Append times don't decrease with the offset, so the start is found with a few reads of one record.
+    while (low < high) {
+        auto middle = low + (high - low) / 2;
+        auto probe = this->log.read(this->stream, Offset(middle), 1, this->clock.now());
+        if (!probe.records.empty() && probe.records.front().appendedAt < target) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return Offset(low);
+}
+
+void ClaimOwner::applyRead(const LogReadResult &result)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->next != Offset() && result.firstRetained > this->next) {
+        // The retention exceeds the read span, so no key in the gap can be used any more. The epoch is gone as well.
+        this->table = ClaimTable();
+    }
+    for (const auto &record : result.records) {
+        if (record.offset < this->next) {
+            continue;
+        }
+        this->next = Offset(record.offset.value() + 1);
+        if (record.appendedAt > this->reachedLogTime()) {
+            this->newestAppend = record.appendedAt;
+            this->newestAppendSeenAt = this->clock.now();
+        }
+        this->countsSoFar.readBytes += record.payload.size();
+        this->noteRecord(this->table.apply(record));
+    }
+}
+
+void ClaimOwner::noteRecord(const AppliedRecord &applied)
+{
+    auto hasEpoch = this->ownsNewestEpoch();
+    if (this->hadEpoch && !hasEpoch) {
+        this->nextAppendAt = std::max(this->nextAppendAt, this->clock.now() + Duration(this->random.below(contentionMicroseconds)));
+    }
+    this->hadEpoch = hasEpoch;
+    if (hasEpoch && applied.epoch == this->table.epoch()) {
+        this->noteBatch(applied);
+    }
+}
+
+void ClaimOwner::noteBatch(const AppliedRecord &applied)
+{
+    if (!applied.isValid) {
+        // Delayed or duplicated, or the epoch is too old by log time.
+        this->mustRenewEpoch = this->mustRenewEpoch || (applied.sequence == this->sequence && applied.sequence > this->validSequence);
+        return;
+    }
+    this->validSequence = applied.sequence;
+    for (const auto &claim : applied.claims) {
+        if (claim.outcome == ClaimOutcome::Accepted) {
+            ++this->countsSoFar.acceptedClaims;
+        }
+        auto pending = this->pendings.find(claim.attempt);
+        if (pending != this->pendings.end() && (claim.outcome == ClaimOutcome::KeyTooOld || claim.outcome == ClaimOutcome::KeyInFuture)) {
+            pending->second.refusal = claim.outcome;
+        }
+    }
+    this->countsSoFar.releases += std::erase_if(this->releases, [&](const auto &item) { return item.second.sentSequence == applied.sequence; });
+    for (auto position = this->reports.begin(); position != this->reports.end();) {
+        auto current = position++;
+        if (!current->second.report.hasRun && current->second.sentSequence == applied.sequence) {
+            this->eraseReport(current);
+        }
+    }
+}
+
+bool ClaimOwner::needsEpoch() const
+{
+    return !this->ownsNewestEpoch() || this->mustRenewEpoch || this->clock.now() >= this->ownershipSentAt + this->settings.epochRenewal;
+}
+
+std::string ClaimOwner::buildOwnership()
+{
+    // Every append gets an id of its own, except that an unanswered one is repeated with its id: whichever comes first counts.
+    if (this->ownershipId.isEmpty() || this->hadEpoch || this->table.epochRecord() != this->ownershipBase) {
+        this->ownershipId = RecordId(this->random.hexId());
+        this->ownershipBase = this->table.epochRecord();
+    }
+    this->hadEpoch = false;
+    this->ownershipSentAt = this->clock.now();
+    this->mustRenewEpoch = false;
+    this->sequence = 0;
+    this->validSequence = 0;
+    // Releases are valid only in the epoch of their claims.
+    this->releases.clear();
+    ++this->countsSoFar.ownerships;
+    return encodeClaimRecord(Ownership { this->ownershipId, this->host, this->incarnation });
+}
+
+std::optional<std::string> ClaimOwner::buildBatch()
+{
+    if (this->pendings.empty() && this->reports.empty() && this->releases.empty()) {
+        return std::nullopt;
+    }
+    if (this->needsEpoch()) {
+        return this->buildOwnership();
+    }
+    ClaimBatch batch;
+    batch.epoch = this->table.epoch();
+    batch.sequence = this->sequence + 1;
+    std::size_t bytes = 0;
+    this->addResults(batch, bytes);
+    for (auto &[attempt, pending] : this->releases) {
+        pending.sentSequence = batch.sequence;
+        batch.releases.push_back(pending.release);
+    }
+    this->addClaims(batch, bytes);
+    if (batch.claims.empty() && batch.results.empty() && batch.releases.empty()) {
+        return std::nullopt;
+    }
+    this->sequence = batch.sequence;
+    return encodeClaimRecord(batch);
+}
+
+void ClaimOwner::addResults(ClaimBatch &batch, std::size_t &bytes)
+{
+    auto answerBytes = this->table.answerBytes();
+    for (auto &[attempt, pending] : this->reports) {
+        if (batch.results.size() + batch.releases.size() >= this->settings.maximumBatchEntries || bytes >= this->settings.maximumBatchBytes) {
+            return;
+        }
+        const auto &report = pending.report;
+        pending.sentSequence = batch.sequence;
+        bytes += report.key.size() + entryOverhead;
+        if (!report.hasRun) {
+            batch.releases.push_back(Release { report.key, attempt, true });
+            continue;
+        }
+        auto fits = report.body.size() <= this->settings.maximumAnswerSize && answerBytes + report.body.size() <= this->settings.maximumAnswerBytes;
+        auto isTooLarge = report.isTooLarge || !fits;
+        auto body = isTooLarge ? std::string() : report.body;
+        bytes += body.size();
+        answerBytes += body.size();
+        batch.results.push_back(Result { report.key, attempt, report.status, std::move(body), isTooLarge });
+    }
+}
+
+void ClaimOwner::addClaims(ClaimBatch &batch, std::size_t &bytes)
+{
+    for (auto &[attempt, pending] : this->pendings) {
+        if (batch.claims.size() >= this->settings.maximumBatchEntries || bytes >= this->settings.maximumBatchBytes) {
+            return;
+        }
+        // A claim that is in the table already only waits to be asked for.
+        if (pending.refusal || this->table.find(pending.claim.key) != nullptr) {
+            continue;
+        }
+        pending.isSent = true;
+        auto claim = pending.claim;
+        claim.budget = pending.deadline - this->clock.now();
+        bytes += claim.key.size() + entryOverhead;
+        batch.claims.push_back(std::move(claim));
+    }
+}
+
+void ClaimOwner::noteFailure(bool mayHaveTakenEffect)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    this->needsRead = true;
+    if (!this->failingSince) {
+        this->failingSince = now;
+    }
+    ++(mayHaveTakenEffect ? this->countsSoFar.unknownAppends : this->countsSoFar.failedAppends);
+    // An append without an answer may have taken effect, so it is looked for without delay.
+    constexpr unsigned largestShift = 4;
+    auto factor = Duration::rep(1) << std::min(this->failures, largestShift);
+    auto delay = mayHaveTakenEffect ? this->settings.appendInterval : std::min(maximumBackoff, this->settings.appendInterval * factor);
+    ++this->failures;
+    this->nextAppendAt = std::max(this->nextAppendAt, now + delay);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/ClaimRouter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibClaims/ClaimMessages.h>
+#include <LibClaims/ClaimPartition.h>
+#include <LibCore/Clock.h>
+#include <LibMembership/Membership.h>
+#include <LibPeer/PeerTransport.h>
+
+namespace Lovageward {
+
+class ClaimService;
+
+/** Sends requests and reports to the owner of their key, directly if this node is the owner. Safe to call from several threads. */
+class ClaimRouter
+{
+public:
+    ClaimRouter(ClaimService &service, const Membership &membership, PeerTransport &transport, const Clock &clock);
+
+    /** Throws Error(PeerUnreachable, PeerTimeout or MalformedMessage); the request may have been delivered in all cases. */
+    ClaimAnswer ask(const ClaimRequest &request, TimePoint deadline);
+    ReportState report(const ClaimReport &report, TimePoint deadline);
+
+private:
+    ClaimService &service;
+    const Membership &membership;
+    PeerTransport &transport;
+    const Clock &clock;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/ClaimService.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <LibClaims/ClaimOwner.h>
+#include <LibCore/Counters.h>
+#include <LibCore/Logger.h>
+#include <LibMembership/Membership.h>
+#include <LibPeer/PeerTransport.h>
+
+#include <array>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace Lovageward {
+
+/**
+ * The partitions that this node owns, and the handler for ClaimRequest and ClaimResult. Worker threads step the partitions;
+ * tests call stepDue() instead of start(). A partition is taken over with its first request and dropped when rendezvous
+ * hashing gives it to another node.
+ * Lock order: the service's mutex, then an owner's mutex; neither is held during I/O.
+ */
+class ClaimService final : public PeerHandler
+{
+public:
+    ClaimService(LogService &log,
+                 const Membership &membership,
+                 const Clock &clock,
+                 RandomSource &random,
+                 const Logger &logger,
+                 Counters &counters,
+                 const ClaimSettings &settings);
+    ~ClaimService() override;
+
+    ClaimService(const ClaimService &) = delete;
+    ClaimService &operator=(const ClaimService &) = delete;
+
+    /** Starts the worker threads. */
+    void start(unsigned threads);
+
+    /** Stops and joins the worker threads; claims that wait are left to the next owner. */
+    void stop();
+
+    /** Register for ClaimRequest and ClaimResult. Waits a fraction of a second at most, however long the log takes. */
+    std::string handle(const PeerMessage &message) override;
+
+    /** Like the message, for a runner on this node. Waits for a decision until `waitUntil` at most. */
+    ClaimAnswer claim(const ClaimRequest &request, TimePoint waitUntil);
+    ReportState report(const ClaimReport &report);
+
+    /** Steps each partition that is due, for tests and benches without worker threads. Returns the next due time. */
+    TimePoint stepDue();
+
+    /** Sum over the owned partitions. */
+    ClaimOwnerCounts counts() const;
+    std::size_t rememberedKeys() const;
+
+private:
+    struct Slot
+    {
+        std::shared_ptr<ClaimOwner> owner;
+        TimePoint dueAt = TimePoint::max();
+        bool isStepping = false;
+    };
+
+    bool isOwned(PartitionId partition) const;
+    std::shared_ptr<ClaimOwner> ownerFor(const std::string &key);
+    void wake(PartitionId partition);
+    void dropMovedPartitions();
+    struct DueSlot
+    {
+        std::size_t index;
+        std::shared_ptr<ClaimOwner> owner;
+    };
+
+    std::optional<DueSlot> takeDue();
+    void finishStep(std::size_t index, TimePoint dueAt);
+    TimePoint earliestDue() const;
+    void work();
+    void publish(const ClaimOwnerCounts &before, const ClaimOwnerCounts &after);
+
+    LogService &log;
+    const Membership &membership;
+    const Clock &clock;
+    RandomSource &random;
+    Logger logger;
+    ClaimSettings settings;
+    Counter &appends;
+    Counter &appendedBytes;
+    Counter &failedAppends;
+    Counter &unknownAppends;
+    Counter &acceptedClaims;
+    Counter &releasedClaims;
+    Counter &refusedClaims;
+    Counter &ownerships;
+    Counter &ownedPartitions;
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::array<Slot, claimPartitions> slots;
+    TimePoint ownershipCheckedAt;
+    unsigned waiters = 0;
+    bool isStopping = false;
+    std::vector<std::thread> threads;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/ClaimTable.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <LibClaims/ClaimRecords.h>
+#include <LibLog/LogService.h>
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Lovageward {
+
+/** Log time for which a key is remembered after its window, so that late results are recorded. */
+constexpr Duration claimSlack = minutes(2);
+/** Log time for which an epoch is valid. Its owner renews it, so that a reader needn't go back to a distant ownership. */
+constexpr Duration maximumEpochAge = minutes(5);
+/** Log time that a reader has to go back to know every key that can still be used. The log keeps records for longer. */
+constexpr Duration claimReadSpan = minutes(18);
+
+enum class ClaimState {
+    /** Claimed; the result isn't recorded. */
+    Open,
+    Finished,
+};
+
+/** What is remembered of a key. */
+struct ClaimEntry
+{
+    ClaimState state = ClaimState::Open;
+    AttemptId attempt;
+    Offset epoch;
+    std::string requestHash;
+    /** Log time at which an attempt without a result counts as unknown. */
+    LogTime runDeadline;
+    LogTime forgetAt;
+    int status = 0;
+    std::string body;
+    bool isTooLarge = false;
+};
+
+enum class ClaimOutcome {
+    Accepted,
+    /** Another attempt has the key. */
+    KeyHeld,
+    KeyReused,
+    KeyTooOld,
+    KeyInFuture,
+};
+
+struct AppliedClaim
+{
+    AttemptId attempt;
+    ClaimOutcome outcome;
+};
+
+/** What a record did to the table. */
+struct AppliedRecord
+{
+    bool isValid = false;
+    /** Epoch and sequence of a batch; 0 for other records. */
+    Offset epoch;
+    std::uint64_t sequence = 0;
+    std::vector<AppliedClaim> claims;
+};
+
+/**
+ * State of one partition as a pure function of the records of its stream, applied in offset order. A batch is valid only
+ * if its epoch is the newest ownership before it, that ownership isn't older than maximumEpochAge, and its sequence number
+ * is higher than that of the valid batches before; so neither a paused owner nor a delayed or duplicated append has an
+ * effect. Batches before the first ownership that the reader sees are ignored; claimReadSpan makes this harmless.
+ */
+class ClaimTable
+{
+public:
+    AppliedRecord apply(const LogRecord &record);
+
+    /** What is known of a scoped key; null if it isn't claimed. */
+    const ClaimEntry *find(const std::string &key) const;
+
+    /** Offset of the newest ownership; 0 if there is none. */
+    Offset epoch() const
+    {
+        return this->newestEpoch;
+    }
+
+    /** Record id of the newest ownership. */
+    const RecordId &epochRecord() const
+    {
+        return this->newestOwnership;
+    }
+
+    LogTime epochStart() const
+    {
+        return this->newestEpochStart;
+    }
+
+    std::size_t size() const
+    {
+        return this->entries.size();
+    }
+
+    /** Bytes of all recorded answers. */
+    std::size_t answerBytes() const
+    {
+        return this->bodyBytes;
+    }
+
+    /** Drops keys that can't be used any more at the log time. Has no effect on later decisions. */
+    void forget(LogTime now);
+
+private:
+    AppliedRecord applyOwnership(Offset offset, LogTime appendedAt, const Ownership &ownership);
+    AppliedRecord applyBatch(LogTime appendedAt, ClaimBatch &&batch);
+    void applyResult(Result &&result);
+    void applyRelease(const Release &release, Offset batchEpoch);
+    ClaimOutcome applyClaim(Claim &&claim, Offset batchEpoch, LogTime appendedAt);
+
+    Offset newestEpoch;
+    RecordId newestOwnership;
+    LogTime newestEpochStart;
+    std::uint64_t lastSequence = 0;
+    std::unordered_map<std::string, ClaimEntry> entries;
+    std::size_t bodyBytes = 0;
+    LogTime sweptAt;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/ClaimedCallRunner.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibClaims/AtMostOnceCaller.h>
+#include <LibClaims/ClaimAttempt.h>
+#include <LibClaims/ClaimRouter.h>
+#include <LibClaims/ResultReporter.h>
+#include <LibCore/Logger.h>
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace Lovageward {
+
+/**
+ * Runs calls at most once: claims the key at its partition's owner, runs the call if the claim is granted in time, and
+ * reports the result in the background. `not_run` speaks of this request; a caller that retries keeps its key.
+ */
+class ClaimedCallRunner final : public AtMostOnceCaller
+{
+public:
+    /** Waits until the time; tests supply one that moves a manual clock. */
+    using Pause = std::function<void(TimePoint)>;
+
+    /** Without a pause function, threads wait in real time. */
+    ClaimedCallRunner(ClaimService &service,
+                      const Membership &membership,
+                      PeerTransport &transport,
+                      const Clock &clock,
+                      RandomSource &random,
+                      const Logger &logger,
+                      Counters &counters,
+                      Pause pause = {});
+    ~ClaimedCallRunner() override;
+
+    ClaimedCallRunner(const ClaimedCallRunner &) = delete;
+    ClaimedCallRunner &operator=(const ClaimedCallRunner &) = delete;
+
+    RecordedAnswer run(const ClaimedCall &call, const std::function<RecordedAnswer()> &execute) override;
+
+    /** Starts the thread that reports results. */
+    void start();
+
+    /** Waits until all results are recorded or the deadline has passed, then stops the thread. */
+    void stop(TimePoint deadline);
+
+    /** Reports what is due, for tests without a thread. */
+    TimePoint stepReports();
+
+private:
+    void ask(ClaimAttempt &attempt);
+    RecordedAnswer execute(ClaimAttempt &attempt, const std::function<RecordedAnswer()> &call);
+    void reportLoop();
+    void pauseUntil(TimePoint until);
+
+    const Clock &clock;
+    RandomSource &random;
+    Logger logger;
+    Pause pause;
+    ClaimRouter router;
+    ResultReporter reporter;
+    Counter &runs;
+    Counter &replays;
+    Counter &refusals;
+    Counter &unknowns;
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool isStopping = false;
+    std::thread reportThread;
+};
+
+}
