--- /dev/null
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -0,0 +1,524 @@
+#include <LibMembership/MembershipTable.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace Lovageward {
+
+namespace {
+
+// Each update is sent about 3 * log2(n) times, after which the chance that some member missed it is negligible.
+constexpr std::size_t disseminationFactor = 3;
+// Hosts that are only known by hearsay; bounded because anybody on the network can name some.
+constexpr std::size_t maximumUnconfirmed = 64;
+constexpr std::size_t extraProbesPerStep = 3;
+// Keeps the answer to a node that has just started within the size of one message.
+constexpr std::size_t maximumFullList = 700;
+constexpr std::size_t bitsPerByte = 8;
+
+}
+
+MembershipTable::MembershipTable(const Member &self, TimePoint now, const MembershipOptions &options)
+    : selfId(self.host), options(options), lastHeardAt(now)
+{
+    this->entries[self.host].member = self;
+    this->rememberHosts();
+}
+
+void MembershipTable::applyHostList(const std::vector<ListedHost> &hosts, TimePoint now)
+{
+    std::set<HostId> listed;
+    for (const auto &row : hosts) {
+        if (row.kind == HostKind::Entry) {
+            listed.insert(HostId(row.name));
+            this->listMember(row);
+        }
+    }
+    this->unlistMembers(listed, now);
+    this->rememberHosts();
+}
+
+void MembershipTable::listMember(const ListedHost &row)
+{
+    HostId host(row.name);
+    if (!this->entries.contains(host)) {
+        this->addMember({host, Incarnation(0), MemberState::Alive, row.peerAddress, row.region, row.failureDomain}, true);
+    }
+    auto &entry = this->entries[host];
+    entry.isListed = true;
+    entry.isConfirmed = true;
+    if (entry.isListedLeaving != row.isLeaving) {
+        entry.isListedLeaving = row.isLeaving;
+        ++this->changes;
+    }
+}
+
+void MembershipTable::unlistMembers(const std::set<HostId> &listed, TimePoint now)
+{
+    for (auto position = this->entries.begin(); position != this->entries.end();) {
+        auto &[host, entry] = *position;
+        auto isRemoved = !listed.contains(host) && this->isOther(host);
+        // A listed host that never sent a message is known from the list alone.
+        if (isRemoved && entry.isListed && entry.member.incarnation == Incarnation(0)) {
+            position = this->entries.erase(position);
+            ++this->changes;
+            continue;
+        }
+        if (isRemoved && entry.isListed) {
+            entry.isListed = false;
+            entry.forgetAt = now + this->options.deadRetention;
+        }
+        ++position;
+    }
+}
+
+void MembershipTable::merge(const GossipMessage &message, TimePoint now)
+{
+    if (!this->isOther(message.self.host)) {
+        return;
+    }
+    this->mergeSender(message, now);
+    for (const auto &update : message.updates) {
+        this->mergeUpdate(update, now);
+        // All members at once would fill this node's messages for minutes, and the others know them already.
+        if (message.holdsAllMembers && this->isOther(update.host) && this->entries.contains(update.host)) {
+            this->entries[update.host].sendsLeft = 0;
+        }
+    }
+    for (const auto &offsets : message.appliedOffsets) {
+        this->mergeAppliedOffsets(offsets);
+    }
+    if (message.holdsAllMembers) {
+        this->wantsAllMembers = false;
+    }
+    if (message.wantsAllMembers) {
+        this->fullListReceiver = message.self.host;
+    }
+}
+
+void MembershipTable::mergeSender(const GossipMessage &message, TimePoint now)
+{
+    this->lastHeardAt = now;
+    const auto &update = message.self;
+    auto &entry = this->entries.contains(update.host) ? this->entries[update.host] : this->addMember(update, true);
+    if (!entry.isConfirmed) {
+        entry.isConfirmed = true;
+        this->queueUpdate(entry);
+        ++this->changes;
+    }
+    if (this->takeUpdate(entry, update, now)) {
+        entry.member.configOffset = Offset(0);
+    }
+    if (update.incarnation == entry.member.incarnation && entry.state == MemberState::Suspect) {
+        // The member lives; the messages to it name the suspicion, so it will refute it.
+        entry.suspicionDeadline = now + this->options.suspicion;
+    }
+    entry.member.configOffset = std::max(entry.member.configOffset, message.configOffset);
+}
+
+void MembershipTable::mergeUpdate(const MemberUpdate &update, TimePoint now)
+{
+    if (!this->isOther(update.host)) {
+        this->refute(update);
+        return;
+    }
+    auto found = this->entries.find(update.host);
+    if (found != this->entries.end()) {
+        this->takeUpdate(found->second, update, now);
+        return;
+    }
+    auto isAlive = update.state == MemberState::Alive || update.state == MemberState::Leaving;
+    auto unconfirmed = std::count_if(this->entries.begin(), this->entries.end(), [](const auto &item) { return !item.second.isConfirmed; });
+    if (isAlive && unconfirmed < static_cast<std::ptrdiff_t>(maximumUnconfirmed)) {
+        this->addMember(update, false);
+    }
+}
+
+MembershipTable::Entry &MembershipTable::addMember(const MemberUpdate &update, bool isConfirmed)
+{
+    auto &entry = this->entries[update.host];
+    entry.member = {update.host, update.incarnation, update.region, update.failureDomain, update.peerAddress, Offset(0)};
+    entry.state = update.state;
+    entry.isLeaving = update.state == MemberState::Leaving;
+    entry.isConfirmed = isConfirmed;
+    if (isConfirmed && update.incarnation != Incarnation(0)) {
+        this->queueUpdate(entry);
+    }
+    this->newMembers.push_back(update.host);
+    this->rememberHosts();
+    ++this->changes;
+    return entry;
+}
+
+bool MembershipTable::takeUpdate(Entry &entry, const MemberUpdate &update, TimePoint now)
+{
+    auto isNewer = update.incarnation > entry.member.incarnation;
+    auto isStronger = update.incarnation == entry.member.incarnation && update.state > entry.state;
+    if (!isNewer && !isStronger) {
+        return false;
+    }
+    entry.member.incarnation = update.incarnation;
+    if (!update.peerAddress.isEmpty()) {
+        entry.member.peerAddress = update.peerAddress;
+        entry.member.region = update.region;
+        entry.member.failureDomain = update.failureDomain;
+    }
+    if (isNewer && update.state == MemberState::Alive) {
+        entry.isLeaving = false;
+    }
+    entry.isLeaving = entry.isLeaving || update.state == MemberState::Leaving;
+    this->setState(entry, update.state, now);
+    return isNewer;
+}
+
+void MembershipTable::refute(const MemberUpdate &update)
+{
+    auto &entry = this->own();
+    auto isNewer = update.incarnation > entry.member.incarnation;
+    auto isSuspected = update.incarnation == entry.member.incarnation && update.state >= MemberState::Suspect;
+    if (!isNewer && !isSuspected) {
+        return;
+    }
+    entry.member.incarnation = Incarnation(update.incarnation.value() + 1);
+    ++this->changes;
+    // A node that was declared dead has missed the updates of that time.
+    this->wantsAllMembers = this->wantsAllMembers || update.state == MemberState::Dead;
+}
+
+void MembershipTable::mergeAppliedOffsets(const AppliedOffsets &offsets)
+{
+    if (offsets.viewHash != this->viewHash || offsets.bits.size() * bitsPerByte < this->entries.size()) {
+        return;
+    }
+    std::size_t position = 0;
+    for (auto &[host, entry] : this->entries) {
+        auto byte = static_cast<unsigned char>(offsets.bits[position / bitsPerByte]);
+        if ((byte >> (position % bitsPerByte) & 1U) != 0) {
+            entry.member.configOffset = std::max(entry.member.configOffset, offsets.offset);
+        }
+        ++position;
+    }
+}
+
+GossipMessage MembershipTable::messageTo(const HostId &target)
+{
+    GossipMessage message;
+    message.target = target;
+    message.self = updateOf(this->own());
+    message.configOffset = this->own().member.configOffset;
+    message.wantsAllMembers = this->wantsAllMembers;
+    if (this->fullListReceiver == target && !target.isEmpty()) {
+        this->addAllMembers(message);
+        this->fullListReceiver = HostId();
+    } else {
+        this->addUpdates(message);
+    }
+    this->addAppliedOffsets(message);
+    return message;
+}
+
+void MembershipTable::addUpdates(GossipMessage &message)
+{
+    auto target = this->entries.find(message.target);
+    // A member that is taken for suspect or dead must hear it to refute it, however often the update was sent before.
+    if (target != this->entries.end() && target->second.state >= MemberState::Suspect) {
+        message.updates.push_back(updateOf(target->second));
+    }
+    for (auto *entry : this->pendingUpdates()) {
+        if (message.updates.size() == this->options.maximumUpdates) {
+            break;
+        }
+        --entry->sendsLeft;
+        if (entry->member.host != message.target) {
+            message.updates.push_back(updateOf(*entry));
+        }
+    }
+}
+
+void MembershipTable::addAllMembers(GossipMessage &message) const
+{
+    message.holdsAllMembers = true;
+    for (const auto &[host, entry] : this->entries) {
+        // Dead members that are not listed are left out, or else joining nodes would keep them known for ever.
+        auto isTold = entry.isConfirmed && (entry.state != MemberState::Dead || entry.isListed);
+        if (isTold && this->isOther(host) && message.updates.size() < maximumFullList) {
+            message.updates.push_back(updateOf(entry));
+        }
+    }
+}
+
+std::vector<MembershipTable::Entry *> MembershipTable::pendingUpdates()
+{
+    std::vector<Entry *> pending;
+    for (auto &[host, entry] : this->entries) {
+        if (entry.sendsLeft > 0 && this->isOther(host)) {
+            pending.push_back(&entry);
+        }
+    }
+    std::stable_sort(pending.begin(), pending.end(), [](const auto *left, const auto *right) { return left->sendsLeft > right->sendsLeft; });
+    return pending;
+}
+
+void MembershipTable::addAppliedOffsets(GossipMessage &message) const
+{
+    std::vector<Offset> offsets;
+    for (const auto &[host, entry] : this->entries) {
+        if (isLive(entry)) {
+            offsets.push_back(entry.member.configOffset);
+        }
+    }
+    if (offsets.empty()) {
+        return;
+    }
+    std::sort(offsets.begin(), offsets.end());
+    message.appliedOffsets.push_back(this->appliedOffsets(offsets.back()));
+    // While changes follow each other quickly, few members have the newest offset, so the one that half of them have is told too.
+    auto median = offsets[offsets.size() / 2];
+    if (median != offsets.back()) {
+        message.appliedOffsets.push_back(this->appliedOffsets(median));
+    }
+}
+
+AppliedOffsets MembershipTable::appliedOffsets(Offset offset) const
+{
+    AppliedOffsets offsets {this->viewHash, offset, std::string((this->entries.size() + bitsPerByte - 1) / bitsPerByte, '\0')};
+    std::size_t position = 0;
+    for (const auto &[host, entry] : this->entries) {
+        if (entry.member.configOffset >= offset) {
+            auto &byte = offsets.bits[position / bitsPerByte];
+            byte = static_cast<char>(static_cast<unsigned char>(byte) | 1U << (position % bitsPerByte));
+        }
+        ++position;
+    }
+    return offsets;
+}
+
+void MembershipTable::advance(TimePoint now)
+{
+    ++this->steps;
+    auto forgotten = std::erase_if(this->entries, [now](const auto &item) {
+        const auto &entry = item.second;
+        return entry.state == MemberState::Dead && !entry.isListed && entry.forgetAt <= now;
+    });
+    if (forgotten > 0) {
+        this->rememberHosts();
+    }
+}
+
+std::vector<ProbeTarget> MembershipTable::probeTargets(RandomSource &random, TimePoint now)
+{
+    std::vector<ProbeTarget> targets;
+    auto next = this->nextInOrder(random);
+    if (next) {
+        targets.push_back(*next);
+    }
+    for (const auto &[host, entry] : this->entries) {
+        auto isExpiredSuspect = entry.state == MemberState::Suspect && entry.suspicionDeadline <= now;
+        auto isUnconfirmed = !entry.isConfirmed && entry.state != MemberState::Dead;
+        auto isChosen = next && next->host == host;
+        if ((isExpiredSuspect || isUnconfirmed) && !isChosen && targets.size() <= extraProbesPerStep) {
+            targets.push_back(targetOf(entry));
+        }
+    }
+    if (this->steps % this->options.deadProbeInterval == 0) {
+        auto dead = this->deadListed(random);
+        if (dead) {
+            targets.push_back(*dead);
+        }
+    }
+    return targets;
+}
+
+std::optional<ProbeTarget> MembershipTable::nextInOrder(RandomSource &random)
+{
+    this->extendProbeOrder(random);
+    while (this->nextProbe < this->probeOrder.size()) {
+        auto found = this->entries.find(this->probeOrder[this->nextProbe++]);
+        if (found != this->entries.end() && found->second.state != MemberState::Dead) {
+            return targetOf(found->second);
+        }
+    }
+    return std::nullopt;
+}
+
+void MembershipTable::extendProbeOrder(RandomSource &random)
+{
+    if (this->nextProbe >= this->probeOrder.size()) {
+        this->probeOrder.clear();
+        this->newMembers.clear();
+        this->nextProbe = 0;
+        for (const auto &[host, entry] : this->entries) {
+            if (this->isOther(host) && entry.state != MemberState::Dead) {
+                this->newMembers.push_back(host);
+            }
+        }
+    }
+    // New members are probed within the running round, or else their early death would be found late.
+    for (const auto &host : this->newMembers) {
+        auto position = this->nextProbe + random.below(this->probeOrder.size() - this->nextProbe + 1);
+        this->probeOrder.insert(this->probeOrder.begin() + static_cast<std::ptrdiff_t>(position), host);
+    }
+    this->newMembers.clear();
+}
+
+std::optional<ProbeTarget> MembershipTable::deadListed(RandomSource &random) const
+{
+    std::vector<ProbeTarget> dead;
+    for (const auto &[host, entry] : this->entries) {
+        if (entry.state == MemberState::Dead && entry.isListed) {
+            dead.push_back(targetOf(entry));
+        }
+    }
+    if (dead.empty()) {
+        return std::nullopt;
+    }
+    return dead[random.below(dead.size())];
+}
+
+std::vector<ProbeTarget> MembershipTable::helpersFor(const HostId &target, std::size_t count, RandomSource &random) const
+{
+    std::vector<ProbeTarget> helpers;
+    for (const auto &[host, entry] : this->entries) {
+        if (this->isOther(host) && host != target && entry.state < MemberState::Suspect && entry.isConfirmed) {
+            helpers.push_back(targetOf(entry));
+        }
+    }
+    for (std::size_t index = 0; index < std::min(count, helpers.size()); ++index) {
+        std::swap(helpers[index], helpers[index + random.below(helpers.size() - index)]);
+    }
+    helpers.resize(std::min(count, helpers.size()));
+    return helpers;
+}
+
+void MembershipTable::probeFailed(const HostId &host, TimePoint now)
+{
+    auto found = this->entries.find(host);
+    if (found == this->entries.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    if (!entry.isConfirmed) {
+        this->entries.erase(found);
+        this->rememberHosts();
+        ++this->changes;
+    } else if (entry.state < MemberState::Suspect) {
+        this->setState(entry, MemberState::Suspect, now);
+    } else if (entry.state == MemberState::Suspect && entry.suspicionDeadline <= now) {
+        this->setState(entry, MemberState::Dead, now);
+    }
+}
+
+void MembershipTable::requestAllMembers()
+{
+    this->wantsAllMembers = true;
+}
+
+void MembershipTable::setConfigOffset(Offset offset)
+{
+    this->own().member.configOffset = std::max(this->own().member.configOffset, offset);
+}
+
+void MembershipTable::leave()
+{
+    auto &entry = this->own();
+    if (!entry.isLeaving) {
+        entry.isLeaving = true;
+        entry.member.incarnation = Incarnation(entry.member.incarnation.value() + 1);
+        ++this->changes;
+    }
+}
+
+Member MembershipTable::selfMember() const
+{
+    return this->own().member;
+}
+
+std::vector<Member> MembershipTable::liveMembers() const
+{
+    std::vector<Member> members;
+    for (const auto &[host, entry] : this->entries) {
+        if (isLive(entry)) {
+            members.push_back(entry.member);
+        }
+    }
+    return members;
+}
+
+bool MembershipTable::canReachAnyPeer(TimePoint now) const
+{
+    auto hasOthers = std::any_of(this->entries.begin(), this->entries.end(), [this](const auto &item) {
+        return this->isOther(item.first) && (item.second.isListed || isLive(item.second));
+    });
+    return !hasOthers || this->lastHeardAt + this->options.isolation >= now;
+}
+
+std::optional<MemberState> MembershipTable::stateOf(const HostId &host) const
+{
+    auto found = this->entries.find(host);
+    if (found == this->entries.end()) {
+        return std::nullopt;
+    }
+    return found->second.state;
+}
+
+void MembershipTable::setState(Entry &entry, MemberState state, TimePoint now)
+{
+    entry.state = state;
+    entry.suspicionDeadline = now + this->options.suspicion;
+    entry.forgetAt = now + this->options.deadRetention;
+    this->queueUpdate(entry);
+    ++this->changes;
+}
+
+void MembershipTable::queueUpdate(Entry &entry) const
+{
+    entry.sendsLeft = disseminationFactor * static_cast<std::size_t>(std::bit_width(this->entries.size()));
+}
+
+bool MembershipTable::isLive(const Entry &entry)
+{
+    return entry.state != MemberState::Dead && !entry.isLeaving && !entry.isListedLeaving && entry.isConfirmed;
+}
+
+MemberUpdate MembershipTable::updateOf(const Entry &entry)
+{
+    MemberUpdate update {entry.member.host, entry.member.incarnation, entry.state, PeerAddress(), RegionId(), FailureDomainId()};
+    if (update.state == MemberState::Alive && entry.isLeaving) {
+        update.state = MemberState::Leaving;
+    }
+    if (update.state < MemberState::Suspect) {
+        update.peerAddress = entry.member.peerAddress;
+        update.region = entry.member.region;
+        update.failureDomain = entry.member.failureDomain;
+    }
+    return update;
+}
+
+ProbeTarget MembershipTable::targetOf(const Entry &entry)
+{
+    return {entry.member.host, entry.member.peerAddress};
+}
+
+void MembershipTable::rememberHosts()
+{
+    std::string hosts;
+    for (const auto &[host, entry] : this->entries) {
+        hosts += host.value();
+        hosts += '\n';
+    }
+    this->viewHash = XXH64(hosts.data(), hosts.size(), 0);
+}
+
+MembershipTable::Entry &MembershipTable::own()
+{
+    return this->entries.at(this->selfId);
+}
+
+const MembershipTable::Entry &MembershipTable::own() const
+{
+    return this->entries.at(this->selfId);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <LibCore/RandomSource.h>
+#include <LibCore/Time.h>
+#include <LibMembership/GossipMessage.h>
+#include <LibMembership/HostList.h>
+#include <LibMembership/Membership.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Lovageward {
+
+struct MembershipOptions
+{
+    /** Time between the suspicion of a member and the last probe before its death. */
+    Duration suspicion = seconds(4);
+    /** Time for which a dead member that the host list doesn't show is kept. */
+    Duration deadRetention = minutes(10);
+    /** Time without any message from another node after which this node counts as isolated. */
+    Duration isolation = seconds(6);
+    std::size_t maximumUpdates = 8;
+    /** Every so many steps, a dead member that is still listed is probed, so that a healed partition is noticed. */
+    std::uint64_t deadProbeInterval = 5;
+};
+
+/** A member to be probed. */
+struct ProbeTarget
+{
+    HostId host;
+    PeerAddress peerAddress;
+};
+
+/**
+ * SWIM state machine of one node (docs/design/membership.md). Contains no threads, clocks or sockets; the caller serialises
+ * the calls and passes the time.
+ *
+ * A member dies here only if it fails a probe of this node after the suspicion deadline, or if another node reports its
+ * death. A dead member comes back only with a higher incarnation. A host that is neither listed nor known is not believed
+ * to be alive until it has sent a message itself, so an old update can't bring back a member that was forgotten.
+ */
+class MembershipTable
+{
+public:
+    /** `self` is this node; its incarnation must exceed that of earlier runs on the host. */
+    MembershipTable(const Member &self, TimePoint now, const MembershipOptions &options = {});
+
+    /** Takes over the entry hosts of the host list. New ones count as alive until a probe fails. */
+    void applyHostList(const std::vector<ListedHost> &hosts, TimePoint now);
+
+    /** Handles a message that this node has received, be it a probe or an answer. */
+    void merge(const GossipMessage &message, TimePoint now);
+
+    /** Message to a member, with the updates that are due. */
+    GossipMessage messageTo(const HostId &target);
+
+    /** Forgets dead members after the retention time. Call it once per step, before probeTargets(). */
+    void advance(TimePoint now);
+
+    /** Members to be probed in this step: the next one in random order, suspects whose deadline has passed, and at times a dead one. */
+    std::vector<ProbeTarget> probeTargets(RandomSource &random, TimePoint now);
+
+    /** Live members that can probe the target on behalf of this node. */
+    std::vector<ProbeTarget> helpersFor(const HostId &target, std::size_t count, RandomSource &random) const;
+
+    /** Neither the member nor a helper answered: suspects the member, or declares it dead if its suspicion deadline has passed. */
+    void probeFailed(const HostId &host, TimePoint now);
+
+    /** Asks for all members at the next message; for a node that was paused. */
+    void requestAllMembers();
+
+    void setConfigOffset(Offset offset);
+
+    /** Announces that this node is leaving: it owns nothing any more, but still answers. */
+    void leave();
+
+    Member selfMember() const;
+
+    /** Members that are neither dead nor leaving, sorted by host id, with this node. Suspects are included until they die. */
+    std::vector<Member> liveMembers() const;
+
+    bool canReachAnyPeer(TimePoint now) const;
+
+    /** State of a member, if it is known. */
+    std::optional<MemberState> stateOf(const HostId &host) const;
+
+    /** Changes whenever liveMembers() may change apart from config offsets. */
+    std::uint64_t version() const
+    {
+        return this->changes;
+    }
+
+    std::size_t size() const
+    {
+        return this->entries.size();
+    }
+
+private:
+    struct Entry
+    {
+        Member member;
+        MemberState state = MemberState::Alive;
+        /** Survives a suspicion, so that a refuted one doesn't make a leaving member an owner again. */
+        bool isLeaving = false;
+        bool isListed = false;
+        bool isListedLeaving = false;
+        /** False for hosts known only from the updates of others; they are probed but not live. */
+        bool isConfirmed = true;
+        TimePoint suspicionDeadline;
+        TimePoint forgetAt;
+        /** Messages that still carry the update about this member. */
+        std::size_t sendsLeft = 0;
+    };
+
+    void listMember(const ListedHost &row);
+    void unlistMembers(const std::set<HostId> &listed, TimePoint now);
+    void mergeUpdate(const MemberUpdate &update, TimePoint now);
+    void mergeSender(const GossipMessage &message, TimePoint now);
+    Entry &addMember(const MemberUpdate &update, bool isConfirmed);
+    bool takeUpdate(Entry &entry, const MemberUpdate &update, TimePoint now);
+    void refute(const MemberUpdate &update);
+    void mergeAppliedOffsets(const AppliedOffsets &offsets);
+    void setState(Entry &entry, MemberState state, TimePoint now);
+    void queueUpdate(Entry &entry) const;
+    void addUpdates(GossipMessage &message);
+    void addAllMembers(GossipMessage &message) const;
+    std::vector<Entry *> pendingUpdates();
+    void addAppliedOffsets(GossipMessage &message) const;
+    AppliedOffsets appliedOffsets(Offset offset) const;
+    bool isOther(const HostId &host) const
+    {
+        return host != this->selfId;
+    }
+    std::optional<ProbeTarget> nextInOrder(RandomSource &random);
+    std::optional<ProbeTarget> deadListed(RandomSource &random) const;
+    void extendProbeOrder(RandomSource &random);
+    static bool isLive(const Entry &entry);
+    static MemberUpdate updateOf(const Entry &entry);
+    static ProbeTarget targetOf(const Entry &entry);
+    void rememberHosts();
+    Entry &own();
+    const Entry &own() const;
+
+    HostId selfId;
+    MembershipOptions options;
+    std::map<HostId, Entry> entries;
+    std::vector<HostId> probeOrder;
+    /** Members that are not yet in the probe order. */
+    std::vector<HostId> newMembers;
+    std::size_t nextProbe = 0;
+    std::uint64_t steps = 0;
+    std::uint64_t changes = 0;
+    /** Hash over the known host ids; see AppliedOffsets. */
+    std::uint64_t viewHash = 0;
+    bool wantsAllMembers = true;
+    /** Host whose next message holds all members; empty if none. */
+    HostId fullListReceiver;
+    TimePoint lastHeardAt;
+};
+
+}
