--- /dev/null
+++ b/Libraries/LibCredits/UpstreamOwnership.cpp
@@ -0,0 +1,110 @@
+#include <LibCredits/UpstreamOwnership.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace Lovageward {
+
+namespace {
+
+bool isSamePlace(const Member &left, const Member &right)
+{
+    return left.host == right.host && left.region == right.region && left.peerAddress == right.peerAddress;
+}
+
+}
+
+OwnershipView::OwnershipView(const Member &self, const std::vector<Member> &members, const FanoutOptions &options)
+    : self(self), options(options), liveMembers(members), everyone({ {}, RendezvousHash({}) })
+{
+    std::vector<std::size_t> all(members.size());
+    std::iota(all.begin(), all.end(), std::size_t(0));
+    this->everyone = this->groupOf(all);
+    std::map<RegionId, std::vector<std::size_t>> positions;
+    for (auto position : all) {
+        positions[members[position].region].push_back(position);
+    }
+    for (const auto &[region, inside] : positions) {
+        std::vector<std::size_t> outside;
+        std::set_difference(all.begin(), all.end(), inside.begin(), inside.end(), std::back_inserter(outside));
+        this->regions.emplace(region, this->groupOf(inside));
+        this->otherRegions.emplace(region, this->groupOf(outside));
+    }
+    this->usedOwners = this->ownersUsedBy(self);
+    for (const auto &member : members) {
+        if (member.host != self.host && this->ownersUsedBy(member).contains(self.host)) {
+            this->digestReceivers.push_back(member);
+        }
+    }
+}
+
+OwnershipView::Group OwnershipView::groupOf(const std::vector<std::size_t> &positions) const
+{
+    std::vector<HostId> hosts;
+    hosts.reserve(positions.size());
+    for (auto position : positions) {
+        hosts.push_back(this->liveMembers[position].host);
+    }
+    return { positions, RendezvousHash(hosts) };
+}
+
+std::set<HostId> OwnershipView::ownersUsedBy(const Member &node) const
+{
+    std::set<HostId> owners { node.host };
+    if (this->options.ownersPerNode == 0) {
+        for (const auto &member : this->liveMembers) {
+            owners.insert(member.host);
+        }
+        return owners;
+    }
+    auto addBest = [&](const std::map<RegionId, Group> &groups, std::size_t count) {
+        auto found = groups.find(node.region);
+        if (found != groups.end()) {
+            for (auto index : found->second.hash.best(node.host.value(), count)) {
+                owners.insert(this->liveMembers[found->second.positions[index]].host);
+            }
+        }
+    };
+    addBest(this->regions, this->options.ownersPerNode);
+    addBest(this->otherRegions, this->options.remoteOwnersPerNode);
+    return owners;
+}
+
+const Member &OwnershipView::ownerOf(const UpstreamId &upstream, const RegionId &region) const
+{
+    if (this->liveMembers.empty()) {
+        return this->self;
+    }
+    auto found = this->regions.find(region);
+    const auto &group = found == this->regions.end() ? this->everyone : found->second;
+    return this->liveMembers[group.positions[group.hash.first(upstream.value())]];
+}
+
+bool OwnershipView::isOwner(const UpstreamId &upstream, const RegionId &region) const
+{
+    return this->ownerOf(upstream, region).host == this->self.host;
+}
+
+bool OwnershipView::isUsedHere(const UpstreamId &upstream, const RegionId &region) const
+{
+    const auto &owner = this->ownerOf(upstream, region).host;
+    return owner == this->self.host || this->usedOwners.contains(owner);
+}
+
+UpstreamOwnership::UpstreamOwnership(const Membership &membership, const FanoutOptions &options) : membership(membership), options(options)
+{
+}
+
+std::shared_ptr<const OwnershipView> UpstreamOwnership::current() const
+{
+    auto self = this->membership.self();
+    auto members = this->membership.liveMembers();
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto isUnchanged = this->view && std::equal(members.begin(), members.end(), this->view->members().begin(), this->view->members().end(), isSamePlace);
+    if (!isUnchanged) {
+        this->view = std::make_shared<const OwnershipView>(self, members, this->options);
+    }
+    return this->view;
+}
+
+}
--- a/Libraries/LibMembership/GossipAgent.cpp
+++ b/Libraries/LibMembership/GossipAgent.cpp
@@ -27,11 +27,26 @@
 
 }
 
-GossipAgent::GossipAgent(const Clock &clock, RandomSource &random, PeerTransport &transport, ParallelRunner &runner, LogSink &sink,
-                         Counters &counters, const Member &self, const GossipOptions &options)
-    : clock(clock), random(random), transport(transport), runner(runner), logger(sink, "members"), options(options), selfId(self.host),
-      probes(counters.counter("lovageward_probes_total")), failedProbes(counters.counter("lovageward_probes_failed_total")),
-      liveGauge(counters.counter("lovageward_live_members")), table(self, clock.now(), options.membership), lastStepAt(clock.now())
+GossipAgent::GossipAgent(const Clock &clock,
+                         RandomSource &random,
+                         PeerTransport &transport,
+                         ParallelRunner &runner,
+                         LogSink &sink,
+                         Counters &counters,
+                         const Member &self,
+                         const GossipOptions &options)
+    : clock(clock)
+    , random(random)
+    , transport(transport)
+    , runner(runner)
+    , logger(sink, "members")
+    , options(options)
+    , selfId(self.host)
+    , probes(counters.counter("lovageward_probes_total"))
+    , failedProbes(counters.counter("lovageward_probes_failed_total"))
+    , liveGauge(counters.counter("lovageward_live_members"))
+    , table(self, clock.now(), options.membership)
+    , lastStepAt(clock.now())
 {
 }
 
@@ -65,7 +80,7 @@
     this->table.advance(now);
     std::vector<Attempt> attempts;
     for (const auto &target : this->table.probeTargets(this->random, now)) {
-        attempts.push_back({target, false});
+        attempts.push_back({ target, false });
     }
     return attempts;
 }
@@ -94,7 +109,7 @@
         }
         std::lock_guard<std::mutex> guard(this->mutex);
         for (const auto &helper : this->table.helpersFor(attempt.target.host, this->options.helpers, this->random)) {
-            detours.push_back({helper, &attempt, false});
+            detours.push_back({ helper, &attempt, false });
         }
     }
     std::vector<std::function<void()>> tasks;
@@ -113,7 +128,7 @@
     try {
         auto encoded = encodeGossip(this->outgoing(target.host));
         auto deadline = this->clock.now() + this->options.directTimeout;
-        auto answer = decodeGossip(this->transport.request(target.peerAddress, {PeerMessageKind::Probe, this->selfId, encoded}, deadline));
+        auto answer = decodeGossip(this->transport.request(target.peerAddress, { PeerMessageKind::Probe, this->selfId, encoded }, deadline));
         this->incoming(answer);
         return answer.self.host == target.host;
     } catch (const Error &error) {
@@ -127,9 +142,9 @@
 {
     try {
         auto gossip = this->outgoing(target.host);
-        auto encoded = encodeIndirectProbe({target.peerAddress, gossip});
+        auto encoded = encodeIndirectProbe({ target.peerAddress, gossip });
         auto deadline = this->clock.now() + this->options.indirectTimeout;
-        auto bytes = this->transport.request(helper.peerAddress, {PeerMessageKind::IndirectProbe, this->selfId, encoded}, deadline);
+        auto bytes = this->transport.request(helper.peerAddress, { PeerMessageKind::IndirectProbe, this->selfId, encoded }, deadline);
         auto answer = decodeIndirectAnswer(bytes);
         this->incoming(answer.gossip);
         return answer.isReached;
@@ -174,8 +189,8 @@
 {
     auto request = decodeIndirectProbe(message.payload);
     this->incoming(request.gossip);
-    auto isReached = this->sendProbe({request.gossip.target, request.targetAddress});
-    return encodeIndirectAnswer({isReached, this->outgoing(request.gossip.self.host)});
+    auto isReached = this->sendProbe({ request.gossip.target, request.targetAddress });
+    return encodeIndirectAnswer({ isReached, this->outgoing(request.gossip.self.host) });
 }
 
 void GossipAgent::hostListFetched(const std::vector<ListedHost> &hosts)
@@ -235,7 +250,7 @@
     if (!this->owners || this->ownersVersion != this->table.version()) {
         auto members = this->table.liveMembers();
         auto hosts = hostsOf(members);
-        this->owners = std::make_shared<const Owners>(Owners {std::move(members), RendezvousHash(hosts)});
+        this->owners = std::make_shared<const Owners>(Owners { std::move(members), RendezvousHash(hosts) });
         this->ownersVersion = this->table.version();
     }
     return this->owners;
--- a/Libraries/LibMembership/GossipAgent.h
+++ b/Libraries/LibMembership/GossipAgent.h
@@ -38,8 +38,14 @@
 {
 public:
     /** `self` is this node with the incarnation of this run, for example its start time in milliseconds. */
-    GossipAgent(const Clock &clock, RandomSource &random, PeerTransport &transport, ParallelRunner &runner, LogSink &sink, Counters &counters,
-                const Member &self, const GossipOptions &options = {});
+    GossipAgent(const Clock &clock,
+                RandomSource &random,
+                PeerTransport &transport,
+                ParallelRunner &runner,
+                LogSink &sink,
+                Counters &counters,
+                const Member &self,
+                const GossipOptions &options = {});
 
     /** Probes the members that are due. Blocks for `directTimeout` plus `indirectTimeout` at most. */
     TimePoint step() override;
--- a/Libraries/LibMembership/GossipMessage.cpp
+++ b/Libraries/LibMembership/GossipMessage.cpp
@@ -2,6 +2,8 @@
 #include <LibPeer/MessageReader.h>
 #include <LibPeer/MessageWriter.h>
 
+#include <algorithm>
+
 namespace Lovageward {
 
 namespace {
@@ -16,6 +18,7 @@
 constexpr std::size_t maximumUpdates = 2048;
 constexpr std::size_t maximumOffsets = 4;
 constexpr std::size_t maximumBits = 1024;
+constexpr std::size_t bitsPerByte = 8;
 
 void writeUpdate(MessageWriter &writer, const MemberUpdate &update)
 {
@@ -71,7 +74,7 @@
         reader.beginArray(offsetValues, maximumValues);
         auto viewHash = reader.number();
         auto offset = Offset(reader.number());
-        message.appliedOffsets.push_back({viewHash, offset, reader.bytes(maximumBits)});
+        message.appliedOffsets.push_back({ viewHash, offset, reader.bytes(maximumBits) });
         reader.endArray();
     }
     reader.endArray();
@@ -81,6 +84,19 @@
 
 }
 
+bool AppliedOffsets::contains(std::size_t position) const
+{
+    auto index = position / bitsPerByte;
+    return index < this->bits.size() && (static_cast<unsigned char>(this->bits[index]) >> (position % bitsPerByte) & 1U) != 0;
+}
+
+void AppliedOffsets::add(std::size_t position)
+{
+    auto index = position / bitsPerByte;
+    this->bits.resize(std::max(this->bits.size(), index + 1));
+    this->bits[index] = static_cast<char>(static_cast<unsigned char>(this->bits[index]) | 1U << (position % bitsPerByte));
+}
+
 std::string encodeGossip(const GossipMessage &message)
 {
     MessageWriter writer;
--- a/Libraries/LibMembership/GossipMessage.h
+++ b/Libraries/LibMembership/GossipMessage.h
@@ -39,6 +39,9 @@
     std::uint64_t viewHash = 0;
     Offset offset;
     std::string bits;
+
+    bool contains(std::size_t position) const;
+    void add(std::size_t position);
 };
 
 /** Content of a probe and of its answer. */
--- a/Libraries/LibMembership/HostListPoller.cpp
+++ b/Libraries/LibMembership/HostListPoller.cpp
@@ -12,10 +12,14 @@
 
 }
 
-HostListPoller::HostListPoller(const Clock &clock, LogSink &sink, Counters &counters, HostList &list, std::vector<HostListListener *> listeners,
-                               const HostListPollerOptions &options)
-    : clock(clock), logger(sink, "hosts"), failures(counters.counter("lovageward_host_list_failures_total")), list(list),
-      listeners(std::move(listeners)), options(options)
+HostListPoller::HostListPoller(
+    const Clock &clock, LogSink &sink, Counters &counters, HostList &list, std::vector<HostListListener *> listeners, const HostListPollerOptions &options)
+    : clock(clock)
+    , logger(sink, "hosts")
+    , failures(counters.counter("lovageward_host_list_failures_total"))
+    , list(list)
+    , listeners(std::move(listeners))
+    , options(options)
 {
 }
 
--- a/Libraries/LibMembership/HostListPoller.h
+++ b/Libraries/LibMembership/HostListPoller.h
@@ -25,7 +25,11 @@
 class HostListPoller final : public PeriodicTask
 {
 public:
-    HostListPoller(const Clock &clock, LogSink &sink, Counters &counters, HostList &list, std::vector<HostListListener *> listeners,
+    HostListPoller(const Clock &clock,
+                   LogSink &sink,
+                   Counters &counters,
+                   HostList &list,
+                   std::vector<HostListListener *> listeners,
                    const HostListPollerOptions &options = {});
 
     TimePoint step() override;
--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -16,12 +16,10 @@
 constexpr std::size_t extraProbesPerStep = 3;
 // Keeps the answer to a node that has just started within the size of one message.
 constexpr std::size_t maximumFullList = 700;
-constexpr std::size_t bitsPerByte = 8;
 
 }
 
-MembershipTable::MembershipTable(const Member &self, TimePoint now, const MembershipOptions &options)
-    : selfId(self.host), options(options), lastHeardAt(now)
+MembershipTable::MembershipTable(const Member &self, TimePoint now, const MembershipOptions &options) : selfId(self.host), options(options), lastHeardAt(now)
 {
     this->entries[self.host].member = self;
     this->rememberHosts();
@@ -44,7 +42,7 @@
 {
     HostId host(row.name);
     if (!this->entries.contains(host)) {
-        this->addMember({host, Incarnation(0), MemberState::Alive, row.peerAddress, row.region, row.failureDomain}, true);
+        this->addMember({ host, Incarnation(0), MemberState::Alive, row.peerAddress, row.region, row.failureDomain }, true);
     }
     auto &entry = this->entries[host];
     entry.isListed = true;
@@ -136,39 +134,29 @@
     }
 }
 
-MembershipTable::Entry &MembershipTable::addMember(const MemberUpdate &update, bool isConfirmed)
+MemberEntry &MembershipTable::addMember(const MemberUpdate &update, bool isConfirmed)
 {
     auto &entry = this->entries[update.host];
-    entry.member = {update.host, update.incarnation, update.region, update.failureDomain, update.peerAddress, Offset(0)};
+    entry.member = { update.host, update.incarnation, update.region, update.failureDomain, update.peerAddress, Offset(0) };
     entry.state = update.state;
     entry.isLeaving = update.state == MemberState::Leaving;
     entry.isConfirmed = isConfirmed;
     if (isConfirmed && update.incarnation != Incarnation(0)) {
         this->queueUpdate(entry);
     }
-    this->newMembers.push_back(update.host);
+    this->probeOrder.add(update.host);
     this->rememberHosts();
     ++this->changes;
     return entry;
 }
 
-bool MembershipTable::takeUpdate(Entry &entry, const MemberUpdate &update, TimePoint now)
+bool MembershipTable::takeUpdate(MemberEntry &entry, const MemberUpdate &update, TimePoint now)
 {
-    auto isNewer = update.incarnation > entry.member.incarnation;
-    auto isStronger = update.incarnation == entry.member.incarnation && update.state > entry.state;
-    if (!isNewer && !isStronger) {
+    if (!entry.isOverriddenBy(update)) {
         return false;
     }
-    entry.member.incarnation = update.incarnation;
-    if (!update.peerAddress.isEmpty()) {
-        entry.member.peerAddress = update.peerAddress;
-        entry.member.region = update.region;
-        entry.member.failureDomain = update.failureDomain;
-    }
-    if (isNewer && update.state == MemberState::Alive) {
-        entry.isLeaving = false;
-    }
-    entry.isLeaving = entry.isLeaving || update.state == MemberState::Leaving;
+    auto isNewer = update.incarnation > entry.member.incarnation;
+    entry.take(update);
     this->setState(entry, update.state, now);
     return isNewer;
 }
@@ -187,16 +175,15 @@
     this->wantsAllMembers = this->wantsAllMembers || update.state == MemberState::Dead;
 }
 
-void MembershipTable::mergeAppliedOffsets(const AppliedOffsets &offsets)
+void MembershipTable::mergeAppliedOffsets(const AppliedOffsets &applied)
 {
-    if (offsets.viewHash != this->viewHash || offsets.bits.size() * bitsPerByte < this->entries.size()) {
+    if (applied.viewHash != this->viewHash) {
         return;
     }
     std::size_t position = 0;
     for (auto &[host, entry] : this->entries) {
-        auto byte = static_cast<unsigned char>(offsets.bits[position / bitsPerByte]);
-        if ((byte >> (position % bitsPerByte) & 1U) != 0) {
-            entry.member.configOffset = std::max(entry.member.configOffset, offsets.offset);
+        if (applied.contains(position)) {
+            entry.member.configOffset = std::max(entry.member.configOffset, applied.offset);
         }
         ++position;
     }
@@ -206,7 +193,7 @@
 {
     GossipMessage message;
     message.target = target;
-    message.self = updateOf(this->own());
+    message.self = this->own().toUpdate();
     message.configOffset = this->own().member.configOffset;
     message.wantsAllMembers = this->wantsAllMembers;
     if (this->fullListReceiver == target && !target.isEmpty()) {
@@ -224,7 +211,7 @@
     auto target = this->entries.find(message.target);
     // A member that is taken for suspect or dead must hear it to refute it, however often the update was sent before.
     if (target != this->entries.end() && target->second.state >= MemberState::Suspect) {
-        message.updates.push_back(updateOf(target->second));
+        message.updates.push_back(target->second.toUpdate());
     }
     for (auto *entry : this->pendingUpdates()) {
         if (message.updates.size() == this->options.maximumUpdates) {
@@ -232,7 +219,7 @@
         }
         --entry->sendsLeft;
         if (entry->member.host != message.target) {
-            message.updates.push_back(updateOf(*entry));
+            message.updates.push_back(entry->toUpdate());
         }
     }
 }
@@ -244,14 +231,14 @@
         // Dead members that are not listed are left out, or else joining nodes would keep them known for ever.
         auto isTold = entry.isConfirmed && (entry.state != MemberState::Dead || entry.isListed);
         if (isTold && this->isOther(host) && message.updates.size() < maximumFullList) {
-            message.updates.push_back(updateOf(entry));
+            message.updates.push_back(entry.toUpdate());
         }
     }
 }
 
-std::vector<MembershipTable::Entry *> MembershipTable::pendingUpdates()
+std::vector<MemberEntry *> MembershipTable::pendingUpdates()
 {
-    std::vector<Entry *> pending;
+    std::vector<MemberEntry *> pending;
     for (auto &[host, entry] : this->entries) {
         if (entry.sendsLeft > 0 && this->isOther(host)) {
             pending.push_back(&entry);
@@ -265,7 +252,7 @@
 {
     std::vector<Offset> offsets;
     for (const auto &[host, entry] : this->entries) {
-        if (isLive(entry)) {
+        if (entry.isLive()) {
             offsets.push_back(entry.member.configOffset);
         }
     }
@@ -283,16 +270,15 @@
 
 AppliedOffsets MembershipTable::appliedOffsets(Offset offset) const
 {
-    AppliedOffsets offsets {this->viewHash, offset, std::string((this->entries.size() + bitsPerByte - 1) / bitsPerByte, '\0')};
+    AppliedOffsets applied { this->viewHash, offset, {} };
     std::size_t position = 0;
     for (const auto &[host, entry] : this->entries) {
         if (entry.member.configOffset >= offset) {
-            auto &byte = offsets.bits[position / bitsPerByte];
-            byte = static_cast<char>(static_cast<unsigned char>(byte) | 1U << (position % bitsPerByte));
+            applied.add(position);
         }
         ++position;
     }
-    return offsets;
+    return applied;
 }
 
 void MembershipTable::advance(TimePoint now)
@@ -319,7 +305,7 @@
         auto isUnconfirmed = !entry.isConfirmed && entry.state != MemberState::Dead;
         auto isChosen = next && next->host == host;
         if ((isExpiredSuspect || isUnconfirmed) && !isChosen && targets.size() <= extraProbesPerStep) {
-            targets.push_back(targetOf(entry));
+            targets.push_back(entry.toTarget());
         }
     }
     if (this->steps % this->options.deadProbeInterval == 0) {
@@ -333,34 +319,22 @@
 
 std::optional<ProbeTarget> MembershipTable::nextInOrder(RandomSource &random)
 {
-    this->extendProbeOrder(random);
-    while (this->nextProbe < this->probeOrder.size()) {
-        auto found = this->entries.find(this->probeOrder[this->nextProbe++]);
-        if (found != this->entries.end() && found->second.state != MemberState::Dead) {
-            return targetOf(found->second);
-        }
-    }
-    return std::nullopt;
-}
-
-void MembershipTable::extendProbeOrder(RandomSource &random)
-{
-    if (this->nextProbe >= this->probeOrder.size()) {
-        this->probeOrder.clear();
-        this->newMembers.clear();
-        this->nextProbe = 0;
+    if (this->probeOrder.isExhausted()) {
+        std::vector<HostId> hosts;
         for (const auto &[host, entry] : this->entries) {
             if (this->isOther(host) && entry.state != MemberState::Dead) {
-                this->newMembers.push_back(host);
+                hosts.push_back(host);
             }
         }
+        this->probeOrder.restart(std::move(hosts));
     }
-    // New members are probed within the running round, or else their early death would be found late.
-    for (const auto &host : this->newMembers) {
-        auto position = this->nextProbe + random.below(this->probeOrder.size() - this->nextProbe + 1);
-        this->probeOrder.insert(this->probeOrder.begin() + static_cast<std::ptrdiff_t>(position), host);
+    while (auto host = this->probeOrder.next(random)) {
+        auto found = this->entries.find(*host);
+        if (found != this->entries.end() && found->second.state != MemberState::Dead) {
+            return found->second.toTarget();
+        }
     }
-    this->newMembers.clear();
+    return std::nullopt;
 }
 
 std::optional<ProbeTarget> MembershipTable::deadListed(RandomSource &random) const
@@ -368,7 +342,7 @@
     std::vector<ProbeTarget> dead;
     for (const auto &[host, entry] : this->entries) {
         if (entry.state == MemberState::Dead && entry.isListed) {
-            dead.push_back(targetOf(entry));
+            dead.push_back(entry.toTarget());
         }
     }
     if (dead.empty()) {
@@ -382,7 +356,7 @@
     std::vector<ProbeTarget> helpers;
     for (const auto &[host, entry] : this->entries) {
         if (this->isOther(host) && host != target && entry.state < MemberState::Suspect && entry.isConfirmed) {
-            helpers.push_back(targetOf(entry));
+            helpers.push_back(entry.toTarget());
         }
     }
     for (std::size_t index = 0; index < std::min(count, helpers.size()); ++index) {
@@ -439,7 +413,7 @@
 {
     std::vector<Member> members;
     for (const auto &[host, entry] : this->entries) {
-        if (isLive(entry)) {
+        if (entry.isLive()) {
             members.push_back(entry.member);
         }
     }
@@ -449,7 +423,7 @@
 bool MembershipTable::canReachAnyPeer(TimePoint now) const
 {
     auto hasOthers = std::any_of(this->entries.begin(), this->entries.end(), [this](const auto &item) {
-        return this->isOther(item.first) && (item.second.isListed || isLive(item.second));
+        return this->isOther(item.first) && (item.second.isListed || item.second.isLive());
     });
     return !hasOthers || this->lastHeardAt + this->options.isolation >= now;
 }
@@ -463,7 +437,7 @@
     return found->second.state;
 }
 
-void MembershipTable::setState(Entry &entry, MemberState state, TimePoint now)
+void MembershipTable::setState(MemberEntry &entry, MemberState state, TimePoint now)
 {
     entry.state = state;
     entry.suspicionDeadline = now + this->options.suspicion;
@@ -472,35 +446,11 @@
     ++this->changes;
 }
 
-void MembershipTable::queueUpdate(Entry &entry) const
+void MembershipTable::queueUpdate(MemberEntry &entry) const
 {
     entry.sendsLeft = disseminationFactor * static_cast<std::size_t>(std::bit_width(this->entries.size()));
 }
 
-bool MembershipTable::isLive(const Entry &entry)
-{
-    return entry.state != MemberState::Dead && !entry.isLeaving && !entry.isListedLeaving && entry.isConfirmed;
-}
-
-MemberUpdate MembershipTable::updateOf(const Entry &entry)
-{
-    MemberUpdate update {entry.member.host, entry.member.incarnation, entry.state, PeerAddress(), RegionId(), FailureDomainId()};
-    if (update.state == MemberState::Alive && entry.isLeaving) {
-        update.state = MemberState::Leaving;
-    }
-    if (update.state < MemberState::Suspect) {
-        update.peerAddress = entry.member.peerAddress;
-        update.region = entry.member.region;
-        update.failureDomain = entry.member.failureDomain;
-    }
-    return update;
-}
-
-ProbeTarget MembershipTable::targetOf(const Entry &entry)
-{
-    return {entry.member.host, entry.member.peerAddress};
-}
-
 void MembershipTable::rememberHosts()
 {
     std::string hosts;
@@ -511,12 +461,12 @@
     this->viewHash = XXH64(hosts.data(), hosts.size(), 0);
 }
 
-MembershipTable::Entry &MembershipTable::own()
+MemberEntry &MembershipTable::own()
 {
     return this->entries.at(this->selfId);
 }
 
-const MembershipTable::Entry &MembershipTable::own() const
+const MemberEntry &MembershipTable::own() const
 {
     return this->entries.at(this->selfId);
 }
--- a/Libraries/LibMembership/MembershipTable.h
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -4,7 +4,9 @@
 #include <LibCore/Time.h>
 #include <LibMembership/GossipMessage.h>
 #include <LibMembership/HostList.h>
+#include <LibMembership/MemberEntry.h>
 #include <LibMembership/Membership.h>
+#include <LibMembership/ProbeOrder.h>
 
 #include <cstddef>
 #include <map>
@@ -27,13 +29,6 @@
     std::uint64_t deadProbeInterval = 5;
 };
 
-/** A member to be probed. */
-struct ProbeTarget
-{
-    HostId host;
-    PeerAddress peerAddress;
-};
-
 /**
  * SWIM state machine of one node (docs/design/membership.md). Contains no threads, clocks or sockets; the caller serialises
  * the calls and passes the time.
@@ -99,35 +94,19 @@
     }
 
 private:
-    struct Entry
-    {
-        Member member;
-        MemberState state = MemberState::Alive;
-        /** Survives a suspicion, so that a refuted one doesn't make a leaving member an owner again. */
-        bool isLeaving = false;
-        bool isListed = false;
-        bool isListedLeaving = false;
-        /** False for hosts known only from the updates of others; they are probed but not live. */
-        bool isConfirmed = true;
-        TimePoint suspicionDeadline;
-        TimePoint forgetAt;
-        /** Messages that still carry the update about this member. */
-        std::size_t sendsLeft = 0;
-    };
-
     void listMember(const ListedHost &row);
     void unlistMembers(const std::set<HostId> &listed, TimePoint now);
     void mergeUpdate(const MemberUpdate &update, TimePoint now);
     void mergeSender(const GossipMessage &message, TimePoint now);
-    Entry &addMember(const MemberUpdate &update, bool isConfirmed);
-    bool takeUpdate(Entry &entry, const MemberUpdate &update, TimePoint now);
+    MemberEntry &addMember(const MemberUpdate &update, bool isConfirmed);
+    bool takeUpdate(MemberEntry &entry, const MemberUpdate &update, TimePoint now);
     void refute(const MemberUpdate &update);
-    void mergeAppliedOffsets(const AppliedOffsets &offsets);
-    void setState(Entry &entry, MemberState state, TimePoint now);
-    void queueUpdate(Entry &entry) const;
+    void mergeAppliedOffsets(const AppliedOffsets &applied);
+    void setState(MemberEntry &entry, MemberState state, TimePoint now);
+    void queueUpdate(MemberEntry &entry) const;
     void addUpdates(GossipMessage &message);
     void addAllMembers(GossipMessage &message) const;
-    std::vector<Entry *> pendingUpdates();
+    std::vector<MemberEntry *> pendingUpdates();
     void addAppliedOffsets(GossipMessage &message) const;
     AppliedOffsets appliedOffsets(Offset offset) const;
     bool isOther(const HostId &host) const
@@ -136,21 +115,14 @@
     }
     std::optional<ProbeTarget> nextInOrder(RandomSource &random);
     std::optional<ProbeTarget> deadListed(RandomSource &random) const;
-    void extendProbeOrder(RandomSource &random);
-    static bool isLive(const Entry &entry);
-    static MemberUpdate updateOf(const Entry &entry);
-    static ProbeTarget targetOf(const Entry &entry);
     void rememberHosts();
-    Entry &own();
-    const Entry &own() const;
+    MemberEntry &own();
+    const MemberEntry &own() const;
 
     HostId selfId;
     MembershipOptions options;
-    std::map<HostId, Entry> entries;
-    std::vector<HostId> probeOrder;
-    /** Members that are not yet in the probe order. */
-    std::vector<HostId> newMembers;
-    std::size_t nextProbe = 0;
+    std::map<HostId, MemberEntry> entries;
+    ProbeOrder probeOrder;
     std::uint64_t steps = 0;
     std::uint64_t changes = 0;
     /** Hash over the known host ids; see AppliedOffsets. */
--- a/Libraries/LibPeer/MessageReader.cpp
+++ b/Libraries/LibPeer/MessageReader.cpp
@@ -35,7 +35,7 @@
 
 MessageReader::MessageReader(std::string_view encoded) : handle(unpackBounded(encoded))
 {
-    this->levels.push_back({&this->handle.get(), 1, 0});
+    this->levels.push_back({ &this->handle.get(), 1, 0 });
 }
 
 std::size_t MessageReader::beginArray(std::size_t minimumSize, std::size_t maximumSize)
@@ -47,7 +47,7 @@
     if (value.via.array.size < minimumSize || value.via.array.size > maximumSize) {
         malformed("an array has a wrong size");
     }
-    this->levels.push_back({value.via.array.ptr, value.via.array.size, 0});
+    this->levels.push_back({ value.via.array.ptr, value.via.array.size, 0 });
     return value.via.array.size;
 }
 
@@ -80,7 +80,7 @@
     if (value.type != msgpack::type::STR || value.via.str.size > maximumBytes) {
         malformed("a text is missing or too long");
     }
-    return {value.via.str.ptr, value.via.str.size};
+    return { value.via.str.ptr, value.via.str.size };
 }
 
 std::string MessageReader::bytes(std::size_t maximumBytes)
@@ -89,7 +89,7 @@
     if (value.type != msgpack::type::BIN || value.via.bin.size > maximumBytes) {
         malformed("bytes are missing or too long");
     }
-    return {value.via.bin.ptr, value.via.bin.size};
+    return { value.via.bin.ptr, value.via.bin.size };
 }
 
 const msgpack::object &MessageReader::take()
--- a/Libraries/LibPeer/MessageWriter.cpp
+++ b/Libraries/LibPeer/MessageWriter.cpp
@@ -47,7 +47,7 @@
 
 std::string MessageWriter::encoded() const
 {
-    return {this->buffer.data(), this->buffer.size()};
+    return { this->buffer.data(), this->buffer.size() };
 }
 
 }
--- a/Libraries/LibPeer/NngPeerTransport.cpp
+++ b/Libraries/LibPeer/NngPeerTransport.cpp
@@ -253,7 +253,7 @@
             if (this->connections.size() >= this->options.maximumConnections) {
                 evicted = this->takeLeastRecentlyUsed();
             }
-            found = this->connections.emplace(address, Cached {std::make_shared<Connection>(address), 0}).first;
+            found = this->connections.emplace(address, Cached { std::make_shared<Connection>(address), 0 }).first;
         }
         found->second.lastUse = ++this->uses;
         return found->second.connection;
@@ -261,9 +261,8 @@
 
     std::shared_ptr<Connection> takeLeastRecentlyUsed()
     {
-        auto oldest = std::min_element(this->connections.begin(), this->connections.end(), [](const auto &left, const auto &right) {
-            return left.second.lastUse < right.second.lastUse;
-        });
+        auto oldest = std::min_element(
+            this->connections.begin(), this->connections.end(), [](const auto &left, const auto &right) { return left.second.lastUse < right.second.lastUse; });
         auto connection = oldest->second.connection;
         this->connections.erase(oldest);
         return connection;
@@ -284,7 +283,8 @@
         try {
             Context context(this->server);
             Operation operation;
-            while (this->answerOne(context, operation)) { }
+            while (this->answerOne(context, operation)) {
+            }
         } catch (const Error &error) {
             this->logger.error("a worker stopped: {}", error.what());
         }
--- a/Libraries/LibPeer/PeerEnvelope.cpp
+++ b/Libraries/LibPeer/PeerEnvelope.cpp
@@ -32,7 +32,7 @@
     if (kind == 0) {
         throw Error(ResultCode::MalformedMessage, RunState::NotRun, "malformed message: kind 0");
     }
-    PeerMessage message {static_cast<PeerMessageKind>(kind), HostId(reader.text()), reader.bytes(maximumPeerMessageBytes)};
+    PeerMessage message { static_cast<PeerMessageKind>(kind), HostId(reader.text()), reader.bytes(maximumPeerMessageBytes) };
     reader.endArray();
     return message;
 }
--- a/Libraries/LibPeer/PeerTraffic.cpp
+++ b/Libraries/LibPeer/PeerTraffic.cpp
@@ -7,7 +7,7 @@
 
 PeerTraffic::PeerTraffic(Counters &counters)
 {
-    for (auto direction : {PeerDirection::Sent, PeerDirection::Received}) {
+    for (auto direction : { PeerDirection::Sent, PeerDirection::Received }) {
         auto directionName = direction == PeerDirection::Sent ? "sent" : "received";
         for (std::size_t kind = 1; kind < kinds; ++kind) {
             auto labels = fmt::format("{{direction=\"{}\",kind=\"{}\"}}", directionName, peerMessageKindName(static_cast<PeerMessageKind>(kind)));
