--- /dev/null
+++ b/Tests/Support/FaultyLogService.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/RandomSource.h>
+#include <LibLog/LogService.h>
+
+#include <algorithm>
+#include <deque>
+#include <mutex>
+
+namespace Lovageward {
+
+/** Chances of each fault of an append, in percent; they must add up to at most 100. */
+struct LogFaults
+{
+    /** The record is appended, but the caller gets OutcomeUnknown. */
+    unsigned lostAnswer = 0;
+    /** The caller gets OutcomeUnknown and the record is appended later. */
+    unsigned delayed = 0;
+    /** The caller gets OutcomeUnknown and the record is never appended. */
+    unsigned vanished = 0;
+    /** The record is appended at once, and a second time later. */
+    unsigned duplicated = 0;
+    /** The caller gets LogUnavailable and nothing is appended. */
+    unsigned refused = 0;
+    /** Chance that a read fails with LogUnavailable. */
+    unsigned readFailure = 0;
+};
+
+/**
+ * Adds the faults of the platform log to another LogService: lost answers, appends that take effect late, duplicates,
+ * refusals and outages. The order of faults follows the random source, so a seed reproduces a run.
+ */
+class FaultyLogService final : public LogService
+{
+public:
+    FaultyLogService(LogService &inner, RandomSource &random) : inner(inner), random(random)
+    {
+    }
+
+    void setFaults(const LogFaults &newFaults)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->faults = newFaults;
+    }
+
+    /** During an outage every call fails with LogUnavailable. Appends that were delayed before it can still land. */
+    void setOutage(bool isDown)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->isOut = isDown;
+    }
+
+    AppendReceipt append(const StreamName &stream, const std::string &payload, TimePoint deadline) override
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->refuseDuringOutage();
+        auto draw = static_cast<unsigned>(this->random.below(100));
+        auto isDrawn = [&draw](unsigned chance) {
+            if (draw < chance) {
+                return true;
+            }
+            draw -= chance;
+            return false;
+        };
+        if (isDrawn(this->faults.lostAnswer)) {
+            this->inner.append(stream, payload, deadline);
+            throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "fault: the answer to the append was lost");
+        }
+        if (isDrawn(this->faults.delayed)) {
+            this->pending.push_back(PendingAppend { stream, payload });
+            throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "fault: the append is delayed");
+        }
+        if (isDrawn(this->faults.vanished)) {
+            throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "fault: the append was lost");
+        }
+        if (isDrawn(this->faults.refused)) {
+            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "fault: the log refused the append");
+        }
+        if (isDrawn(this->faults.duplicated)) {
+            this->pending.push_back(PendingAppend { stream, payload });
+        }
+        return this->inner.append(stream, payload, deadline);
+    }
+
+    LogReadResult read(const StreamName &stream, Offset from, std::size_t maximumRecords, TimePoint waitUntil) override
+    {
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            this->refuseDuringOutage();
+            if (this->random.below(100) < this->faults.readFailure) {
+                throw Error(ResultCode::LogUnavailable, RunState::NotRun, "fault: the read failed");
+            }
+        }
+        return this->inner.read(stream, from, maximumRecords, waitUntil);
+    }
+
+    /** Appends that are still under way. */
+    std::size_t delayedCount() const
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        return this->pending.size();
+    }
+
+    /** Lets one delayed append, chosen at random, take effect. Returns false if there is none. */
+    bool landOne()
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        if (this->pending.empty()) {
+            return false;
+        }
+        auto chosen = this->pending.begin() + static_cast<std::ptrdiff_t>(this->random.below(this->pending.size()));
+        auto landing = *chosen;
+        this->pending.erase(chosen);
+        this->inner.append(landing.stream, landing.payload, TimePoint());
+        return true;
+    }
+
+    /** Lets all delayed appends take effect in random order. */
+    void landAll()
+    {
+        while (this->landOne()) {
+        }
+    }
+
+private:
+    struct PendingAppend
+    {
+        StreamName stream;
+        std::string payload;
+    };
+
+    void refuseDuringOutage() const
+    {
+        if (this->isOut) {
+            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "fault: the log is down");
+        }
+    }
+
+    LogService &inner;
+    RandomSource &random;
+    mutable std::mutex mutex;
+    LogFaults faults;
+    bool isOut = false;
+    std::deque<PendingAppend> pending;
+};
+
+}
