LibHttp: Add the log service over HTTP

Failures before the first byte of a request leaves are reported as LogUnavailable and failures after it as OutcomeUnknown, so that a submitter knows when to read back. Idle connections are checked and aged out before reuse, because a reused silent connection turns a certain refusal into an unknown outcome.

--- /dev/null
+++ b/Libraries/LibHttp/HttpLogService.cpp
@@ -0,0 +1,221 @@
+#include <LibHttp/HttpLogService.h>
+
+#include <LibCore/Error.h>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <fmt/format.h>
+#include <msgpack.hpp>
+
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <tuple>
+
+namespace Lovageward {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t maximumReceiptBytes = 4096;
+// A read returns at most a few hundred records, of which only checkpoints are larger than a few KiB.
+constexpr std::size_t maximumReadBytes = std::size_t(64) * 1024 * 1024;
+constexpr std::size_t readBlockBytes = std::size_t(16) * 1024;
+
+Poco::Timespan toTimespan(Duration time)
+{
+    return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(time.count()));
+}
+
+Error unavailable(const std::string &reason)
+{
+    return Error(ResultCode::LogUnavailable, RunState::NotRun, fmt::format("the log is unavailable: {}", reason));
+}
+
+Error outcomeUnknown(const std::string &reason)
+{
+    return Error(ResultCode::OutcomeUnknown, RunState::Unknown, fmt::format("the append may have taken effect: {}", reason));
+}
+
+AppendReceipt parseReceipt(const std::string &body)
+{
+    Poco::JSON::Parser parser;
+    auto object = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+    auto offset = Offset(object->getValue<std::uint64_t>("offset"));
+    return AppendReceipt { offset, fromMilliseconds<LogTime>(object->getValue<std::int64_t>("appendedAt")) };
+}
+
+LogReadResult parseRecords(const std::string &body)
+{
+    using WireRecord = std::tuple<std::uint64_t, std::int64_t, std::string>;
+    using WireResult = std::tuple<std::uint64_t, std::uint64_t, std::vector<WireRecord>>;
+    auto handle = msgpack::unpack(body.data(), body.size());
+    auto [firstRetained, end, records] = handle.get().as<WireResult>();
+    LogReadResult result;
+    result.firstRetained = Offset(firstRetained);
+    result.end = Offset(end);
+    for (auto &[offset, appendedAtMs, payload] : records) {
+        result.records.push_back(LogRecord { Offset(offset), fromMilliseconds<LogTime>(appendedAtMs), std::move(payload) });
+    }
+    return result;
+}
+
+/** True if the peer has closed an idle connection or sent something that nobody asked for. */
+bool isUnusable(Poco::Net::HTTPClientSession &session)
+{
+    return !session.connected() || session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+}
+
+HttpLogService::HttpLogService(HttpLogSettings settings, const Clock &clock, Counters &counters)
+    : settings(std::move(settings))
+    , clock(clock)
+    , appendFailures(counters.counter("lovageward_log_append_failures_total"))
+    , unknownAppends(counters.counter("lovageward_log_append_unknown_total"))
+    , readFailures(counters.counter("lovageward_log_read_failures_total"))
+{
+}
+
+HttpLogService::~HttpLogService() = default;
+
+AppendReceipt HttpLogService::append(const StreamName &stream, const std::string &payload, TimePoint deadline)
+{
+    auto isWritten = false;
+    Exchange request { HTTPRequest::HTTP_POST, "/log/" + stream.value(), payload, maximumReceiptBytes };
+    try {
+        auto answer = this->exchange(request, deadline, isWritten);
+        if (answer.status == HTTPResponse::HTTP_OK) {
+            return parseReceipt(answer.body);
+        }
+        if (answer.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+            isWritten = false;
+        }
+        throw Poco::IOException(fmt::format("status {}", answer.status));
+    } catch (const std::exception &error) {
+        const auto *details = dynamic_cast<const Poco::Exception *>(&error);
+        auto reason = details != nullptr ? details->displayText() : std::string(error.what());
+        if (isWritten) {
+            this->unknownAppends.add();
+            throw outcomeUnknown(reason);
+        }
+        this->appendFailures.add();
+        throw unavailable(reason);
+    }
+}
+
+LogReadResult HttpLogService::read(const StreamName &stream, Offset from, std::size_t maximumRecords, TimePoint waitUntil)
+{
+    auto wait = std::max(Duration(0), waitUntil - this->clock.now());
+    auto waitMs = std::chrono::duration_cast<milliseconds>(wait).count();
+    auto path = fmt::format("/log/{}?from={}&max={}&waitMs={}", stream.value(), from.value(), maximumRecords, waitMs);
+    auto isWritten = false;
+    try {
+        auto deadline = this->clock.now() + wait + this->settings.readSlack;
+        auto answer = this->exchange(Exchange { HTTPRequest::HTTP_GET, path, "", maximumReadBytes }, deadline, isWritten);
+        if (answer.status != HTTPResponse::HTTP_OK) {
+            throw Poco::IOException(fmt::format("status {}", answer.status));
+        }
+        return parseRecords(answer.body);
+    } catch (const std::exception &error) {
+        this->readFailures.add();
+        const auto *details = dynamic_cast<const Poco::Exception *>(&error);
+        throw unavailable(details != nullptr ? details->displayText() : std::string(error.what()));
+    }
+}
+
+HttpLogService::Answer HttpLogService::exchange(const Exchange &exchange, TimePoint deadline, bool &isWritten)
+{
+    auto session = this->takeIdle();
+    if (!session) {
+        session = this->connect(deadline);
+    }
+    session->setTimeout(toTimespan(this->remaining(deadline)));
+    HTTPRequest request(exchange.method, exchange.path, HTTPRequest::HTTP_1_1);
+    request.setKeepAlive(true);
+    if (exchange.method == HTTPRequest::HTTP_POST) {
+        request.setContentType("application/octet-stream");
+        request.setContentLength64(static_cast<Poco::Int64>(exchange.body.size()));
+    }
+    isWritten = true;
+    auto &output = session->sendRequest(request);
+    output.write(exchange.body.data(), static_cast<std::streamsize>(exchange.body.size()));
+    output.flush();
+    session->socket().setReceiveTimeout(toTimespan(this->remaining(deadline)));
+    HTTPResponse response;
+    auto &input = session->receiveResponse(response);
+    Answer answer { response.getStatus(), this->readBody(*session, input, exchange.maximumAnswerBytes, deadline) };
+    if (response.getKeepAlive()) {
+        this->keep(std::move(session));
+    }
+    return answer;
+}
+
+std::unique_ptr<HttpLogService::Session> HttpLogService::connect(TimePoint deadline)
+{
+    auto session = std::make_unique<Session>(this->settings.host, this->settings.port);
+    session->setKeepAlive(true);
+    // The pool decides on the age of connections; POCO must not reconnect by itself between writing and reading.
+    session->setKeepAliveTimeout(Poco::Timespan(3600, 0));
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(this->settings.host, this->settings.port), toTimespan(this->remaining(deadline)));
+    socket.setNoDelay(true);
+    session->attachSocket(socket);
+    return session;
+}
+
+std::unique_ptr<HttpLogService::Session> HttpLogService::takeIdle()
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    while (!this->idle.empty()) {
+        auto candidate = std::move(this->idle.back());
+        this->idle.pop_back();
+        if (candidate.closeAt > now && !isUnusable(*candidate.session)) {
+            return std::move(candidate.session);
+        }
+    }
+    return nullptr;
+}
+
+void HttpLogService::keep(std::unique_ptr<Session> session)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->idle.size() < this->settings.maximumIdleConnections) {
+        this->idle.push_back(IdleSession { std::move(session), this->clock.now() + this->settings.maximumIdleTime });
+    }
+}
+
+std::string HttpLogService::readBody(Session &session, std::istream &stream, std::size_t maximumBytes, TimePoint deadline) const
+{
+    std::string body;
+    std::array<char, readBlockBytes> block {};
+    while (stream.good()) {
+        // The timeout counts for each packet, so it has to shrink for a body that arrives drop by drop.
+        session.socket().setReceiveTimeout(toTimespan(this->remaining(deadline)));
+        stream.read(block.data(), static_cast<std::streamsize>(block.size()));
+        body.append(block.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > maximumBytes) {
+            throw Poco::IOException("the answer is too long");
+        }
+    }
+    if (stream.bad()) {
+        throw Poco::IOException("the connection broke within the answer");
+    }
+    return body;
+}
+
+Duration HttpLogService::remaining(TimePoint deadline) const
+{
+    auto time = deadline - this->clock.now();
+    if (time <= Duration(0)) {
+        throw Poco::TimeoutException("the deadline has passed");
+    }
+    return time;
+}
+
+}
