--- a/Libraries/LibHttp/HttpLogService.cpp
+++ b/Libraries/LibHttp/HttpLogService.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maximumReceiptBytes = 4096;
 // A read returns at most a few hundred records, of which only checkpoints are larger than a few KiB.
 constexpr std::size_t maximumReadBytes = std::size_t(64) * 1024 * 1024;
+// The pool decides on the age of connections, not POCO.
+constexpr long longestKeepAliveSeconds = 3600;
 constexpr std::size_t readBlockBytes = std::size_t(16) * 1024;
 
 Poco::Timespan toTimespan(Duration time)
@@ -134,8 +136,10 @@
     if (!session) {
         session = this->connect(deadline);
     }
-    session->setTimeout(toTimespan(this->remaining(deadline)));
+    session->socket().setSendTimeout(toTimespan(this->remaining(deadline)));
+    session->socket().setReceiveTimeout(toTimespan(this->remaining(deadline)));
     HTTPRequest request(exchange.method, exchange.path, HTTPRequest::HTTP_1_1);
+    request.setHost(this->settings.host, this->settings.port);
     request.setKeepAlive(true);
     if (exchange.method == HTTPRequest::HTTP_POST) {
         request.setContentType("application/octet-stream");
@@ -157,14 +161,13 @@
 
 std::unique_ptr<HttpLogService::Session> HttpLogService::connect(TimePoint deadline)
 {
-    auto session = std::make_unique<Session>(this->settings.host, this->settings.port);
-    session->setKeepAlive(true);
-    // The pool decides on the age of connections; POCO must not reconnect by itself between writing and reading.
-    session->setKeepAliveTimeout(Poco::Timespan(3600, 0));
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(this->settings.host, this->settings.port), toTimespan(this->remaining(deadline)));
     socket.setNoDelay(true);
-    session->attachSocket(socket);
+    // A session that is made from a socket knows no host, so POCO can't reconnect and send a request twice by itself.
+    auto session = std::make_unique<Session>(socket);
+    session->setKeepAlive(true);
+    session->setKeepAliveTimeout(Poco::Timespan(longestKeepAliveSeconds, 0));
     return session;
 }
 
