--- /dev/null
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -0,0 +1,130 @@
+#include <LibHttp/CallerServer.h>
+
+#include <LibHttp/CallerSession.h>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <thread>
+
+namespace Lovageward {
+
+namespace {
+
+// Interval at which stop() looks whether requests are left.
+constexpr Duration drainCheckInterval = milliseconds(20);
+// Connections that the kernel accepts before a thread takes them.
+constexpr int listenBacklog = 512;
+// Threads with less stack overflow in POCO's JSON and crypto functions.
+constexpr int minimumStackBytes = 64 * 1024;
+constexpr std::size_t minimumKeyBytes = 16;
+
+class SessionFactory final : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    SessionFactory(CallerSessionContext &context, CallerRouter &router) : context(context), router(router)
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new CallerSession(socket, this->context, this->router);
+    }
+
+private:
+    CallerSessionContext &context;
+    CallerRouter &router;
+};
+
+void validate(const CallerServerSettings &settings)
+{
+    if (settings.resumeKey.size() < minimumKeyBytes) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "the resume key needs at least 16 bytes");
+    }
+    if (settings.maximumThreads < 2 || settings.threadStackBytes < minimumStackBytes) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "the caller API needs at least 2 threads with 64 KiB of stack");
+    }
+}
+
+}
+
+class CallerServer::Implementation
+{
+public:
+    Implementation(const CallerServerParts &parts, const CallerServerSettings &settings)
+        : context { parts, settings, {}, 0, false }
+        , router(this->context.parts, this->context.drain)
+        , threads("callers", 2, settings.maximumThreads, 60, settings.threadStackBytes)
+    {
+    }
+
+    CallerSessionContext context;
+    CallerRouter router;
+    Poco::ThreadPool threads;
+    std::unique_ptr<Poco::Net::TCPServer> server;
+};
+
+CallerServer::CallerServer(const CallerServerParts &parts, const CallerServerSettings &settings)
+{
+    validate(settings);
+    this->implementation = std::make_unique<Implementation>(parts, settings);
+}
+
+CallerServer::~CallerServer()
+{
+    // Sessions refer to this object, so their threads must have ended before it goes.
+    this->implementation->context.drain.begin(this->implementation->context.parts.clock.now());
+    this->implementation->context.isClosing = true;
+    if (this->implementation->server) {
+        this->implementation->server->stop();
+    }
+    this->implementation->threads.joinAll();
+}
+
+void CallerServer::start()
+{
+    auto &state = *this->implementation;
+    auto *params = new Poco::Net::TCPServerParams;
+    Poco::Net::TCPServerParams::Ptr holder(params);
+    params->setMaxThreads(state.context.settings.maximumThreads);
+    params->setMaxQueued(state.context.settings.maximumQueuedConnections);
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(state.context.settings.listenAddress), true);
+        socket.listen(listenBacklog);
+        state.server = std::make_unique<Poco::Net::TCPServer>(new SessionFactory(state.context, state.router), state.threads, socket, holder);
+        state.server->start();
+    } catch (const Poco::Exception &error) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't listen on " + state.context.settings.listenAddress + ": " + error.displayText());
+    }
+}
+
+std::uint16_t CallerServer::port() const
+{
+    return this->implementation->server ? this->implementation->server->port() : 0;
+}
+
+std::size_t CallerServer::activeRequests() const
+{
+    return this->implementation->context.activeRequests;
+}
+
+bool CallerServer::stop(TimePoint deadline)
+{
+    auto &context = this->implementation->context;
+    context.drain.begin(deadline);
+    auto end = deadline + context.settings.drainGrace;
+    // The listener stays open until the end, so that the balancer's readiness checks get their answer.
+    while (context.activeRequests > 0 && context.parts.clock.now() < end) {
+        std::this_thread::sleep_for(drainCheckInterval);
+    }
+    context.isClosing = true;
+    if (this->implementation->server) {
+        this->implementation->server->stop();
+    }
+    return context.activeRequests == 0;
+}
+
+}
