LibNode: Wire the parts of a node

Cause: the parts exist as libraries; a node has to run them as one process. Change: Node with its groups (basis, shared state, routing), adapters between leases, credits, orders and HTTP, and the main of lovageward. Conclusion: the constructor of Node is the one place where parts meet.

--- /dev/null
+++ b/Libraries/LibNode/LeaseColdStart.cpp
@@ -0,0 +1,56 @@
+#include <LibNode/LeaseColdStart.h>
+
+namespace Lovageward {
+
+namespace {
+
+/** Bounds how long a step of the credit owner is held up by a slow log. */
+constexpr auto acquireTimeout = seconds(2);
+
+}
+
+LeaseColdStart::LeaseColdStart(LeaseLog &log, const Clock &clock, RandomSource &random, const LeaseOwner &owner, const LeaseSettings &settings)
+    : log(log), clock(clock), random(random), owner(owner), settings(settings)
+{
+}
+
+bool LeaseColdStart::tryAcquire(const UpstreamId &upstream)
+{
+    return this->holderOf(upstream).acquire(this->clock.now() + acquireTimeout);
+}
+
+bool LeaseColdStart::isHeldNow(const UpstreamId &upstream) const
+{
+    const auto *holder = this->find(upstream);
+    return holder != nullptr && holder->isHeldNow();
+}
+
+TimePoint LeaseColdStart::heldUntil(const UpstreamId &upstream) const
+{
+    const auto *holder = this->find(upstream);
+    if (holder == nullptr) {
+        return TimePoint();
+    }
+    auto lease = holder->held();
+    return lease ? lease->validUntil : TimePoint();
+}
+
+LeaseHolder *LeaseColdStart::find(const UpstreamId &upstream) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->holders.find(upstream);
+    return found == this->holders.end() ? nullptr : found->second.get();
+}
+
+LeaseHolder &LeaseColdStart::holderOf(const UpstreamId &upstream)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &slot = this->holders[upstream];
+    if (!slot) {
+        LeaseName name("cold/" + upstream.value());
+        slot = std::make_unique<LeaseHolder>(this->log, this->clock, this->random, name, this->owner, this->settings);
+    }
+    return *slot;
+}
+
+}
--- a/Libraries/LibNode/NodeSettings.cpp
+++ b/Libraries/LibNode/NodeSettings.cpp
@@ -85,7 +85,7 @@
         { "link-megabits", "rate of the link between regions", "30", wholeNumber(1, 1'000'000) },
         { "max-body-bytes", "largest request body", "1048576", wholeNumber(1'024, 1 << 28) },
         { "max-connections", "open caller connections, one thread each", "1000", wholeNumber(1, 20'000) },
-        { "digest-fanout", "nodes that get this node's load digests; 0 for all", "0", wholeNumber(0, 1'000) },
+        { "digest-fanout", "owners in the own region whose upstreams this node uses; 0 for all", "0", wholeNumber(0, 1'000) },
     };
 }
 
--- /dev/null
+++ b/Libraries/LibNode/NodeUpkeep.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibHttp/Readiness.h>
+#include <LibMembership/PeriodicTask.h>
+#include <LibNode/Routing.h>
+
+#include <atomic>
+
+namespace Lovageward {
+
+/**
+ * Keeps the parts of a node informed about one another: isolation, the number of nodes, and whether the node is ready.
+ * report() is safe to call from any thread.
+ */
+class NodeUpkeep final : public PeriodicTask, public Readiness
+{
+public:
+    explicit NodeUpkeep(Routing &routing);
+
+    TimePoint step() override;
+    ReadinessReport report() const override;
+
+private:
+    void noteIsolation(bool isNowIsolated);
+
+    Routing &routing;
+    Logger logger;
+    Counter &isolatedGauge;
+    std::atomic<bool> isIsolated = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibNode/SchedulerOrderDesk.cpp
@@ -0,0 +1,94 @@
+#include <LibNode/SchedulerOrderDesk.h>
+
+#include <LibCore/Error.h>
+
+#include <fmt/format.h>
+
+namespace Lovageward {
+
+namespace {
+
+OrderKind engineKind(PoolOrderKind kind)
+{
+    switch (kind) {
+    case PoolOrderKind::LoadAdapter:
+        return OrderKind::LoadAdapter;
+    case PoolOrderKind::LoadVersion:
+        return OrderKind::LoadVersion;
+    case PoolOrderKind::ChangeRole:
+        return OrderKind::ChangeRole;
+    case PoolOrderKind::LoadModel:
+        break;
+    }
+    return OrderKind::LoadModel;
+}
+
+PoolOrderKind poolKind(OrderKind kind)
+{
+    switch (kind) {
+    case OrderKind::LoadAdapter:
+        return PoolOrderKind::LoadAdapter;
+    case OrderKind::LoadVersion:
+        return PoolOrderKind::LoadVersion;
+    case OrderKind::ChangeRole:
+        return PoolOrderKind::ChangeRole;
+    case OrderKind::LoadModel:
+        break;
+    }
+    return PoolOrderKind::LoadModel;
+}
+
+/** The same order has the same id, so that submitting it twice starts it once. */
+OrderId idOf(const PoolOrder &order)
+{
+    return OrderId(fmt::format("{}/{}/{}", order.pool.value(), static_cast<int>(order.kind), order.model.value()));
+}
+
+PoolOrderProgress progressOf(const OrderStatus &status)
+{
+    PoolOrderProgress progress;
+    progress.order = PoolOrder { status.order.pool, poolKind(status.order.kind), status.order.model };
+    progress.upstreams = static_cast<std::uint32_t>(status.engines.size());
+    for (const auto &engine : status.engines) {
+        progress.done += engine.state == OrderState::Done ? 1 : 0;
+        progress.failed += engine.state == OrderState::Failed ? 1 : 0;
+        if (progress.note.empty()) {
+            progress.note = engine.reason;
+        }
+    }
+    return progress;
+}
+
+}
+
+SchedulerOrderDesk::SchedulerOrderDesk(OrderScheduler &scheduler, const Configuration &configuration) : scheduler(scheduler), configuration(configuration)
+{
+}
+
+PoolOrderProgress SchedulerOrderDesk::submit(const PoolOrder &order, TimePoint /*deadline*/)
+{
+    auto pool = this->configuration.pool(order.pool);
+    if (!pool) {
+        throw Error(ResultCode::NotFound, RunState::NotRun, fmt::format("pool '{}' isn't configured", order.pool.value()));
+    }
+    Order engineOrder;
+    engineOrder.id = idOf(order);
+    engineOrder.kind = engineKind(order.kind);
+    engineOrder.pool = order.pool;
+    engineOrder.model = order.model;
+    this->scheduler.submit(engineOrder, *pool);
+    auto status = this->scheduler.progress(engineOrder.id);
+    return status ? progressOf(*status) : PoolOrderProgress { order, 0, 0, 0, "" };
+}
+
+std::vector<PoolOrderProgress> SchedulerOrderDesk::orders() const
+{
+    std::vector<PoolOrderProgress> result;
+    auto statuses = this->scheduler.all();
+    for (auto status = statuses.rbegin(); status != statuses.rend(); ++status) {
+        result.push_back(progressOf(*status));
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNode/SchedulerOrderDesk.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibConfig/Configuration.h>
+#include <LibLease/OrderDesk.h>
+#include <LibLease/OrderScheduler.h>
+
+namespace Lovageward {
+
+/** Passes operators' orders to the order scheduler of this node. */
+class SchedulerOrderDesk final : public OrderDesk
+{
+public:
+    SchedulerOrderDesk(OrderScheduler &scheduler, const Configuration &configuration);
+
+    PoolOrderProgress submit(const PoolOrder &order, TimePoint deadline) override;
+    std::vector<PoolOrderProgress> orders() const override;
+
+private:
+    OrderScheduler &scheduler;
+    const Configuration &configuration;
+};
+
+}
--- a/Services/lovageward/main.cpp
+++ b/Services/lovageward/main.cpp
@@ -1,7 +1,79 @@
+#include <LibCore/Error.h>
+#include <LibNode/Node.h>
+
 #include <fmt/format.h>
 
-int main()
+#include <csignal>
+#include <cstdlib>
+#include <pthread.h>
+
+using namespace Lovageward;
+
+namespace {
+
+constexpr int exitInvalidSettings = 2;
+constexpr int exitFailure = 1;
+
+bool takeFlag(std::vector<std::string> &arguments, const std::string &flag)
 {
-    fmt::print("lovageward {}\n", LOVAGEWARD_VERSION);
+    return std::erase(arguments, flag) > 0;
+}
+
+/** Blocks SIGTERM and SIGINT in this and all later threads, so that only waitForStop() receives them. */
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+void waitForStop(const sigset_t &signals)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int runNode(const NodeSettings &settings)
+{
+    // A caller that closes its connection must end a write with an error, not the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto signals = blockStopSignals();
+    Node node(settings);
+    node.start();
+    waitForStop(signals);
+    node.stop();
     return 0;
 }
+
+}
+
+int main(int argc, char **argv)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (takeFlag(arguments, "--help")) {
+        fmt::print("lovageward serves generations and service calls. Settings:\n{}", SettingsReader(nodeSettingDefinitions()).help());
+        return 0;
+    }
+    if (takeFlag(arguments, "--version")) {
+        fmt::print("lovageward {}\n", LOVAGEWARD_VERSION);
+        return 0;
+    }
+    auto isCheckOnly = takeFlag(arguments, "--check-settings");
+    try {
+        auto settings = readNodeSettings(arguments, [](const std::string &name) { return std::getenv(name.c_str()); });
+        if (isCheckOnly) {
+            fmt::print("The settings are valid.\n");
+            return 0;
+        }
+        return runNode(settings);
+    } catch (const Error &error) {
+        fmt::print(stderr, "node: {}: {}\n", resultName(error.code()), error.what());
+        return error.code() == ResultCode::InvalidSettings ? exitInvalidSettings : exitFailure;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "node: {}\n", error.what());
+        return exitFailure;
+    }
+}
