--- a/Libraries/LibConfig/AuditTrail.cpp
+++ b/Libraries/LibConfig/AuditTrail.cpp
@@ -26,12 +26,17 @@
 std::optional<ChangeDecision> AuditTrail::find(const RecordId &recordId) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    std::optional<ChangeDecision> found;
     for (const auto &decision : this->decisions) {
-        if (decision.change.recordId == recordId) {
+        if (decision.change.recordId != recordId) {
+            continue;
+        }
+        if (decision.outcome != ChangeOutcome::Expired) {
             return decision;
         }
+        found = decision;
     }
-    return std::nullopt;
+    return found;
 }
 
 }
--- a/Libraries/LibConfig/AuditTrail.h
+++ b/Libraries/LibConfig/AuditTrail.h
@@ -26,7 +26,7 @@
     /** Newest decisions first, at most `limit`, restricted to one entity if a key is given. */
     std::vector<ChangeDecision> newest(std::size_t limit, const std::optional<EntityKey> &key) const;
 
-    /** First decision on the record id. */
+    /** First decision on the record id. A decision that the copy had expired counts only if there is no other. */
     std::optional<ChangeDecision> find(const RecordId &recordId) const;
 
 private:
--- a/Libraries/LibConfig/ConfigRecords.cpp
+++ b/Libraries/LibConfig/ConfigRecords.cpp
@@ -144,6 +144,8 @@
         return "conflict";
     case ChangeOutcome::Duplicate:
         return "duplicate";
+    case ChangeOutcome::Expired:
+        return "expired";
     case ChangeOutcome::Invalid:
         break;
     }
--- a/Libraries/LibConfig/ConfigRecords.h
+++ b/Libraries/LibConfig/ConfigRecords.h
@@ -20,9 +20,14 @@
     Invalid = 3,
     /** The same record id was decided before; the record has no effect. */
     Duplicate = 4,
+    /**
+     * The record was appended too long after it was made, or its time lies in the future. It has no effect. An earlier copy of
+     * it may have been decided otherwise, since record ids are not remembered for ever.
+     */
+    Expired = 5,
 };
 
-/** "accepted", "conflict", "invalid" or "duplicate". */
+/** "accepted", "conflict", "invalid", "duplicate" or "expired". */
 std::string_view outcomeName(ChangeOutcome outcome);
 
 /** A change of one entity, as it stands in the `config` stream. */
--- a/Libraries/LibConfig/ConfigState.cpp
+++ b/Libraries/LibConfig/ConfigState.cpp
@@ -10,8 +10,19 @@
 
 namespace {
 
-// A delayed or repeated append can follow the first one by minutes; an hour of log time leaves a wide margin.
+// A delayed append may land up to this time after the change was made, which is longer than any client waits.
+constexpr Duration longestDelay = minutes(30);
+// Clocks of entry hosts and the log differ by far less.
+constexpr Duration longestLead = minutes(10);
+// Record ids are remembered for longer than any two copies of a record that aren't expired can be apart.
 constexpr Duration recentTime = minutes(60);
+static_assert(recentTime > longestDelay + longestLead);
+
+bool isExpired(const ConfigChange &change, LogTime appendedAt)
+{
+    auto madeAt = LogTime(change.madeAt.time_since_epoch());
+    return madeAt + longestDelay < appendedAt || appendedAt + longestLead < madeAt;
+}
 
 [[noreturn]] void rejectValue(const std::string &problem)
 {
@@ -66,6 +77,11 @@
         decision.outcome = ChangeOutcome::Duplicate;
         return decision;
     }
+    if (isExpired(change, appendedAt)) {
+        decision.outcome = ChangeOutcome::Expired;
+        decision.problem = "the record was appended more than 30 minutes after it was made, or the clock of its host is wrong";
+        return decision;
+    }
     this->decide(decision);
     this->remember(decision);
     return decision;
--- a/Libraries/LibConfig/ConfigState.h
+++ b/Libraries/LibConfig/ConfigState.h
@@ -22,7 +22,7 @@
     Offset winnerVersion;
     RecordId winnerRecord;
     std::string winnerActor;
-    /** For an invalid change: what is wrong with it. */
+    /** For an invalid or expired change: what is wrong with it. */
     std::string problem;
 };
 
--- a/Libraries/LibConfig/ConfigStore.cpp
+++ b/Libraries/LibConfig/ConfigStore.cpp
@@ -30,6 +30,7 @@
     , accepted(counters.counter(outcomeSeries(ChangeOutcome::Accepted)))
     , conflicts(counters.counter(outcomeSeries(ChangeOutcome::Conflict)))
     , invalid(counters.counter(outcomeSeries(ChangeOutcome::Invalid)))
+    , expired(counters.counter(outcomeSeries(ChangeOutcome::Expired)))
     , malformed(counters.counter("lovageward_config_malformed_records_total"))
     , divergences(counters.counter("lovageward_config_divergences_total"))
     , appliedGauge(counters.counter("lovageward_config_applied_offset"))
@@ -184,14 +185,21 @@
         return;
     }
     this->auditTrail.add(decision);
-    if (decision.outcome == ChangeOutcome::Accepted) {
+    this->countDecision(decision.outcome);
+    this->logger.info("change of {} by {} at offset {}: {}", toText(change.key), change.actor, record.offset.value(), outcomeName(decision.outcome));
+}
+
+void ConfigStore::countDecision(ChangeOutcome outcome)
+{
+    if (outcome == ChangeOutcome::Accepted) {
         this->accepted.add();
-    } else if (decision.outcome == ChangeOutcome::Conflict) {
+    } else if (outcome == ChangeOutcome::Conflict) {
         this->conflicts.add();
+    } else if (outcome == ChangeOutcome::Expired) {
+        this->expired.add();
     } else {
         this->invalid.add();
     }
-    this->logger.info("change of {} by {} at offset {}: {}", toText(change.key), change.actor, record.offset.value(), outcomeName(decision.outcome));
 }
 
 void ConfigStore::applyCheckpointLocked(const LogRecord &record, const Checkpoint &checkpoint)
--- a/Libraries/LibConfig/ConfigStore.h
+++ b/Libraries/LibConfig/ConfigStore.h
@@ -133,6 +133,7 @@
     std::optional<ChangeDecision> decisionLocked(const RecordId &recordId) const;
     void applyLocked(const LogRecord &record);
     void applyChangeLocked(const LogRecord &record, const ConfigChange &change);
+    void countDecision(ChangeOutcome outcome);
     void applyCheckpointLocked(const LogRecord &record, const Checkpoint &checkpoint);
     void bufferLocked(const LogRecord &record);
     void adoptLocked(const Checkpoint &checkpoint);
@@ -149,6 +150,7 @@
     Counter &accepted;
     Counter &conflicts;
     Counter &invalid;
+    Counter &expired;
     Counter &malformed;
     Counter &divergences;
     Counter &appliedGauge;
