LibRelay, LibHttp: Add the request path

Cause: the node had no way from a caller's request to an engine and back.

Change: GenerationFollower follows one generation over lost and silent connections, GenerationRelay places, starts, restarts and cancels. The HTTP clients report whether anything was written, and the caller API answers completions, models and services.

--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -55,7 +55,7 @@
 public:
     Implementation(const CallerServerParts &parts, const CallerServerSettings &settings)
         : context { parts, settings, {}, 0, false }
-        , router(this->context.parts, this->context.drain)
+        , router(this->context.parts, this->context.settings, this->context.drain)
         , threads("callers", 2, settings.maximumThreads, 60, settings.threadStackBytes)
     {
     }
--- a/Libraries/LibHttp/CallerSession.cpp
+++ b/Libraries/LibHttp/CallerSession.cpp
@@ -2,6 +2,8 @@
 
 #include <LibHttp/SocketChannel.h>
 
+#include <Poco/Exception.h>
+
 #include <algorithm>
 
 namespace Lovageward {
@@ -10,6 +12,9 @@
 
 // An idle connection notices a shutdown after this time.
 constexpr Duration idleCheckInterval = milliseconds(200);
+// A kernel answers bytes that arrive after the close with a reset, upon which the caller's kernel may drop the unread answer.
+constexpr Duration discardLimit = milliseconds(500);
+constexpr std::size_t maximumDiscardedBytes = 4'194'304;
 
 /** Counts a request as active for the life of the object. */
 class ActiveRequest
@@ -75,7 +80,8 @@
     } catch (const Error &error) {
         // The rest of the request is unread, so the connection can't be used again.
         response.closeAfterwards();
-        response.writeError(error);
+        this->router.refuse(error, response);
+        this->discardRest(connection);
         return false;
     }
     if (this->context.drain.hasBegun() || !request.head.getKeepAlive()) {
@@ -85,4 +91,20 @@
     return response.isReusable();
 }
 
+void CallerSession::discardRest(HttpConnection &connection)
+{
+    try {
+        this->socket().shutdownSend();
+    } catch (const Poco::Exception &) {
+        return;
+    }
+    auto deadline = this->context.parts.clock.now() + discardLimit;
+    std::size_t discarded = 0;
+    std::string bytes;
+    while (discarded < maximumDiscardedBytes && connection.readSome(bytes, maximumDiscardedBytes, deadline) == ReadStatus::Ready) {
+        discarded += bytes.size();
+        bytes.clear();
+    }
+}
+
 }
--- a/Libraries/LibHttp/CallerSession.h
+++ b/Libraries/LibHttp/CallerSession.h
@@ -33,6 +33,9 @@
     /** Answers one request. Returns true if the connection can carry another one. */
     bool serveRequest(HttpConnection &connection);
 
+    /** Reads the rest of a refused request, so that closing the connection doesn't destroy the answer on its way. */
+    void discardRest(HttpConnection &connection);
+
     CallerSessionContext &context;
     CallerRouter &router;
 };
--- /dev/null
+++ b/Libraries/LibHttp/CompletionHandler.cpp
@@ -0,0 +1,121 @@
+#include <LibHttp/CompletionHandler.h>
+
+#include <LibHttp/JsonAnswerSink.h>
+#include <LibHttp/SseAnswerSink.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Engines run higher priorities first: a class with a shorter target, such as a short verdict, goes before a long story. */
+int priorityOf(const WorkClass &workClass)
+{
+    // A gap target is a property of a running stream and says nothing about urgency at the start.
+    if (workClass.target == TargetKind::TokenGap) {
+        return 1;
+    }
+    if (workClass.targetTime <= seconds(2)) {
+        return 3;
+    }
+    return workClass.targetTime <= seconds(15) ? 2 : workClass.targetTime <= seconds(60) ? 1 : 0;
+}
+
+TimePoint queueDeadline(const WorkClass &workClass, Duration queueLimit, TimePoint arrivedAt)
+{
+    // Work that is placed after its completion target is of no more use to the caller.
+    bool endsWithTarget = workClass.target == TargetKind::Completion;
+    return arrivedAt + (endsWithTarget ? std::min(queueLimit, workClass.targetTime) : queueLimit);
+}
+
+}
+
+CompletionHandler::CompletionHandler(const CallerServerParts &parts, const CallerServerSettings &settings, const DrainSignal &drain, Waiter &waiter)
+    : parts(parts)
+    , settings(settings)
+    , parser(settings.maximumBodyBytes)
+    , tokens(settings.resumeKey)
+    , counters(parts.counters)
+    , relayParts { parts.clock, parts.random, parts.logSink, parts.engines, waiter, drain, this->tokens, this->counters }
+{
+}
+
+void CompletionHandler::handle(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response)
+{
+    if (request.head.has("Last-Event-ID")) {
+        this->resume(kind, team, request, response);
+        return;
+    }
+    auto completion = this->parser.parse(kind, request.body, request.header("X-Work-Class"));
+    this->start(completion, this->classOf(completion), team, request, response);
+}
+
+WorkClass CompletionHandler::classOf(const CompletionRequest &completion) const
+{
+    auto workClass = this->parts.configuration.workClass(completion.workClass);
+    if (!workClass) {
+        throw Error(ResultCode::UnknownWorkClass, RunState::NotRun, "no such work class: " + completion.workClass.value());
+    }
+    if (workClass->kind != CallKind::Generation) {
+        throw Error(ResultCode::BadRequest, RunState::NotRun, "the work class is a service; use /v1/services/" + completion.workClass.value());
+    }
+    const auto &model = completion.modelField;
+    if (!model.empty() && model != workClass->id.value() && model != workClass->model.value()) {
+        throw Error(ResultCode::UnknownModel, RunState::NotRun, "the work class has no model " + model);
+    }
+    return *workClass;
+}
+
+RelayTask CompletionHandler::taskFor(const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request) const
+{
+    RelayTask task;
+    task.item.team = team.id;
+    task.item.workClass = workClass.id;
+    task.item.kind = CallKind::Generation;
+    task.item.model = workClass.model;
+    task.item.pool = workClass.pool;
+    task.item.prefixHash = completion.prefixHash;
+    task.item.promptTokens = completion.promptTokens;
+    task.item.arrivedAt = request.arrivedAt;
+    task.item.queueDeadline = queueDeadline(workClass, this->settings.queueLimit, request.arrivedAt);
+    task.item.isOwnRegionOnly = workClass.isOwnRegionOnly;
+    task.path = completion.path();
+    task.body = completion.engineBody(workClass.model);
+    task.priority = priorityOf(workClass);
+    // An answer that isn't streamed reaches the caller as a whole in any case, so it can survive a restart as well.
+    task.isHeld = workClass.delivery == DeliveryMode::Hold || !completion.isStreamed;
+    return task;
+}
+
+void CompletionHandler::start(
+    const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request, ResponseWriter &response)
+{
+    auto task = this->taskFor(completion, workClass, team, request);
+    task.item.request = RequestId(response.request());
+    SseAnswerSink streamed(response);
+    JsonAnswerSink whole(response, completion.kind, workClass.id.value(), completion.promptTokens, this->parts.clock.wallNow());
+    AnswerSink &sink = completion.isStreamed ? static_cast<AnswerSink &>(streamed) : whole;
+    GenerationRelay(this->relayParts, this->parts.dispatcher, this->settings.relay, this->settings.resumeTokenLifetime, sink).run(task);
+}
+
+void CompletionHandler::resume(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response)
+{
+    auto point = this->tokens.openEventId(request.header("Last-Event-ID"), this->parts.clock.wallNow());
+    if (point.token.team != team.id) {
+        throw Error(ResultCode::Forbidden, RunState::NotRun, "the resume token belongs to another team");
+    }
+    // A reconnecting event source may send no body; then the answer is streamed.
+    bool isStreamed = request.body.empty() || this->parser.parse(kind, request.body, request.header("X-Work-Class")).isStreamed;
+    if (!isStreamed && point.from.value() > 0) {
+        throw Error(ResultCode::BadRequest, RunState::NotRun, "an answer can be continued in its middle only with \"stream\": true");
+    }
+    SseAnswerSink streamed(response);
+    JsonAnswerSink whole(response, kind, point.token.workClass.value(), TokenCount(0), this->parts.clock.wallNow());
+    AnswerSink &sink = isStreamed ? static_cast<AnswerSink &>(streamed) : whole;
+    auto workClass = this->parts.configuration.workClass(point.token.workClass);
+    bool isHeld = !isStreamed || (workClass && workClass->delivery == DeliveryMode::Hold);
+    GenerationRelay(this->relayParts, this->parts.dispatcher, this->settings.relay, this->settings.resumeTokenLifetime, sink).resume(point, isHeld);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/CompletionHandler.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibCore/Backoff.h>
+#include <LibHttp/CallerServer.h>
+#include <LibHttp/RequestReader.h>
+#include <LibHttp/ResponseWriter.h>
+#include <LibRelay/CompletionRequestParser.h>
+#include <LibRelay/GenerationRelay.h>
+
+namespace Lovageward {
+
+/** Answers requests for generations. Used from all connection threads. */
+class CompletionHandler
+{
+public:
+    CompletionHandler(const CallerServerParts &parts, const CallerServerSettings &settings, const DrainSignal &drain, Waiter &waiter);
+
+    /** Starts a generation, or continues one if the request has a Last-Event-ID. Throws Error for requests that can't be started. */
+    void handle(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response);
+
+private:
+    void start(const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request, ResponseWriter &response);
+    void resume(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response);
+    WorkClass classOf(const CompletionRequest &completion) const;
+    RelayTask taskFor(const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request) const;
+
+    CallerServerParts parts;
+    const CallerServerSettings &settings;
+    CompletionRequestParser parser;
+    ResumeTokenCodec tokens;
+    RelayCounters counters;
+    RelayParts relayParts;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/UpstreamExchange.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Counters.h>
+#include <LibHttp/ConnectionPool.h>
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <memory>
+#include <string>
+
+namespace Lovageward {
+
+/** A response head and the connection that carries its body. */
+struct UpstreamResponse
+{
+    std::unique_ptr<HttpConnection> connection;
+    Poco::Net::HTTPResponse head;
+    /** True if the connection was opened for this call, so that no answer to an earlier call can arrive on it. */
+    bool isNewConnection = false;
+};
+
+/** Sends requests to upstreams and reads the response heads. Safe from several threads. */
+class UpstreamExchange
+{
+public:
+    UpstreamExchange(const Clock &clock, Counters &counters);
+
+    /**
+     * Throws Error(UpstreamUnavailable, NotRun) if nothing was written, and Error with Unknown otherwise: UpstreamConnectionLost,
+     * UpstreamSilent, or AnswerMismatch if the head is malformed or its X-Request-Id differs from the request's.
+     */
+    UpstreamResponse send(const std::string &address, Poco::Net::HTTPRequest &request, const std::string &body, bool needsNewConnection, TimePoint deadline);
+
+    /** Reads a whole body of bounded size and keeps the connection if it can be used again. Throws as send(). */
+    std::string readBody(const std::string &address, UpstreamResponse &response, std::size_t maximumBytes, TimePoint deadline);
+
+    /** Counts a mismatch, closes the idle connections to the address and throws Error(AnswerMismatch, Unknown). */
+    [[noreturn]] void rejectMismatch(const std::string &address, const std::string &message);
+
+    ConnectionPool &connections()
+    {
+        return this->pool;
+    }
+
+private:
+    void readHead(const std::string &address, UpstreamResponse &response, TimePoint deadline);
+
+    ConnectionPool pool;
+    Counter &mismatches;
+    Counter &opened;
+    Counter &reused;
+};
+
+}
--- a/Libraries/LibRelay/EngineClient.h
+++ b/Libraries/LibRelay/EngineClient.h
@@ -32,10 +32,12 @@
     };
 
     Kind kind = Kind::Token;
+    /** Empty for an End that no token came before on the same connection. */
     RequestId request;
     GenerationId generation;
+    /** Position of the token; for End the number of tokens of the whole answer. */
     TokenOffset offset;
-    /** JSON object of the event as the engine sent it. */
+    /** JSON object of the event as the engine sent it; empty for End. */
     std::string data;
     /** Text that the event adds to the answer. */
     std::string text;
@@ -49,8 +51,8 @@
 
     /**
      * Next event, waiting until the deadline.
-     * Throws Error(UpstreamSilent) when the deadline passes, Error(UpstreamConnectionLost) when the connection ends without
-     * an end marker, and Error(AnswerMismatch) for undecodable bytes.
+     * Throws Error(UpstreamSilent) when the deadline passes; the stream can be read again after it. Throws Error(UpstreamConnectionLost)
+     * when the connection ends without an end marker, and Error(AnswerMismatch) for undecodable bytes.
      */
     virtual EngineEvent next(TimePoint deadline) = 0;
 };
@@ -63,7 +65,8 @@
 
     /**
      * Starts a generation. Throws Error(UpstreamRefused, NotRun) if the engine refused before starting,
-     * Error(UpstreamUnavailable, NotRun) if nothing was written, and Error(UpstreamConnectionLost, Unknown) otherwise.
+     * Error(UpstreamUnavailable, NotRun) if nothing was written, and Error(UpstreamConnectionLost, UpstreamSilent, UpstreamError
+     * or AnswerMismatch, Unknown) otherwise.
      */
     virtual std::unique_ptr<EngineStream> start(const std::string &address, const GenerationRequest &request, TimePoint deadline) = 0;
 
--- /dev/null
+++ b/Libraries/LibRelay/GenerationFollower.cpp
@@ -0,0 +1,226 @@
+#include <LibRelay/GenerationFollower.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageward {
+
+namespace {
+
+// Reporting each token would take the dispatcher's lock for every event of every stream.
+constexpr std::uint64_t tokensPerReport = 16;
+
+}
+
+GenerationFollower::GenerationFollower(
+    const RelayParts &parts, const RelayLimits &limits, AnswerSink &sink, GenerationTarget target, std::string sealedToken, TokenOffset from)
+    : parts(parts)
+    , limits(limits)
+    , sink(sink)
+    , target(std::move(target))
+    , sealedToken(std::move(sealedToken))
+    , nextOffset(from.value())
+    , startsAtBeginning(from.value() == 0)
+    , backoff(parts.random, limits.backoffBase, limits.backoffCap)
+    , logger(parts.logSink, "relay")
+{
+}
+
+FollowResult GenerationFollower::follow(std::unique_ptr<EngineStream> opened)
+{
+    this->stream = std::move(opened);
+    this->eventDeadline = this->parts.clock.now() + this->limits.firstTokenLimit;
+    this->nextCheck = this->parts.clock.now();
+    while (true) {
+        auto result = this->stream ? this->step() : this->reconnect();
+        if (result) {
+            this->reportProgress();
+            return *result;
+        }
+    }
+}
+
+std::optional<FollowResult> GenerationFollower::step()
+{
+    if (auto result = this->interruption()) {
+        return result;
+    }
+    try {
+        auto now = this->parts.clock.now();
+        // Repeated offsets don't move the deadline, so an engine that sends nothing new is given up like a silent one.
+        if (now >= this->eventDeadline) {
+            throw Error(ResultCode::UpstreamSilent, RunState::Unknown, "the engine sent no token within the gap deadline");
+        }
+        auto drainEnd = this->parts.drain.deadline();
+        return this->accept(this->stream->next(std::min({ this->eventDeadline, now + this->limits.checkInterval, drainEnd })));
+    } catch (const Error &error) {
+        if (error.code() == ResultCode::UpstreamSilent && this->parts.clock.now() < this->eventDeadline) {
+            return std::nullopt;
+        }
+        this->noteFailure(error);
+        this->stream.reset();
+        return std::nullopt;
+    }
+}
+
+std::optional<FollowResult> GenerationFollower::interruption()
+{
+    auto now = this->parts.clock.now();
+    if (now >= this->parts.drain.deadline()) {
+        return FollowResult::DrainEnded;
+    }
+    // A look at the caller's connection is a system call, so it isn't made for each token; failed writes tell the same.
+    if (now >= this->nextCheck) {
+        this->nextCheck = now + this->limits.checkInterval;
+        if (this->sink.isCallerGone()) {
+            return FollowResult::CallerGone;
+        }
+    }
+    return std::nullopt;
+}
+
+void GenerationFollower::verify(const EngineEvent &event)
+{
+    // An end marker has no request id of its own; it carries the one of an event before it on the same connection, if there was one.
+    bool hasUnknownRequest = event.kind == EngineEvent::Kind::End && event.request.isEmpty();
+    if ((event.request != this->target.request && !hasUnknownRequest) || event.generation != this->target.generation) {
+        throw Error(ResultCode::AnswerMismatch,
+                    RunState::Unknown,
+                    fmt::format("an event of request {} arrived for request {}", event.request.value(), this->target.request.value()));
+    }
+}
+
+std::optional<FollowResult> GenerationFollower::accept(const EngineEvent &event)
+{
+    this->verify(event);
+    return event.kind == EngineEvent::Kind::End ? this->acceptEnd(event) : this->acceptToken(event);
+}
+
+std::optional<FollowResult> GenerationFollower::acceptToken(const EngineEvent &event)
+{
+    auto offset = event.offset.value();
+    if (offset < this->nextOffset) {
+        this->parts.counters.duplicates.add();
+        return std::nullopt;
+    }
+    if (offset > this->nextOffset) {
+        throw Error(ResultCode::OffsetGap, RunState::Ran, fmt::format("the engine sent offset {} after {} tokens", offset, this->nextOffset));
+    }
+    ++this->nextOffset;
+    ++this->receivedCount;
+    this->fruitlessResumes = 0;
+    this->eventDeadline = this->parts.clock.now() + this->limits.gapLimit;
+    if (this->receivedCount % tokensPerReport == 0) {
+        this->reportProgress();
+    }
+    if (!this->isHeld) {
+        return this->deliver(event) ? std::nullopt : std::optional(FollowResult::CallerGone);
+    }
+    this->heldBytes += event.data.size() + event.text.size() + sizeof(EngineEvent);
+    if (this->heldBytes > this->limits.maximumHeldBytes) {
+        this->lastFailure = Error(ResultCode::AnswerIncomplete, RunState::Ran, "the answer is larger than the buffer for held answers");
+        return FollowResult::Lost;
+    }
+    this->held.push_back(event);
+    return std::nullopt;
+}
+
+std::optional<FollowResult> GenerationFollower::acceptEnd(const EngineEvent &event)
+{
+    if (event.offset.value() != this->nextOffset) {
+        throw Error(
+            ResultCode::OffsetGap, RunState::Ran, fmt::format("the end marker counts {} tokens, but {} have arrived", event.offset.value(), this->nextOffset));
+    }
+    for (const auto &heldEvent : std::exchange(this->held, {})) {
+        if (!this->deliver(heldEvent)) {
+            return FollowResult::CallerGone;
+        }
+    }
+    return FollowResult::Completed;
+}
+
+bool GenerationFollower::deliver(const EngineEvent &event)
+{
+    ++this->deliveredCount;
+    this->parts.counters.tokens.add();
+    return this->sink.token(event, ResumeTokenCodec::eventId(this->sealedToken, event.offset));
+}
+
+void GenerationFollower::reportProgress()
+{
+    if (this->progress) {
+        this->progress(TokenCount(this->receivedCount));
+    }
+}
+
+unsigned GenerationFollower::allowedResumes() const
+{
+    // While nothing has arrived, a new generation elsewhere costs nothing, so a single resume has to do.
+    bool hasNothing = this->startsAtBeginning && this->receivedCount == 0;
+    return hasNothing ? 1 : std::max(1U, this->limits.maximumResumes);
+}
+
+std::optional<FollowResult> GenerationFollower::reconnect()
+{
+    if (this->fruitlessResumes >= this->allowedResumes()) {
+        return FollowResult::Lost;
+    }
+    if (this->fruitlessResumes > 0) {
+        auto end = this->parts.clock.now() + this->backoff.delay(this->fruitlessResumes - 1);
+        this->parts.waiter.waitUntil(std::min(end, this->parts.drain.deadline()));
+    }
+    this->nextCheck = this->parts.clock.now();
+    if (auto result = this->interruption()) {
+        return result;
+    }
+    ++this->fruitlessResumes;
+    return this->openConnection();
+}
+
+std::optional<FollowResult> GenerationFollower::openConnection()
+{
+    this->parts.counters.resumes.add();
+    auto now = this->parts.clock.now();
+    try {
+        auto deadline = std::min(now + this->limits.connectLimit, this->parts.drain.deadline());
+        this->stream = this->parts.engines.resume(this->target.address, this->target.generation, TokenOffset(this->nextOffset), deadline);
+        bool hasNothing = this->startsAtBeginning && this->receivedCount == 0;
+        this->eventDeadline = this->parts.clock.now() + (hasNothing ? this->limits.firstTokenLimit : this->limits.gapLimit);
+        return std::nullopt;
+    } catch (const Error &error) {
+        this->noteFailure(error);
+        return error.code() == ResultCode::GenerationLost ? std::optional(FollowResult::Lost) : std::nullopt;
+    }
+}
+
+void GenerationFollower::noteFailure(const Error &error)
+{
+    if (error.code() == ResultCode::UpstreamSilent) {
+        this->parts.counters.silences.add();
+    } else if (error.code() == ResultCode::UpstreamConnectionLost || error.code() == ResultCode::UpstreamUnavailable) {
+        this->parts.counters.losses.add();
+    } else if (error.code() == ResultCode::AnswerMismatch) {
+        this->parts.counters.mismatches.add();
+    } else if (error.code() == ResultCode::OffsetGap) {
+        this->parts.counters.gaps.add();
+    }
+    this->logger.warning("request {} at {} after {} tokens: {} ({})",
+                         this->target.request.value(),
+                         this->target.address,
+                         this->nextOffset,
+                         error.what(),
+                         resultName(error.code()));
+    this->lastFailure = error;
+}
+
+std::string GenerationFollower::lastEventId() const
+{
+    // The next offset counts what the caller had before this connection, and with a held answer also what it hasn't got yet.
+    auto firstMissing = this->nextOffset - this->receivedCount + this->deliveredCount;
+    auto last = firstMissing == 0 ? std::nullopt : std::optional(TokenOffset(firstMissing - 1));
+    return ResumeTokenCodec::eventId(this->sealedToken, last);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/GenerationFollower.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <LibCore/Backoff.h>
+#include <LibCore/Clock.h>
+#include <LibCore/Logger.h>
+#include <LibCore/RandomSource.h>
+#include <LibRelay/AnswerSink.h>
+#include <LibRelay/DrainSignal.h>
+#include <LibRelay/EngineClient.h>
+#include <LibRelay/RelayCounters.h>
+#include <LibRelay/RelayLimits.h>
+#include <LibRelay/ResumeToken.h>
+#include <LibRelay/Waiter.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** What relaying works with. All references must outlive the relay. */
+struct RelayParts
+{
+    const Clock &clock;
+    RandomSource &random;
+    LogSink &logSink;
+    EngineClient &engines;
+    Waiter &waiter;
+    const DrainSignal &drain;
+    const ResumeTokenCodec &tokens;
+    RelayCounters &counters;
+};
+
+/** One generation on one engine, and for whom it runs. */
+struct GenerationTarget
+{
+    UpstreamId upstream;
+    /** "IP:port". */
+    std::string address;
+    RequestId request;
+    GenerationId generation;
+    TeamId team;
+    WorkClassId workClass;
+};
+
+enum class FollowResult {
+    /** The end marker came; the answer is whole and delivered. */
+    Completed,
+    /** The generation can't be followed any further. */
+    Lost,
+    CallerGone,
+    /** The drain deadline passed; the generation goes on at the engine. */
+    DrainEnded,
+};
+
+/**
+ * Follows one generation to its end over lost and silent connections and passes each token on once, in order. Events that repeat an offset are
+ * dropped; events of another request or generation and gaps in the offsets close the connection.
+ */
+class GenerationFollower
+{
+public:
+    /** `sealedToken` is the resume token that event ids contain; `from` is the first offset that the caller needs. */
+    GenerationFollower(
+        const RelayParts &parts, const RelayLimits &limits, AnswerSink &sink, GenerationTarget target, std::string sealedToken, TokenOffset from);
+
+    /** Makes the follower buffer the answer until it is whole. */
+    void hold()
+    {
+        this->isHeld = true;
+    }
+
+    /** Is called with the number of tokens produced so far, every few tokens and at the end. */
+    void reportProgressTo(std::function<void(TokenCount)> receiver)
+    {
+        this->progress = std::move(receiver);
+    }
+
+    /** Follows the generation; `opened` is its connection, or null to open one first. */
+    FollowResult follow(std::unique_ptr<EngineStream> opened);
+
+    /** The failure that ended or last disturbed the generation. */
+    const std::optional<Error> &failure() const
+    {
+        return this->lastFailure;
+    }
+
+    /** True if a token went to the caller. */
+    bool hasDelivered() const
+    {
+        return this->deliveredCount > 0;
+    }
+
+    /** True if the engine sent a valid event. */
+    bool hasReceived() const
+    {
+        return this->receivedCount > 0;
+    }
+
+    /** Id of the last event that the caller has. */
+    std::string lastEventId() const;
+
+    const GenerationTarget &followed() const
+    {
+        return this->target;
+    }
+
+private:
+    /** Reads one event. Returns a result when following ends. */
+    std::optional<FollowResult> step();
+
+    /** Looks for reasons to stop that don't come from the engine. */
+    std::optional<FollowResult> interruption();
+
+    /** Handles a valid or invalid event. Throws Error if the connection must be closed. */
+    std::optional<FollowResult> accept(const EngineEvent &event);
+    std::optional<FollowResult> acceptToken(const EngineEvent &event);
+    std::optional<FollowResult> acceptEnd(const EngineEvent &event);
+    void verify(const EngineEvent &event);
+    bool deliver(const EngineEvent &event);
+    void reportProgress();
+
+    /** Opens a new connection. Returns a result when that is given up. */
+    std::optional<FollowResult> reconnect();
+    std::optional<FollowResult> openConnection();
+    void noteFailure(const Error &error);
+    unsigned allowedResumes() const;
+
+    RelayParts parts;
+    RelayLimits limits;
+    AnswerSink &sink;
+    GenerationTarget target;
+    std::string sealedToken;
+    std::uint64_t nextOffset;
+    bool startsAtBeginning;
+    bool isHeld = false;
+    std::function<void(TokenCount)> progress;
+    Backoff backoff;
+    Logger logger;
+    std::unique_ptr<EngineStream> stream;
+    TimePoint eventDeadline;
+    TimePoint nextCheck;
+    unsigned fruitlessResumes = 0;
+    std::uint64_t receivedCount = 0;
+    std::uint64_t deliveredCount = 0;
+    std::vector<EngineEvent> held;
+    std::size_t heldBytes = 0;
+    std::optional<Error> lastFailure;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/GenerationRelay.cpp
@@ -0,0 +1,244 @@
+#include <LibRelay/GenerationRelay.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageward {
+
+namespace {
+
+/** What is known after two attempts is what the one that got further says. */
+RunState combined(RunState left, RunState right)
+{
+    auto rank = [](RunState state) { return state == RunState::NotRun ? 0 : state == RunState::Unknown ? 1 : 2; };
+    return rank(left) >= rank(right) ? left : right;
+}
+
+/** Errors 1xx mean that the request itself is wrong, so every engine would say the same. */
+bool isFaultOfRequest(ResultCode code)
+{
+    return static_cast<int>(code) < static_cast<int>(ResultCode::QueueFull);
+}
+
+}
+
+GenerationRelay::GenerationRelay(const RelayParts &parts, Dispatcher &dispatcher, const RelayLimits &limits, Duration tokenLifetime, AnswerSink &sink)
+    : parts(parts)
+    , dispatcher(dispatcher)
+    , limits(limits)
+    , tokenLifetime(tokenLifetime)
+    , sink(sink)
+    , backoff(parts.random, limits.backoffBase, limits.backoffCap)
+    , logger(parts.logSink, "relay")
+{
+}
+
+void GenerationRelay::run(const RelayTask &task)
+{
+    auto item = task.item;
+    try {
+        for (unsigned start = 1;; ++start) {
+            auto placement = this->dispatcher.acquire(item);
+            if (this->attempt(task, item, placement, start >= this->limits.maximumStarts)) {
+                return;
+            }
+            item.isRetry = true;
+            this->parts.counters.restarts.add();
+            auto retryAt = this->parts.clock.now() + this->backoff.delay(start - 1);
+            this->parts.waiter.waitUntil(std::min(retryAt, this->parts.drain.deadline()));
+        }
+    } catch (const Error &error) {
+        // No further place was found; an earlier attempt decides what is known about the run.
+        auto cause = this->lastError ? fmt::format("{}, after {}: {}", error.what(), resultName(this->lastError->code()), this->lastError->what())
+                                     : std::string(error.what());
+        this->fail(Error(error.code(), combined(this->runState, error.runState()), cause, error.retryAfter()), nullptr);
+    }
+}
+
+bool GenerationRelay::endsBeforeStart(PlacementGuard &guard)
+{
+    guard.setOutcome(PlacementOutcome::Cancelled);
+    if (this->sink.isCallerGone()) {
+        this->parts.counters.callerGone.add();
+        return true;
+    }
+    if (this->parts.clock.now() >= this->parts.drain.deadline()) {
+        this->fail(Error(ResultCode::ShuttingDown, this->runState, "the node is shutting down", seconds(1)), nullptr);
+        return true;
+    }
+    return false;
+}
+
+bool GenerationRelay::attempt(const RelayTask &task, WorkItem &item, const Placement &placement, bool isLastAttempt)
+{
+    PlacementGuard guard(this->dispatcher, placement.id);
+    if (this->endsBeforeStart(guard)) {
+        return true;
+    }
+    GenerationTarget target { placement.upstream, placement.address, item.request, GenerationId(this->parts.random.hexId()), item.team, item.workClass };
+    GenerationFollower follower(this->parts, this->limits, this->sink, target, this->sealToken(target), TokenOffset(0));
+    if (task.isHeld) {
+        follower.hold();
+    }
+    follower.reportProgressTo([this, &placement](TokenCount produced) { this->dispatcher.reportProgress(placement.id, produced); });
+
+    bool mayHaveStarted = true;
+    try {
+        auto stream = this->startStream(task, target, placement);
+        this->runState = combined(this->runState, RunState::Unknown);
+        auto result = follower.follow(std::move(stream));
+        this->runState = follower.hasReceived() ? RunState::Ran : this->runState;
+        if (this->finish(follower, result, guard)) {
+            return true;
+        }
+    } catch (const Error &error) {
+        this->noteFailure(error);
+        this->runState = combined(this->runState, error.runState());
+        mayHaveStarted = error.runState() != RunState::NotRun;
+    }
+    guard.setOutcome(this->lossOutcome());
+    item.excluded.push_back(placement.upstream);
+    bool restarts = this->mayRestart(follower.hasDelivered(), isLastAttempt);
+    if (!restarts) {
+        // The caller gets its answer before the cancellation, which may take as long as its limit.
+        this->fail(Error(this->lastError->code(), this->runState, this->lastError->what(), this->lastError->retryAfter()), &follower);
+    }
+    if (mayHaveStarted) {
+        this->cancel(target);
+    }
+    return !restarts;
+}
+
+std::unique_ptr<EngineStream> GenerationRelay::startStream(const RelayTask &task, const GenerationTarget &target, const Placement &placement)
+{
+    GenerationRequest request { target.request, target.generation, task.path, task.body, task.priority };
+    auto deadline = std::min(this->parts.clock.now() + this->limits.connectLimit, this->parts.drain.deadline());
+    try {
+        return this->parts.engines.start(placement.address, request, deadline);
+    } catch (const Error &error) {
+        if (error.runState() == RunState::NotRun || isFaultOfRequest(error.code()) || error.code() == ResultCode::UpstreamError) {
+            throw;
+        }
+        // The engine may run the generation although its answer got lost, so the follower asks for it before it is given up.
+        this->noteFailure(error);
+        return nullptr;
+    }
+}
+
+bool GenerationRelay::finish(const GenerationFollower &follower, FollowResult result, PlacementGuard &guard)
+{
+    switch (result) {
+    case FollowResult::Completed:
+        guard.setOutcome(PlacementOutcome::Completed);
+        this->sink.complete();
+        this->parts.counters.completed.add();
+        return true;
+    case FollowResult::CallerGone:
+        guard.setOutcome(PlacementOutcome::Cancelled);
+        this->cancel(follower.followed());
+        this->parts.counters.callerGone.add();
+        return true;
+    case FollowResult::DrainEnded:
+        // The generation isn't cancelled, since the caller continues it at another node.
+        guard.setOutcome(PlacementOutcome::Cancelled);
+        this->sink.handOver(Error(ResultCode::ShuttingDown, this->runState, "the node is shutting down; resume at another node"), follower.lastEventId());
+        this->parts.counters.handedOver.add();
+        return true;
+    case FollowResult::Lost:
+        break;
+    }
+    if (follower.failure()) {
+        this->lastError = follower.failure();
+    }
+    return false;
+}
+
+void GenerationRelay::resume(const ResumePoint &point, bool isHeld)
+{
+    const auto &token = point.token;
+    GenerationTarget target { token.upstream, token.address, token.request, token.generation, token.team, token.workClass };
+    // The token shows that a generation was started, and an offset that it has produced tokens.
+    this->runState = point.from.value() > 0 ? RunState::Ran : RunState::Unknown;
+    GenerationFollower follower(this->parts, this->limits, this->sink, target, this->sealToken(target), point.from);
+    if (isHeld) {
+        follower.hold();
+    }
+    auto result = follower.follow(nullptr);
+    this->runState = follower.hasReceived() ? RunState::Ran : this->runState;
+    switch (result) {
+    case FollowResult::Completed:
+        this->sink.complete();
+        this->parts.counters.completed.add();
+        return;
+    case FollowResult::CallerGone:
+        this->cancel(target);
+        this->parts.counters.callerGone.add();
+        return;
+    case FollowResult::DrainEnded:
+        this->sink.handOver(Error(ResultCode::ShuttingDown, this->runState, "the node is shutting down; resume at another node"), follower.lastEventId());
+        this->parts.counters.handedOver.add();
+        return;
+    case FollowResult::Lost:
+        this->lastError = follower.failure().value_or(Error(ResultCode::GenerationLost, this->runState, "the generation is lost"));
+        this->fail(Error(this->lastError->code(), this->runState, this->lastError->what()), &follower);
+        this->cancel(target);
+        return;
+    }
+}
+
+PlacementOutcome GenerationRelay::lossOutcome() const
+{
+    switch (this->lastError->code()) {
+    case ResultCode::UpstreamRefused:
+        return PlacementOutcome::Refused;
+    case ResultCode::UpstreamUnavailable:
+    case ResultCode::UpstreamConnectionLost:
+    case ResultCode::UpstreamSilent:
+    case ResultCode::GenerationLost:
+        return PlacementOutcome::ConnectionFailed;
+    default:
+        return PlacementOutcome::Failed;
+    }
+}
+
+bool GenerationRelay::mayRestart(bool hasDelivered, bool isLastAttempt) const
+{
+    return !hasDelivered && !isLastAttempt && !isFaultOfRequest(this->lastError->code()) && this->lastError->code() != ResultCode::AnswerIncomplete;
+}
+
+void GenerationRelay::cancel(const GenerationTarget &target)
+{
+    try {
+        this->parts.engines.cancel(target.address, target.generation, this->parts.clock.now() + this->limits.cancelLimit);
+    } catch (const Error &error) {
+        this->logger.info("request {} could not be cancelled at {}: {}", target.request.value(), target.address, error.what());
+    }
+}
+
+void GenerationRelay::fail(const Error &error, const GenerationFollower *follower)
+{
+    bool isIncomplete = follower != nullptr && follower->hasDelivered();
+    (isIncomplete ? this->parts.counters.incomplete : this->parts.counters.failed).add();
+    this->sink.fail(error, isIncomplete ? follower->lastEventId() : std::string());
+}
+
+void GenerationRelay::noteFailure(const Error &error)
+{
+    this->logger.warning("{} ({})", error.what(), resultName(error.code()));
+    this->lastError = error;
+}
+
+std::string GenerationRelay::sealToken(const GenerationTarget &target) const
+{
+    return this->parts.tokens.seal({ target.upstream,
+                                     target.address,
+                                     target.generation,
+                                     target.request,
+                                     target.team,
+                                     target.workClass,
+                                     this->parts.clock.wallNow() + this->tokenLifetime });
+}
+
+}
