LibDispatch: Keep room for aged work and refuse early by exact counts

A pass offered all heads to the chooser, so short work could take each bit of room before an aged long request fitted. The first request in order now holds the room once it is past its due time; a request that only some upstreams may take holds just those.

LinkBudget gave each node the burst of the whole link because a token bucket keeps its burst when the rate changes; the test found it. The buckets are now replaced when the number of nodes changes. The estimate of the requests ahead counted a flow as a whole by its last entry and so missed requests; it counts entries now. The check for upstreams was skipped in the first 500 ms of the clock.

WorkItem gains isCallerGone, which the waiting thread asks four times a second, because a server with one thread per request has nobody else to notice a closed connection.

--- a/Libraries/LibDispatch/DispatchCore.cpp
+++ b/Libraries/LibDispatch/DispatchCore.cpp
@@ -1,7 +1,5 @@
 #include <LibDispatch/DispatchCore.h>
 
-#include <LibDispatch/PlacementDue.h>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -17,14 +15,6 @@
 /** The check for upstreams copies states, so it isn't made at each pass while there are upstreams. */
 constexpr Duration upstreamCheckInterval = milliseconds(500);
 
-ResourceId resourceOf(const WorkItem &item)
-{
-    if (item.kind == CallKind::Generation) {
-        return ResourceId("model/" + item.model.value());
-    }
-    return ResourceId("pool/" + item.pool.value());
-}
-
 }
 
 DispatchCore::DispatchCore(DispatchSettings settings,
@@ -37,10 +27,10 @@
     : settings(std::move(settings))
     , clock(clock)
     , random(random)
-    , configuration(configuration)
     , placer(placer)
     , counters(counters)
     , logger(logger)
+    , resolver(configuration)
     , queue(this->settings.flowLimit, this->settings.quantumTokens)
     , retries(this->settings.retryShare, this->settings.retryFloor, this->settings.retryWindow)
     , placements(counters.counter("lovageward_placements_total"))
@@ -53,30 +43,18 @@
 TicketId DispatchCore::submit(const WorkItem &item)
 {
     this->checkAcceptsWork();
-    auto team = this->configuration.team(item.team);
-    if (!team) {
-        throw this->refusal(ResultCode::Forbidden, fmt::format("team {} doesn't exist", item.team.value()), Duration(0));
-    }
-    auto waiting = this->describe(item, *team);
-    this->checkQueue(waiting);
-    this->checkBudgets(item, *team);
-    auto ticket = waiting.entry.ticket;
-    auto resource = waiting.entry.resource;
-    this->enqueue(std::move(waiting));
-    auto &state = this->resources[resource];
-    if (this->isPassDue(state)) {
-        this->pass(resource);
+    auto work = this->resolver.resolve(item, TicketId(this->lastTicket + 1));
+    auto entry = work.entry;
+    this->checkQueue(entry);
+    this->checkBudgets(work, item.isRetry);
+    this->enqueue(std::move(work));
+    if (this->isPassDue(this->resources[entry.resource])) {
+        this->pass(entry.resource);
     } else {
-        // Nothing changed since the last pass, so only the new request is worth an attempt, unless an aged one holds its place.
-        auto next = this->queue.candidates(resource, this->settings.attemptsPerPass);
-        auto isHeld = next.front().due <= this->clock.now() && !next.front().isRestricted && next.front().ticket != ticket;
-        auto isNext = std::any_of(next.begin(), next.end(), [ticket](const QueueEntry &entry) { return entry.ticket == ticket; });
-        if (isNext && !isHeld) {
-            this->offer(ticket, false);
-        }
+        this->placeArrival(entry);
     }
-    this->updateWaiting(resource);
-    return ticket;
+    this->updateWaiting(entry.resource);
+    return entry.ticket;
 }
 
 void DispatchCore::step()
@@ -97,13 +75,20 @@
     return std::exchange(this->decisions, {});
 }
 
+void DispatchCore::cancel(TicketId ticket)
+{
+    if (this->waitingWork.contains(ticket)) {
+        this->refuse(ticket, ResultCode::DeadlineExceeded, "the caller withdrew the request", Duration(0));
+    }
+}
+
 void DispatchCore::cancel(const RequestId &request)
 {
     auto [first, last] = this->ticketsByRequest.equal_range(request);
     std::vector<TicketId> tickets;
     std::transform(first, last, std::back_inserter(tickets), [](const auto &entry) { return entry.second; });
     for (auto ticket : tickets) {
-        this->refuse(ticket, ResultCode::DeadlineExceeded, "the caller withdrew the request", Duration(0));
+        this->cancel(ticket);
     }
 }
 
@@ -188,59 +173,9 @@
     }
 }
 
-DispatchCore::Waiting DispatchCore::describe(const WorkItem &item, const Team &team) const
-{
-    auto workClass = this->configuration.workClass(item.workClass);
-    if (!workClass) {
-        throw Error(ResultCode::UnknownWorkClass, RunState::NotRun, fmt::format("work class {} doesn't exist", item.workClass.value()));
-    }
-    Waiting waiting;
-    waiting.request = item.request;
-    waiting.model = item.model;
-    waiting.pool = item.pool;
-    waiting.resolvedAt = this->configuration.appliedOffset();
-    waiting.placement = PlacementRequest { .team = item.team,
-                                           .workClass = item.workClass,
-                                           .target = workClass->target,
-                                           .targetTime = workClass->targetTime,
-                                           .pools = this->poolsOf(item.model, item.pool),
-                                           .prefixHash = item.prefixHash,
-                                           .promptTokens = item.promptTokens,
-                                           .isOwnRegionOnly = item.isOwnRegionOnly || workClass->isOwnRegionOnly,
-                                           .excluded = item.excluded,
-                                           .arrivedAt = item.arrivedAt };
-    if (waiting.placement.pools.empty()) {
-        throw Error(ResultCode::UnknownModel, RunState::NotRun, fmt::format("no pool serves the model {}", item.model.value()));
-    }
-    waiting.entry = QueueEntry { .ticket = TicketId(this->lastTicket + 1),
-                                 .resource = resourceOf(item),
-                                 .team = item.team,
-                                 .workClass = item.workClass,
-                                 .share = team.share,
-                                 .due = placementDue(workClass->target, workClass->targetTime, item.arrivedAt, item.queueDeadline),
-                                 .deadline = item.queueDeadline,
-                                 .isRestricted = waiting.placement.isOwnRegionOnly || !item.excluded.empty() };
-    return waiting;
-}
-
-std::vector<PoolId> DispatchCore::poolsOf(const ModelId &model, const PoolId &pool) const
-{
-    if (!pool.isEmpty()) {
-        return { pool };
-    }
-    std::vector<PoolId> pools;
-    for (const auto &candidate : this->configuration.pools()) {
-        if (std::find(candidate.models.begin(), candidate.models.end(), model) != candidate.models.end()) {
-            pools.push_back(candidate.id);
-        }
-    }
-    return pools;
-}
-
-void DispatchCore::checkQueue(const Waiting &waiting)
+void DispatchCore::checkQueue(const QueueEntry &entry)
 {
     auto now = this->clock.now();
-    const auto &entry = waiting.entry;
     if (entry.deadline <= now) {
         throw this->refusal(ResultCode::DeadlineExceeded, "the queue deadline had passed on arrival", shortestRetryAfter);
     }
@@ -258,13 +193,14 @@
     }
 }
 
-void DispatchCore::checkBudgets(const WorkItem &item, const Team &team)
+void DispatchCore::checkBudgets(const WaitingWork &work, bool isRetry)
 {
-    if (this->limiter.inUse(item.team) >= team.maximumConcurrent) {
+    const auto &team = work.entry.team;
+    if (this->limiter.inUse(team) >= work.maximumConcurrent) {
         throw this->refusal(ResultCode::TeamLimitReached, "the team has reached its number of concurrent requests", shortestRetryAfter);
     }
     auto now = this->clock.now();
-    if (!item.isRetry) {
+    if (!isRetry) {
         this->retries.countRequest(now);
     } else if (this->retries.tryRetry(now)) {
         this->retriesAdmitted.add();
@@ -272,19 +208,31 @@
         auto wait = this->retries.nextChange(now) - now;
         throw this->refusal(ResultCode::RetryBudgetExhausted, "too many requests are being retried", wait);
     }
-    this->limiter.tryEnter(item.team, team.maximumConcurrent);
+    this->limiter.tryEnter(team, work.maximumConcurrent);
 }
 
-void DispatchCore::enqueue(Waiting waiting)
+void DispatchCore::enqueue(WaitingWork work)
 {
-    auto ticket = waiting.entry.ticket;
+    auto ticket = work.entry.ticket;
     this->lastTicket = ticket.value();
-    this->queue.push(waiting.entry);
-    this->ticketsByRequest.emplace(waiting.request, ticket);
-    this->waitingWork.emplace(ticket, std::move(waiting));
+    this->queue.push(work.entry);
+    this->ticketsByRequest.emplace(work.request, ticket);
+    this->waitingWork.emplace(ticket, std::move(work));
     this->queueLength.set(static_cast<std::int64_t>(this->queue.size()));
 }
 
+void DispatchCore::placeArrival(const QueueEntry &entry)
+{
+    // Nothing changed since the last pass, so only the new request is worth an attempt, unless an aged one holds the room.
+    auto next = this->queue.candidates(entry.resource, this->settings.attemptsPerPass);
+    auto isNew = [&entry](const QueueEntry &candidate) { return candidate.ticket == entry.ticket; };
+    auto isNext = std::any_of(next.begin(), next.end(), isNew);
+    auto isHeld = !isNew(next.front()) && this->holds(next.front());
+    if (isNext && !isHeld) {
+        this->offer(entry.ticket, {});
+    }
+}
+
 void DispatchCore::pass(const ResourceId &resource)
 {
     while (this->placeOne(resource)) {
@@ -300,35 +248,46 @@
 
 bool DispatchCore::placeOne(const ResourceId &resource)
 {
+    std::vector<UpstreamId> reserved;
     auto isFirst = true;
     for (const auto &entry : this->queue.candidates(resource, this->settings.attemptsPerPass)) {
-        auto result = this->offer(entry.ticket, isFirst);
-        if (result != Offer::Blocked) {
-            return result == Offer::Placed;
+        auto result = this->offer(entry.ticket, reserved);
+        if (result == Offer::Placed) {
+            return true;
+        }
+        if (isFirst && result == Offer::NoRoom && this->holds(entry)) {
+            if (!entry.isRestricted) {
+                return false;
+            }
+            reserved = this->placer.usableUpstreams(this->waitingWork.at(entry.ticket).placement);
         }
         isFirst = false;
     }
     return false;
 }
 
-DispatchCore::Offer DispatchCore::offer(TicketId ticket, bool isFirst)
+DispatchCore::Offer DispatchCore::offer(TicketId ticket, const std::vector<UpstreamId> &reserved)
 {
-    auto &waiting = this->waitingWork.at(ticket);
-    this->refreshPools(waiting);
-    auto attempt = this->placer.tryPlace(waiting.placement);
+    auto &work = this->waitingWork.at(ticket);
+    this->resolver.refresh(work);
+    auto request = work.placement;
+    request.excluded.insert(request.excluded.end(), reserved.begin(), reserved.end());
+    auto attempt = this->placer.tryPlace(std::move(request));
     if (attempt.placement) {
-        this->place(waiting, std::move(*attempt.placement));
+        this->place(work.entry, std::move(*attempt.placement));
         return Offer::Placed;
     }
-    // Short work would otherwise take each bit of room that an aged long request is waiting for.
-    auto isAged = waiting.entry.due <= this->clock.now();
-    auto isHeld = isFirst && isAged && !attempt.hadChoice && !waiting.entry.isRestricted;
-    return isHeld ? Offer::Held : Offer::Blocked;
+    return attempt.hadChoice ? Offer::NotYet : Offer::NoRoom;
+}
+
+bool DispatchCore::holds(const QueueEntry &entry) const
+{
+    // Without this, short work takes each bit of room before there is enough for an aged long request.
+    return entry.due <= this->clock.now();
 }
 
-void DispatchCore::place(Waiting &waiting, Placement placement)
+void DispatchCore::place(const QueueEntry &entry, Placement placement)
 {
-    const auto &entry = waiting.entry;
     this->resources[entry.resource].estimator.countPlaced(this->clock.now());
     auto ticket = entry.ticket;
     auto charged = this->queue.serve(ticket);
@@ -339,15 +298,6 @@
     this->decisions.push_back({ .ticket = ticket, .result = std::move(placement) });
 }
 
-void DispatchCore::refreshPools(Waiting &waiting) const
-{
-    auto offset = this->configuration.appliedOffset();
-    if (offset != waiting.resolvedAt) {
-        waiting.placement.pools = this->poolsOf(waiting.model, waiting.pool);
-        waiting.resolvedAt = offset;
-    }
-}
-
 bool DispatchCore::isPassDue(const ResourceState &state) const
 {
     if (!state.isBlocked || this->placer.tableVersion() != state.blockedVersion) {
@@ -367,7 +317,7 @@
     auto request = this->waitingWork.at(first.ticket).placement;
     request.excluded.clear();
     request.isOwnRegionOnly = false;
-    if (this->placer.hasUpstream(request)) {
+    if (!this->placer.usableUpstreams(request).empty()) {
         state.withoutUpstreamSince.reset();
         return;
     }
@@ -411,7 +361,7 @@
     return Error(code, RunState::NotRun, message, base + jitter);
 }
 
-DispatchCore::Waiting DispatchCore::takeOut(TicketId ticket)
+WaitingWork DispatchCore::takeOut(TicketId ticket)
 {
     auto found = this->waitingWork.find(ticket);
     auto waiting = std::move(found->second);
--- a/Libraries/LibDispatch/DispatchCore.h
+++ b/Libraries/LibDispatch/DispatchCore.h
@@ -9,6 +9,7 @@
 #include <LibDispatch/Placer.h>
 #include <LibDispatch/RetryBudget.h>
 #include <LibDispatch/TeamLimiter.h>
+#include <LibDispatch/WorkResolver.h>
 
 #include <map>
 #include <optional>
@@ -50,7 +51,8 @@
     /** Decisions since the last call. Each ticket appears exactly once. */
     std::vector<Decision> takeDecisions();
 
-    /** Refuses a waiting request whose caller is gone. Requests that aren't waiting are ignored. */
+    /** Refuses a waiting request whose caller is gone. What isn't waiting any more is ignored. */
+    void cancel(TicketId ticket);
     void cancel(const RequestId &request);
 
     void progress(PlacementId id, TokenCount produced);
@@ -69,17 +71,6 @@
     std::size_t running() const;
 
 private:
-    struct Waiting
-    {
-        QueueEntry entry;
-        RequestId request;
-        ModelId model;
-        PoolId pool;
-        PlacementRequest placement;
-        /** Configuration that `placement.pools` comes from. */
-        Offset resolvedAt;
-    };
-
     struct Running
     {
         ResourceId resource;
@@ -97,47 +88,47 @@
         std::uint64_t blockedVersion = 0;
         /** Set while the table has no upstream for the resource. */
         std::optional<TimePoint> withoutUpstreamSince;
-        TimePoint upstreamsCheckedAt;
+        TimePoint upstreamsCheckedAt = TimePoint::min();
     };
 
     enum class Offer {
         Placed,
-        Blocked,
-        /** Blocked, and nothing else may overtake it. */
-        Held,
+        /** The chooser has no upstream with room. */
+        NoRoom,
+        /** An upstream has room but can't be used yet, for example for want of a credit. */
+        NotYet,
     };
 
     void checkAcceptsWork();
-    Waiting describe(const WorkItem &item, const Team &team) const;
-    std::vector<PoolId> poolsOf(const ModelId &model, const PoolId &pool) const;
-    void checkQueue(const Waiting &waiting);
-    void checkBudgets(const WorkItem &item, const Team &team);
-    void enqueue(Waiting waiting);
+    void checkQueue(const QueueEntry &entry);
+    void checkBudgets(const WaitingWork &work, bool isRetry);
+    void enqueue(WaitingWork work);
+    void placeArrival(const QueueEntry &entry);
 
     void pass(const ResourceId &resource);
     bool placeOne(const ResourceId &resource);
-    Offer offer(TicketId ticket, bool isFirst);
-    void place(Waiting &waiting, Placement placement);
-    void refreshPools(Waiting &waiting) const;
+    Offer offer(TicketId ticket, const std::vector<UpstreamId> &reserved);
+    bool holds(const QueueEntry &entry) const;
+    void place(const QueueEntry &entry, Placement placement);
     bool isPassDue(const ResourceState &state) const;
     void checkUpstreams(const ResourceId &resource, ResourceState &state);
     void updateWaiting(const ResourceId &resource);
 
     void refuse(TicketId ticket, ResultCode code, const std::string &message, Duration retryAfter);
     Error refusal(ResultCode code, const std::string &message, Duration retryAfter);
-    Waiting takeOut(TicketId ticket);
+    WaitingWork takeOut(TicketId ticket);
 
     DispatchSettings settings;
     const Clock &clock;
     RandomSource &random;
-    const Configuration &configuration;
     Placer &placer;
     Counters &counters;
     const Logger &logger;
+    WorkResolver resolver;
     FairQueue queue;
     TeamLimiter limiter;
     RetryBudget retries;
-    std::unordered_map<TicketId, Waiting> waitingWork;
+    std::unordered_map<TicketId, WaitingWork> waitingWork;
     std::multimap<RequestId, TicketId> ticketsByRequest;
     std::unordered_map<PlacementId, Running> runningWork;
     std::map<ResourceId, ResourceState> resources;
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibPolicy/UpstreamChooser.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     std::vector<UpstreamId> excluded;
     /** True for a second or later attempt; counts against the retry budget. */
     bool isRetry = false;
+    /** Tells without blocking whether the caller has gone; asked a few times a second by the waiting thread. May be empty. */
+    std::function<bool()> isCallerGone;
 };
 
 /** An upstream chosen for a request. */
--- a/Libraries/LibDispatch/FairQueue.cpp
+++ b/Libraries/LibDispatch/FairQueue.cpp
@@ -11,6 +11,9 @@
 /** Entries of one flow that are offered when those before them are restricted to some upstreams. */
 constexpr std::size_t maximumPerFlow = 4;
 
+/** Candidates of one work class in a pass. */
+constexpr std::size_t candidatesPerClass = 2;
+
 /** Weight of a new length in the moving average of a flow. */
 constexpr double lengthWeight = 0.1;
 
@@ -31,11 +34,66 @@
     }
 };
 
-void addCandidates(const std::list<QueueEntry> &entries, double round, std::vector<Candidate> &found)
+/**
+ * The best candidates of each work class. Whether there is room depends mostly on the class, so a pass tries a few of each class
+ * rather than many of one.
+ */
+class Selection
+{
+public:
+    explicit Selection(std::size_t perClass) : perClass(perClass)
+    {
+    }
+
+    void add(const Candidate &candidate)
+    {
+        auto &best = this->bestOf(*candidate.entry);
+        auto place = std::upper_bound(best.begin(), best.end(), candidate);
+        if (place == best.end() && best.size() == this->perClass) {
+            return;
+        }
+        best.insert(place, candidate);
+        if (best.size() > this->perClass) {
+            best.pop_back();
+        }
+    }
+
+    /** All of them in order, at most `limit`. */
+    std::vector<QueueEntry> entries(std::size_t limit) const
+    {
+        std::vector<Candidate> all;
+        for (const auto &[kind, best] : this->kinds) {
+            all.insert(all.end(), best.begin(), best.end());
+        }
+        std::sort(all.begin(), all.end());
+        all.resize(std::min(limit, all.size()));
+        std::vector<QueueEntry> result;
+        std::transform(all.begin(), all.end(), std::back_inserter(result), [](const Candidate &candidate) { return *candidate.entry; });
+        return result;
+    }
+
+private:
+    using Kind = std::pair<const WorkClassId *, bool>;
+
+    std::vector<Candidate> &bestOf(const QueueEntry &entry)
+    {
+        for (auto &[kind, best] : this->kinds) {
+            if (kind.second == entry.isRestricted && *kind.first == entry.workClass) {
+                return best;
+            }
+        }
+        return this->kinds.emplace_back(Kind(&entry.workClass, entry.isRestricted), std::vector<Candidate>()).second;
+    }
+
+    std::size_t perClass;
+    std::vector<std::pair<Kind, std::vector<Candidate>>> kinds;
+};
+
+void addCandidates(const std::list<QueueEntry> &entries, double round, Selection &selection)
 {
     std::size_t offered = 0;
     for (const auto &entry : entries) {
-        found.push_back({ .round = round, .entry = &entry });
+        selection.add({ .round = round, .entry = &entry });
         ++offered;
         if (!entry.isRestricted || offered == maximumPerFlow) {
             return;
@@ -43,6 +101,19 @@
     }
 }
 
+/** Entries that are due no later than `due`; the list is sorted. Mostly all or none of them are, which needs no scan. */
+std::size_t dueUntil(const std::list<QueueEntry> &entries, TimePoint due)
+{
+    if (entries.empty() || entries.back().due <= due) {
+        return entries.size();
+    }
+    std::size_t count = 0;
+    for (auto entry = entries.begin(); entry->due <= due; ++entry) {
+        ++count;
+    }
+    return count;
+}
+
 }
 
 FairQueue::FairQueue(std::size_t flowLimit, double quantum) : flowLimit(flowLimit), quantum(quantum)
@@ -117,21 +188,14 @@
     if (lane == nullptr) {
         return {};
     }
-    std::vector<Candidate> found;
+    Selection selection(candidatesPerClass);
     for (const auto &[id, team] : lane->active) {
         auto round = this->roundOf(*team, *lane);
         for (const auto &[workClass, flow] : team->flows) {
-            addCandidates(flow.entries, round, found);
+            addCandidates(flow.entries, round, selection);
         }
     }
-    auto count = std::min(limit, found.size());
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count), found.end());
-    std::vector<QueueEntry> entries;
-    entries.reserve(count);
-    for (std::size_t index = 0; index < count; ++index) {
-        entries.push_back(*found[index].entry);
-    }
-    return entries;
+    return selection.entries(limit);
 }
 
 double FairQueue::serve(TicketId ticket)
@@ -174,10 +238,7 @@
     auto countUntil = [&entry](const TeamQueue &team) {
         std::size_t count = 0;
         for (const auto &[workClass, flow] : team.flows) {
-            // The last entry tells whether the flow as a whole is more urgent; looking at each one would cost too much.
-            if (!flow.entries.empty() && flow.entries.back().due <= entry.due) {
-                count += flow.entries.size();
-            }
+            count += dueUntil(flow.entries, entry.due);
         }
         return static_cast<double>(count);
     };
--- a/Libraries/LibDispatch/FairQueue.h
+++ b/Libraries/LibDispatch/FairQueue.h
@@ -39,7 +39,7 @@
     /** Earliest deadline of all entries. */
     std::optional<TimePoint> nextDeadline() const;
 
-    /** The next entries to serve, in order, at most `limit`. */
+    /** The next entries to serve, in order, a few of each work class and at most `limit`. */
     std::vector<QueueEntry> candidates(const ResourceId &resource, std::size_t limit) const;
 
     /** Removes a placed entry and charges its team the usual length of the flow. Returns the tokens charged. */
--- a/Libraries/LibDispatch/LinkBudget.cpp
+++ b/Libraries/LibDispatch/LinkBudget.cpp
@@ -9,14 +9,19 @@
 /** Seconds of traffic that may be sent at once. Short, so that the bursts of several nodes don't fill the link's buffers. */
 constexpr double burstSeconds = 0.5;
 
+std::unique_ptr<TokenBucket> makeBucket(const Clock &clock, double rate)
+{
+    return std::make_unique<TokenBucket>(clock, rate, rate * burstSeconds);
+}
+
 }
 
 LinkBudget::LinkBudget(const Clock &clock, Counters &counters, double linkBytesPerSecond, double controlShare)
     : clock(clock)
     , linkBytesPerSecond(linkBytesPerSecond)
     , controlShare(controlShare)
-    , streamBucket(clock, this->rate(1 - controlShare), this->rate(1 - controlShare) * burstSeconds)
-    , controlBucket(clock, this->rate(controlShare), this->rate(controlShare) * burstSeconds)
+    , streamBucket(makeBucket(clock, this->rate(1 - controlShare)))
+    , controlBucket(makeBucket(clock, this->rate(controlShare)))
     , streamBytes(counters.counter("lovageward_link_bytes_total{kind=\"stream\"}"))
     , controlBytes(counters.counter("lovageward_link_bytes_total{kind=\"control\"}"))
     , delays(counters.counter("lovageward_link_delays_total"))
@@ -26,16 +31,23 @@
 void LinkBudget::setLiveNodes(std::size_t count)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    this->liveNodes = std::max<std::size_t>(1, count);
-    this->streamBucket.setRate(this->rate(1 - this->controlShare));
-    this->controlBucket.setRate(this->rate(this->controlShare));
+    count = std::max<std::size_t>(1, count);
+    if (count == this->liveNodes) {
+        return;
+    }
+    auto oldStreamRate = this->rate(1 - this->controlShare);
+    auto oldControlRate = this->rate(this->controlShare);
+    this->liveNodes = count;
+    this->resize(this->streamBucket, oldStreamRate, this->rate(1 - this->controlShare));
+    this->resize(this->controlBucket, oldControlRate, this->rate(this->controlShare));
 }
 
 TimePoint LinkBudget::account(ByteCount bytes)
 {
     this->streamBytes.add(static_cast<std::int64_t>(bytes.value()));
-    this->streamBucket.take(static_cast<double>(bytes.value()));
-    auto until = this->streamBucket.availableAt(0);
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->streamBucket->take(static_cast<double>(bytes.value()));
+    auto until = this->streamBucket->availableAt(0);
     if (until > this->clock.now()) {
         this->delays.add();
     }
@@ -46,16 +58,25 @@
 {
     this->controlBytes.add(static_cast<std::int64_t>(bytes.value()));
     auto amount = static_cast<double>(bytes.value());
-    if (this->controlBucket.tryTake(amount) || this->streamBucket.tryTake(amount)) {
+    std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->controlBucket->tryTake(amount) || this->streamBucket->tryTake(amount)) {
         return this->clock.now();
     }
-    this->controlBucket.take(amount);
-    return this->controlBucket.availableAt(0);
+    this->controlBucket->take(amount);
+    return this->controlBucket->availableAt(0);
 }
 
 bool LinkBudget::isExhausted() const
 {
-    return this->streamBucket.availableAt(1) > this->clock.now();
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->streamBucket->availableAt(1) > this->clock.now();
+}
+
+void LinkBudget::resize(std::unique_ptr<TokenBucket> &bucket, double oldRate, double newRate)
+{
+    auto debtTime = std::chrono::duration<double>(bucket->availableAt(0) - this->clock.now()).count();
+    bucket = makeBucket(this->clock, newRate);
+    bucket->take(newRate * burstSeconds + debtTime * oldRate);
 }
 
 double LinkBudget::rate(double share) const
--- a/Libraries/LibDispatch/LinkBudget.h
+++ b/Libraries/LibDispatch/LinkBudget.h
@@ -6,6 +6,7 @@
 #include <LibCore/TokenBucket.h>
 
 #include <cstddef>
+#include <memory>
 #include <mutex>
 
 namespace Lovageward {
@@ -34,6 +35,8 @@
     bool isExhausted() const;
 
 private:
+    /** Replaces a bucket by one for the present number of nodes. It starts empty and keeps the debt, so no burst is given twice. */
+    void resize(std::unique_ptr<TokenBucket> &bucket, double oldRate, double newRate);
     double rate(double share) const;
 
     const Clock &clock;
@@ -41,8 +44,8 @@
     double controlShare;
     mutable std::mutex mutex;
     std::size_t liveNodes = 1;
-    TokenBucket streamBucket;
-    TokenBucket controlBucket;
+    std::unique_ptr<TokenBucket> streamBucket;
+    std::unique_ptr<TokenBucket> controlBucket;
     Counter &streamBytes;
     Counter &controlBytes;
     Counter &delays;
--- a/Libraries/LibDispatch/Placer.cpp
+++ b/Libraries/LibDispatch/Placer.cpp
@@ -102,18 +102,19 @@
     return work.produced;
 }
 
-bool Placer::hasUpstream(const PlacementRequest &request) const
+std::vector<UpstreamId> Placer::usableUpstreams(const PlacementRequest &request) const
 {
+    std::vector<UpstreamId> usable;
     for (const auto &pool : request.pools) {
         for (const auto &state : this->table.upstreamsOf(pool)) {
             auto isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.id) != request.excluded.end();
             auto isReachable = !request.isOwnRegionOnly || state.region == this->ownRegion;
             if (state.report.phase != UpstreamPhase::Leaving && isReachable && !isExcluded) {
-                return true;
+                usable.push_back(state.id);
             }
         }
     }
-    return false;
+    return usable;
 }
 
 std::optional<Placement> Placer::confirm(const UpstreamChoice &choice, const PlacementRequest &request, Running &work)
--- a/Libraries/LibDispatch/Placer.h
+++ b/Libraries/LibDispatch/Placer.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace Lovageward {
 
@@ -49,8 +50,8 @@
     /** Ends a placement. Returns the tokens that it produced, or nothing if it is unknown. */
     std::optional<TokenCount> release(PlacementId id, PlacementOutcome outcome);
 
-    /** True if the table has an upstream that could take the request at some time. */
-    bool hasUpstream(const PlacementRequest &request) const;
+    /** Upstreams that could take the request at some time, whether or not they have room now. */
+    std::vector<UpstreamId> usableUpstreams(const PlacementRequest &request) const;
 
     std::uint64_t tableVersion() const
     {
--- a/Libraries/LibDispatch/QueueingDispatcher.cpp
+++ b/Libraries/LibDispatch/QueueingDispatcher.cpp
@@ -6,6 +6,22 @@
 
 namespace Lovageward {
 
+namespace {
+
+constexpr Duration callerCheckInterval = milliseconds(250);
+
+/** A check that fails counts as a caller that is gone, because an exception must not leave the waiting request behind. */
+bool isCallerGone(const WorkItem &item)
+{
+    try {
+        return item.isCallerGone();
+    } catch (const std::exception &) {
+        return true;
+    }
+}
+
+}
+
 QueueingDispatcher::QueueingDispatcher(const DispatchSettings &settings,
                                        const Clock &clock,
                                        RandomSource &random,
@@ -49,7 +65,7 @@
     this->deliver();
     if (!waiter.result) {
         this->wakeTicker();
-        waiter.changed.wait(lock, [&waiter] { return waiter.result.has_value(); });
+        this->await(lock, waiter, ticket, item);
     }
     lock.unlock();
     if (auto *error = std::get_if<Error>(&*waiter.result)) {
@@ -116,6 +132,24 @@
     return this->core.running();
 }
 
+void QueueingDispatcher::await(std::unique_lock<std::mutex> &lock, Waiter &waiter, TicketId ticket, const WorkItem &item)
+{
+    auto isDecided = [&waiter] { return waiter.result.has_value(); };
+    if (!item.isCallerGone) {
+        waiter.changed.wait(lock, isDecided);
+        return;
+    }
+    while (!waiter.changed.wait_for(lock, callerCheckInterval, isDecided)) {
+        lock.unlock();
+        auto isGone = isCallerGone(item);
+        lock.lock();
+        if (isGone) {
+            this->core.cancel(ticket);
+            this->deliver();
+        }
+    }
+}
+
 void QueueingDispatcher::deliver()
 {
     for (auto &decision : this->core.takeDecisions()) {
--- a/Libraries/LibDispatch/QueueingDispatcher.h
+++ b/Libraries/LibDispatch/QueueingDispatcher.h
@@ -64,6 +64,8 @@
         std::optional<std::variant<Placement, Error>> result;
     };
 
+    /** Waits for the decision and withdraws the request once its caller is gone. */
+    void await(std::unique_lock<std::mutex> &lock, Waiter &waiter, TicketId ticket, const WorkItem &item);
     void deliver();
     void wakeTicker();
     TimePoint nextTick() const;
--- /dev/null
+++ b/Libraries/LibDispatch/WaitingWork.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibDispatch/QueueEntry.h>
+#include <LibPolicy/UpstreamChooser.h>
+
+#include <cstdint>
+
+namespace Lovageward {
+
+/** A request in the queue with everything that placing it needs. */
+struct WaitingWork
+{
+    QueueEntry entry;
+    RequestId request;
+    ModelId model;
+    PoolId pool;
+    PlacementRequest placement;
+    /** Configuration that `placement.pools` comes from. */
+    Offset resolvedAt;
+    std::uint32_t maximumConcurrent = 0;
+};
+
+}
--- a/Tests/LibDispatch/DispatchFixture.h
+++ b/Tests/LibDispatch/DispatchFixture.h
@@ -175,11 +175,17 @@
 /** A dispatch core over the fixture, and what it decided so far. */
 struct CoreFixture : DispatchFixture
 {
+    explicit CoreFixture(std::size_t flowLimit = 256)
+    {
+        this->settings.flowLimit = flowLimit;
+        this->core.emplace(this->settings, this->clock, this->random, this->configuration, this->placer, this->counters, this->logger);
+    }
+
     /** Ticket, or the code of the refusal on arrival. */
     std::variant<TicketId, ResultCode> submit(const WorkItem &item)
     {
         try {
-            auto ticket = this->core.submit(item);
+            auto ticket = this->core->submit(item);
             this->collect();
             return ticket;
         } catch (const Error &error) {
@@ -195,19 +201,19 @@
 
     void step()
     {
-        this->core.step();
+        this->core->step();
         this->collect();
     }
 
     void release(PlacementId id, PlacementOutcome outcome = PlacementOutcome::Completed)
     {
-        this->core.release(id, outcome);
+        this->core->release(id, outcome);
         this->collect();
     }
 
     void collect()
     {
-        for (auto &decision : this->core.takeDecisions()) {
+        for (auto &decision : this->core->takeDecisions()) {
             if (auto *placement = std::get_if<Placement>(&decision.result)) {
                 REQUIRE(this->placed.emplace(decision.ticket, *placement).second);
             } else {
@@ -218,7 +224,7 @@
     }
 
     Placer placer { clock, random, table, chooser, credits, link, counters, logger, RegionId("home") };
-    DispatchCore core { settings, clock, random, configuration, placer, counters, logger };
+    std::optional<DispatchCore> core;
     std::map<TicketId, Placement> placed;
     std::map<TicketId, ResultCode> refused;
 };
--- /dev/null
+++ b/Tests/LibDispatch/TestDispatchParts.cpp
@@ -0,0 +1,183 @@
+#include <catch2/catch.hpp>
+
+#include <LibCore/ManualClock.h>
+#include <LibCore/SeededRandom.h>
+#include <LibDispatch/CircuitBreaker.h>
+#include <LibDispatch/LinkBudget.h>
+#include <LibDispatch/OverloadEstimator.h>
+#include <LibDispatch/PlacementDue.h>
+#include <LibDispatch/RetryBudget.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace Lovageward;
+
+TEST_CASE("Retries never exceed the share plus the floor in any window, so they can't multiply an outage", "[dispatch]")
+{
+    SeededRandom random(11);
+    RetryBudget budget(0.1, 3, seconds(10));
+    ManualClock clock;
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+    auto within = [&clock](const std::vector<TimePoint> &times) {
+        return std::count_if(times.begin(), times.end(), [&clock](TimePoint time) { return time > clock.now() - seconds(9); });
+    };
+    auto sincePart = [&clock](const std::vector<TimePoint> &times) {
+        return std::count_if(times.begin(), times.end(), [&clock](TimePoint time) { return time > clock.now() - seconds(10); });
+    };
+    for (int step = 0; step < 20000; ++step) {
+        clock.advance(milliseconds(static_cast<std::int64_t>(random.below(step % 4000 < 2000 ? 5 : 500))));
+        if (random.below(3) == 0) {
+            requests.push_back(clock.now());
+            budget.countRequest(clock.now());
+        } else if (budget.tryRetry(clock.now())) {
+            retries.push_back(clock.now());
+            // The window consists of whole buckets, so it lies between 9 s and 10 s.
+            REQUIRE(static_cast<double>(within(retries)) <= 3 + 0.1 * static_cast<double>(sincePart(requests)));
+        }
+        if (step % 500 == 0) {
+            requests.erase(requests.begin(), std::lower_bound(requests.begin(), requests.end(), clock.now() - seconds(10)));
+            retries.erase(retries.begin(), std::lower_bound(retries.begin(), retries.end(), clock.now() - seconds(10)));
+        }
+    }
+    CHECK(budget.nextChange(clock.now()) > clock.now());
+}
+
+TEST_CASE("A quiet node can retry, because the floor doesn't depend on requests", "[dispatch]")
+{
+    RetryBudget budget(0.1, 3, seconds(10));
+    TimePoint now(seconds(100));
+    for (auto expected : { true, true, true, false }) {
+        CHECK(budget.tryRetry(now) == expected);
+    }
+    CHECK(budget.tryRetry(now + seconds(10)));
+}
+
+TEST_CASE("Class order comes from the target, and no due time lies near the queue deadline", "[dispatch]")
+{
+    struct Case
+    {
+        TargetKind target;
+        Duration targetTime;
+        Duration patience;
+        Duration expected;
+    };
+    auto row = GENERATE(values<Case>({
+        { TargetKind::FirstToken, seconds(1), seconds(60), milliseconds(500) },
+        { TargetKind::Completion, seconds(2), seconds(60), milliseconds(500) },
+        { TargetKind::Completion, seconds(7200), seconds(60), seconds(30) },
+        { TargetKind::TokenGap, milliseconds(27), seconds(60), seconds(30) },
+        { TargetKind::Completion, seconds(2), seconds(0), seconds(0) },
+        { TargetKind::Completion, seconds(2), seconds(-5), seconds(0) },
+    }));
+    TimePoint arrival(seconds(10));
+    CHECK(placementDue(row.target, row.targetTime, arrival, arrival + row.patience) == arrival + row.expected);
+}
+
+TEST_CASE("The estimator tells nothing from too little, and ignores the time in which nobody waited", "[dispatch]")
+{
+    OverloadEstimator estimator;
+    TimePoint now(seconds(100));
+    CHECK_FALSE(estimator.expectedWait(now, 1000));
+    for (int count = 0; count < 50; ++count) {
+        now += milliseconds(100);
+        estimator.countPlaced(now);
+    }
+    CHECK_FALSE(estimator.expectedWait(now, 1000));
+    estimator.setWaiting(now, true);
+    for (int count = 0; count < 20; ++count) {
+        now += milliseconds(100);
+        estimator.countPlaced(now);
+    }
+    CHECK(estimator.expectedWait(now, 9) == seconds(1));
+    estimator.setWaiting(now, false);
+    now += seconds(3);
+    CHECK(estimator.expectedWait(now, 9) == seconds(1));
+    now += seconds(30);
+    CHECK_FALSE(estimator.expectedWait(now, 9));
+}
+
+TEST_CASE("A breaker opens on repeated failure, lets one probe pass at a time and closes after two that succeed", "[dispatch]")
+{
+    SeededRandom random(3);
+    CircuitBreaker breaker;
+    TimePoint now(seconds(100));
+    for (int count = 0; count < 4; ++count) {
+        CHECK_FALSE(breaker.failed(now, false, random));
+    }
+    CHECK(breaker.allows(now));
+    CHECK(breaker.failed(now, false, random));
+    CHECK_FALSE(breaker.allows(now));
+    // Work from before the breaker opened changes nothing.
+    breaker.succeeded(now, false);
+    CHECK_FALSE(breaker.failed(now, false, random));
+    CHECK_FALSE(breaker.allows(now + milliseconds(499)));
+    now += seconds(2);
+    CHECK(breaker.allows(now));
+    CHECK(breaker.started());
+    CHECK_FALSE(breaker.allows(now));
+    breaker.abandoned(true);
+    CHECK(breaker.allows(now));
+    CHECK(breaker.started());
+    breaker.failed(now, true, random);
+    CHECK_FALSE(breaker.allows(now));
+    now += seconds(30);
+    for (int probe = 0; probe < 2; ++probe) {
+        CHECK(breaker.allows(now));
+        CHECK(breaker.started());
+        breaker.succeeded(now, true);
+    }
+    CHECK(breaker.allows(now));
+    CHECK_FALSE(breaker.started());
+    CHECK(breaker.isIdle(now));
+}
+
+TEST_CASE("Few failures among many successes leave the breaker closed", "[dispatch]")
+{
+    SeededRandom random(3);
+    CircuitBreaker breaker;
+    TimePoint now(seconds(100));
+    for (int count = 0; count < 400; ++count) {
+        now += milliseconds(20);
+        breaker.succeeded(now, false);
+        if (count % 3 == 0) {
+            CHECK_FALSE(breaker.failed(now, false, random));
+        }
+    }
+    CHECK(breaker.allows(now));
+}
+
+TEST_CASE("The nodes of a region together stay within the link, and control traffic isn't starved by streams", "[dispatch]")
+{
+    auto nodes = GENERATE(1U, 8U);
+    ManualClock clock;
+    Counters counters;
+    LinkBudget link(clock, counters, 3750000, 0.1);
+    link.setLiveNodes(nodes);
+    auto perNode = 3750000.0 / nodes;
+    std::vector<TimePoint> streams(20, clock.now());
+    auto control = clock.now();
+    double streamBytes = 0;
+    double controlBytes = 0;
+    for (int step = 0; step < 60000; ++step) {
+        clock.advance(milliseconds(1));
+        for (auto &resumeAt : streams) {
+            if (resumeAt <= clock.now()) {
+                resumeAt = link.account(ByteCount(1000));
+                streamBytes += 1000;
+            }
+        }
+        if (control <= clock.now()) {
+            control = link.accountControl(ByteCount(200));
+            controlBytes += 200;
+        }
+    }
+    // The part of a node over 60 s, its burst of half a second, and one chunk of each stream that was already allowed.
+    CHECK(streamBytes + controlBytes <= perNode * 60.5 + 20 * 1000 + 200);
+    CHECK(streamBytes >= perNode * 0.9 * 59);
+    CHECK(controlBytes >= std::min(perNode * 0.1, 200000.0) * 59);
+    CHECK(link.isExhausted());
+    clock.advance(seconds(2));
+    CHECK_FALSE(link.isExhausted());
+}
