--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -182,7 +182,11 @@
     this->claims.stop();
     this->routing.stop();
     this->shared.stop();
-    this->basis.logger.info(isComplete ? "Stopped; all requests had finished." : "Stopped; callers of running streams got their resume tokens.");
+    if (isComplete) {
+        this->basis.logger.info("Stopped; all requests had finished.");
+    } else {
+        this->basis.logger.warning("Stopped; callers of running streams got their resume tokens.");
+    }
 }
 
 Node::Node(const NodeSettings &settings) : implementation(std::make_unique<Implementation>(settings))
