--- a/Benchmarks/StandIns/ServiceRole.cpp
+++ b/Benchmarks/StandIns/ServiceRole.cpp
@@ -18,6 +18,8 @@
     auto part = call.path.empty() ? std::string() : call.path.front();
     if (part == "call" && call.path.size() == 2) {
         this->run(call);
+    } else if (part == "executions" && call.path.size() == 2) {
+        this->answerExecutedBodies(call);
     } else if (part == "executions") {
         this->answerExecutions(call);
     } else if (part == "faults") {
@@ -66,6 +68,16 @@
     call.answer(200, fmt::format(R"({{"bodies":{},"executions":{},"mostForOneBody":{}}})", this->executions.size(), total, most));
 }
 
+void ServiceRole::answerExecutedBodies(Call &call)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::string text;
+    for (const auto &[body, count] : this->executions) {
+        text += fmt::format("{} {}\n", count, body);
+    }
+    call.answer(200, text, "text/plain");
+}
+
 void ServiceRole::setFaults(Call &call)
 {
     auto input = parseObject(call.body());
--- a/Benchmarks/StandIns/ServiceRole.h
+++ b/Benchmarks/StandIns/ServiceRole.h
@@ -10,7 +10,7 @@
 
 /**
  * A plain service: `POST /call/{operation}` runs the operation and answers with a running number. `GET /executions` gives how
- * often each body was executed, so that a test sees a repeated booking. `GET /load` reports a warm service.
+ * often bodies were executed, so that a test sees a repeated booking, and `/executions/all` lists them. `GET /load` reports a warm service.
  * `PUT /faults` takes {"dropAnswers", "delayMs", "refuse"}.
  */
 class ServiceRole final : public Role
@@ -23,6 +23,8 @@
 private:
     void run(Call &call);
     void answerExecutions(Call &call);
+    /** One line per body: its number of executions, a space, the body. */
+    void answerExecutedBodies(Call &call);
     void setFaults(Call &call);
 
     std::string bootId;
--- /dev/null
+++ b/Benchmarks/fleet/CallerLoad.cpp
@@ -0,0 +1,239 @@
+#include "CallerLoad.h"
+
+#include <LibCore/SystemRandom.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <fmt/format.h>
+
+#include <sstream>
+
+namespace Lovageward::Fleet {
+
+namespace {
+
+constexpr int maximumReconnects = 40;
+constexpr int maximumBookingAttempts = 60;
+constexpr auto retryPause = milliseconds(250);
+const Poco::Timespan callerTimeout(15, 0);
+
+/** Text between two marks of a line; empty if absent. */
+std::string between(const std::string &line, const std::string &before, const std::string &after)
+{
+    auto start = line.find(before);
+    if (start == std::string::npos) {
+        return {};
+    }
+    start += before.size();
+    auto end = line.find(after, start);
+    return line.substr(start, end == std::string::npos ? end : end - start);
+}
+
+}
+
+CallerLoad::CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer)
+    : fleet(fleet), tokensPerAnswer(tokensPerAnswer)
+{
+    for (std::size_t index = 0; index < generationThreads; ++index) {
+        this->threads.emplace_back([this, index] { this->runGenerations(index); });
+    }
+    for (std::size_t index = 0; index < bookingThreads; ++index) {
+        this->threads.emplace_back([this, index] { this->runBookings(index); });
+    }
+}
+
+CallerLoad::~CallerLoad()
+{
+    this->stop();
+}
+
+void CallerLoad::stop()
+{
+    this->isStopping = true;
+    for (auto &thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+void CallerLoad::runGenerations(std::size_t seed)
+{
+    auto node = seed % this->fleet.nodes.size();
+    while (!this->isStopping) {
+        this->generateOnce(node);
+    }
+}
+
+void CallerLoad::generateOnce(std::size_t &node)
+{
+    Reader reader;
+    int connections = 0;
+    while (!reader.isWhole && !reader.isRefused && !reader.isIncomplete && connections <= maximumReconnects) {
+        node = this->nextNode(node);
+        ++connections;
+        this->streamFrom(node, reader);
+        if (!reader.isWhole) {
+            std::this_thread::sleep_for(retryPause);
+        }
+    }
+    if (reader.isWhole && reader.received == this->tokensPerAnswer) {
+        ++this->generations.whole;
+        this->generations.resumed += connections > 1 ? 1 : 0;
+    } else if (reader.isRefused) {
+        ++this->generations.refused;
+    } else {
+        ++this->generations.incomplete;
+    }
+}
+
+void CallerLoad::streamFrom(std::size_t node, Reader &reader)
+{
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", this->fleet.nodes.at(node).callerPort);
+        session.setTimeout(callerTimeout);
+        Poco::Net::HTTPRequest request("POST", "/v1/completions", Poco::Net::HTTPMessage::HTTP_1_1);
+        request.set("Authorization", "Bearer " + teamKey);
+        request.set("X-Work-Class", "story");
+        if (!reader.lastEventId.empty()) {
+            request.set("Last-Event-ID", reader.lastEventId);
+        }
+        auto body = fmt::format(R"({{"model":"kare-13b","stream":true,"prompt":"tokens={}"}})", this->tokensPerAnswer);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        auto &stream = session.receiveResponse(response);
+        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+            // A refused resume is tried again at the next node; a refused start is a refusal.
+            reader.isRefused = reader.lastEventId.empty();
+            return;
+        }
+        std::string line;
+        while (!reader.isWhole && std::getline(stream, line)) {
+            this->takeLine(line, reader);
+        }
+    } catch (const Poco::Exception &) {
+        // The node is gone; the next connection resumes.
+    }
+}
+
+void CallerLoad::takeLine(const std::string &line, Reader &reader)
+{
+    if (line.rfind("id: ", 0) == 0) {
+        reader.lastEventId = line.substr(4);
+        return;
+    }
+    if (line.rfind("event: incomplete", 0) == 0) {
+        reader.isIncomplete = true;
+        return;
+    }
+    if (line.rfind("data: [DONE]", 0) == 0) {
+        reader.isWhole = true;
+        return;
+    }
+    auto text = between(line, R"("text":")", R"(")");
+    if (text.empty()) {
+        return;
+    }
+    auto generation = between(line, R"("generation_id":")", R"(")");
+    auto isSameGeneration = reader.generation.empty() || reader.generation == generation;
+    if (text != fmt::format("t{} ", reader.received) || !isSameGeneration) {
+        ++this->generations.wrongTokens;
+    }
+    reader.generation = generation;
+    ++reader.received;
+}
+
+void CallerLoad::runBookings(std::size_t seed)
+{
+    auto node = seed % this->fleet.nodes.size();
+    while (!this->isStopping) {
+        auto body = fmt::format(R"({{"booking":{}}})", ++this->lastBooking);
+        this->bookOnce(node, body);
+    }
+}
+
+void CallerLoad::bookOnce(std::size_t &node, const std::string &body)
+{
+    SystemRandom random;
+    auto issuedAt = std::chrono::duration_cast<seconds>(this->fleet.clock.wallNow().time_since_epoch()).count();
+    auto key = fmt::format("{}-{}", issuedAt, random.hexId());
+    auto state = BookingState::Unknown;
+    for (int attempt = 0; attempt < maximumBookingAttempts && state != BookingState::Done; ++attempt) {
+        if (attempt > 0) {
+            std::this_thread::sleep_for(retryPause);
+        }
+        node = this->nextNode(node);
+        auto answer = this->callBooking(node, body, key);
+        this->bookings.notRunAnswers += answer == BookingState::NotRun ? 1 : 0;
+        // Once an attempt may have run, a later "not run" speaks only of the later request.
+        auto mayHaveRun = attempt > 0 && state == BookingState::Unknown;
+        state = mayHaveRun && answer == BookingState::NotRun ? BookingState::Unknown : answer;
+        if (this->isStopping && state == BookingState::NotRun) {
+            break;
+        }
+    }
+    this->bookings.done += state == BookingState::Done ? 1 : 0;
+    this->bookings.finallyNotRun += state == BookingState::NotRun ? 1 : 0;
+    this->bookings.unknown += state == BookingState::Unknown ? 1 : 0;
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->outcomes[body] = state;
+}
+
+BookingState CallerLoad::callBooking(std::size_t node, const std::string &body, const std::string &key)
+{
+    try {
+        Poco::Net::HTTPClientSession session("127.0.0.1", this->fleet.nodes.at(node).callerPort);
+        session.setTimeout(callerTimeout);
+        Poco::Net::HTTPRequest request("POST", "/v1/services/deposit", Poco::Net::HTTPMessage::HTTP_1_1);
+        request.set("Authorization", "Bearer " + teamKey);
+        request.set("Idempotency-Key", key);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        auto &stream = session.receiveResponse(response);
+        std::string answer;
+        Poco::StreamCopier::copyToString(stream, answer);
+        if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK) {
+            return BookingState::Done;
+        }
+        auto isNotRun = answer.find("not_run") != std::string::npos;
+        return isNotRun ? BookingState::NotRun : BookingState::Unknown;
+    } catch (const Poco::Exception &) {
+        return BookingState::Unknown;
+    }
+}
+
+std::size_t CallerLoad::nextNode(std::size_t node) const
+{
+    return (node + 1) % this->fleet.nodes.size();
+}
+
+std::uint64_t CallerLoad::countBrokenBookings() const
+{
+    std::unordered_map<std::string, int> executions;
+    for (const auto &upstream : this->fleet.upstreams) {
+        if (upstream.pool != "randevu-app") {
+            continue;
+        }
+        std::istringstream lines(this->fleet.fetch(upstream.process->port(), "/executions/all"));
+        int count = 0;
+        std::string body;
+        while (lines >> count && std::getline(lines >> std::ws, body)) {
+            executions[body] += count;
+        }
+    }
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::uint64_t broken = 0;
+    for (const auto &[body, state] : this->outcomes) {
+        auto runs = executions.contains(body) ? executions.at(body) : 0;
+        auto isKept = runs <= 1 && (state != BookingState::NotRun || runs == 0) && (state != BookingState::Done || runs == 1);
+        broken += isKept ? 0 : 1;
+    }
+    return broken;
+}
+
+}
--- /dev/null
+++ b/Benchmarks/fleet/CallerLoad.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Fleet.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace Lovageward::Fleet {
+
+/** What callers saw of streamed generations. */
+struct GenerationCounts
+{
+    std::atomic<std::uint64_t> whole = 0;
+    /** Whole answers for which the caller had to reconnect. */
+    std::atomic<std::uint64_t> resumed = 0;
+    std::atomic<std::uint64_t> refused = 0;
+    /** Ended by a typed `incomplete` event, or given up on. */
+    std::atomic<std::uint64_t> incomplete = 0;
+    /** Tokens that came twice, out of order or from another generation; any is a fault. */
+    std::atomic<std::uint64_t> wrongTokens = 0;
+};
+
+enum class BookingState {
+    Done,
+    NotRun,
+    Unknown,
+};
+
+/** What callers saw of bookings. */
+struct BookingCounts
+{
+    std::atomic<std::uint64_t> done = 0;
+    std::atomic<std::uint64_t> notRunAnswers = 0;
+    std::atomic<std::uint64_t> finallyNotRun = 0;
+    std::atomic<std::uint64_t> unknown = 0;
+};
+
+/** Callers in threads that work through the platform's balancer, played by taking the next ready node. */
+class CallerLoad
+{
+public:
+    CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer);
+    ~CallerLoad();
+
+    /** Lets running requests end and joins the threads. */
+    void stop();
+
+    /** Compares the answers to the bookings with what the services executed. Returns the number of broken promises. */
+    std::uint64_t countBrokenBookings() const;
+
+    GenerationCounts generations;
+    BookingCounts bookings;
+
+private:
+    /** State of one answer over all its connections. */
+    struct Reader
+    {
+        std::uint32_t received = 0;
+        std::string generation;
+        std::string lastEventId;
+        bool isWhole = false;
+        bool isRefused = false;
+        bool isIncomplete = false;
+    };
+
+    void runGenerations(std::size_t seed);
+    void runBookings(std::size_t seed);
+    void generateOnce(std::size_t &node);
+    void streamFrom(std::size_t node, Reader &reader);
+    void takeLine(const std::string &line, Reader &reader);
+    void bookOnce(std::size_t &node, const std::string &body);
+    BookingState callBooking(std::size_t node, const std::string &body, const std::string &key);
+    std::size_t nextNode(std::size_t node) const;
+
+    const Fleet &fleet;
+    std::uint32_t tokensPerAnswer;
+    std::atomic<bool> isStopping = false;
+    std::atomic<std::uint64_t> lastBooking = 0;
+    mutable std::mutex mutex;
+    std::unordered_map<std::string, BookingState> outcomes;
+    std::vector<std::thread> threads;
+};
+
+}
