LibHttp: Test the log client and the administration API

One contract test runs over the log in memory and over HTTP; a small HTTP log in the test adds refusals, broken connections, cut-off answers and silence. It found that POCO reports a connection that closes within a body as the end of the body, so the client now compares the length, and that a refused request with a long body broke the connection before the caller could read the refusal, so the administration server reads up to 1 MiB of it away.

--- a/Libraries/LibHttp/AdministrationServer.cpp
+++ b/Libraries/LibHttp/AdministrationServer.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr int listenBacklog = 64;
+// A client that is still sending when the connection closes loses the answer, so the rest of a body is read up to this length.
+constexpr std::size_t maximumDiscarded = std::size_t(1024) * 1024;
 
 std::string bearerKeyOf(const HTTPServerRequest &request)
 {
@@ -39,6 +41,12 @@
     return body;
 }
 
+void discardBody(HTTPServerRequest &request)
+{
+    request.stream().clear();
+    request.stream().ignore(static_cast<std::streamsize>(maximumDiscarded));
+}
+
 AdministrationRequest toAdministrationRequest(HTTPServerRequest &request, const AdministrationApi &api, std::size_t maximumBody)
 {
     AdministrationRequest result;
@@ -65,8 +73,9 @@
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
         auto result = this->answerTo(request);
-        // An unread body would be taken for the next request.
         if (result.status != HTTPServerResponse::HTTP_OK) {
+            discardBody(request);
+            // What is left of a longer body would be taken for the next request.
             response.setKeepAlive(false);
         }
         response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(result.status));
--- a/Libraries/LibHttp/HttpLogService.cpp
+++ b/Libraries/LibHttp/HttpLogService.cpp
@@ -153,6 +153,10 @@
     HTTPResponse response;
     auto &input = session->receiveResponse(response);
     Answer answer { response.getStatus(), this->readBody(*session, input, exchange.maximumAnswerBytes, deadline) };
+    // POCO reports a connection that closes within the body like the end of the body.
+    if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(answer.body.size())) {
+        throw Poco::IOException("the connection broke within the answer");
+    }
     if (response.getKeepAlive()) {
         this->keep(std::move(session));
     }
--- /dev/null
+++ b/Tests/Support/TinyHttpLog.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <LibLog/LogService.h>
+
+#include <Poco/Event.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+#include <fmt/format.h>
+#include <msgpack.hpp>
+
+#include <atomic>
+#include <memory>
+#include <tuple>
+
+namespace Lovageward {
+
+/** How TinyHttpLog misbehaves. */
+enum class HttpLogFault {
+    None,
+    Refuse,
+    ServerError,
+    CloseBeforeAppend,
+    CloseAfterAppend,
+    NonsenseAnswer,
+    /** The answer is announced longer than it is. */
+    CutOffAnswer,
+    /** No answer until the server ends. */
+    Silent,
+    /** A correct answer that promises to keep the connection, which is then closed. */
+    CloseAfterAnswer,
+};
+
+/** The platform's log protocol over HTTP on a free loopback port, in front of another LogService. */
+class TinyHttpLog
+{
+public:
+    explicit TinyHttpLog(LogService &log) : log(log)
+    {
+        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+        parameters->setMaxThreads(maximumThreads);
+        Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new Factory(*this));
+        Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+        this->server = std::make_unique<Poco::Net::HTTPServer>(factory, this->threads, socket, parameters);
+        this->server->start();
+    }
+
+    ~TinyHttpLog()
+    {
+        this->ending.set();
+        this->server->stopAll(true);
+        this->threads.joinAll();
+    }
+
+    TinyHttpLog(const TinyHttpLog &) = delete;
+    TinyHttpLog &operator=(const TinyHttpLog &) = delete;
+
+    std::uint16_t port() const
+    {
+        return this->server->port();
+    }
+
+    std::atomic<HttpLogFault> fault = HttpLogFault::None;
+    std::atomic<int> connections = 0;
+    /** Set when a connection was closed by CloseAfterAnswer. */
+    Poco::Event closed;
+
+private:
+    static constexpr int maximumThreads = 8;
+
+    class Handler final : public Poco::Net::HTTPRequestHandler
+    {
+    public:
+        explicit Handler(TinyHttpLog &owner) : owner(owner)
+        {
+        }
+
+        void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+        {
+            auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+            auto fault = this->owner.fault.load();
+            if (fault == HttpLogFault::Silent) {
+                this->owner.ending.wait();
+                return;
+            }
+            if (fault == HttpLogFault::Refuse || fault == HttpLogFault::ServerError) {
+                response.setStatus(fault == HttpLogFault::Refuse ? Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
+                                                                 : Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+                response.sendBuffer("", 0);
+                return;
+            }
+            if (fault == HttpLogFault::CloseBeforeAppend) {
+                socket.shutdown();
+                return;
+            }
+            auto body = this->owner.answerTo(request);
+            if (fault == HttpLogFault::CloseAfterAppend) {
+                socket.shutdown();
+                return;
+            }
+            if (fault == HttpLogFault::NonsenseAnswer) {
+                body = "nonsense";
+            }
+            auto length = fault == HttpLogFault::CutOffAnswer ? body.size() + 10 : body.size();
+            response.setContentLength64(static_cast<Poco::Int64>(length));
+            response.send().write(body.data(), static_cast<std::streamsize>(body.size())).flush();
+            if (fault == HttpLogFault::CutOffAnswer || fault == HttpLogFault::CloseAfterAnswer) {
+                socket.shutdown();
+                this->owner.closed.set();
+            }
+        }
+
+    private:
+        TinyHttpLog &owner;
+    };
+
+    class Factory final : public Poco::Net::HTTPRequestHandlerFactory
+    {
+    public:
+        explicit Factory(TinyHttpLog &owner) : owner(owner)
+        {
+        }
+
+        Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
+        {
+            this->owner.connections = this->owner.server->totalConnections();
+            return new Handler(this->owner);
+        }
+
+    private:
+        TinyHttpLog &owner;
+    };
+
+    std::string answerTo(Poco::Net::HTTPServerRequest &request)
+    {
+        Poco::URI uri(request.getURI());
+        StreamName stream(uri.getPath().substr(std::string("/log/").size()));
+        if (request.getMethod() == "POST") {
+            std::string payload;
+            Poco::StreamCopier::copyToString(request.stream(), payload);
+            auto receipt = this->log.append(stream, payload, TimePoint());
+            return fmt::format(R"({{"offset":{},"appendedAt":{}}})", receipt.offset.value(), toMilliseconds(receipt.appendedAt));
+        }
+        std::uint64_t from = 0;
+        std::size_t maximum = 0;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            if (name == "from") {
+                from = std::stoull(value);
+            } else if (name == "max") {
+                maximum = std::stoull(value);
+            }
+        }
+        return packed(this->log.read(stream, Offset(from), maximum, TimePoint()));
+    }
+
+    static std::string packed(const LogReadResult &result)
+    {
+        std::vector<std::tuple<std::uint64_t, std::int64_t, std::string>> records;
+        for (const auto &record : result.records) {
+            records.emplace_back(record.offset.value(), toMilliseconds(record.appendedAt), record.payload);
+        }
+        msgpack::sbuffer buffer;
+        msgpack::pack(buffer, std::make_tuple(result.firstRetained.value(), result.end.value(), records));
+        return std::string(buffer.data(), buffer.size());
+    }
+
+    LogService &log;
+    Poco::Event ending { Poco::Event::EVENT_MANUALRESET };
+    Poco::ThreadPool threads { 1, maximumThreads };
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+}
