--- a/Utilities/lovagewardctl/main.cpp
+++ b/Utilities/lovagewardctl/main.cpp
@@ -1,7 +1,13 @@
-#include <fmt/format.h>
+#include <lovagewardctl/Control.h>
 
-int main()
+#include <cstdlib>
+#include <iostream>
+
+int main(int argumentCount, char **arguments)
 {
-    fmt::print("lovagewardctl {}\n", LOVAGEWARD_VERSION);
-    return 0;
+    auto environment = [](const std::string &name) {
+        const auto *value = std::getenv(name.c_str());
+        return value == nullptr ? std::string() : std::string(value);
+    };
+    return Lovageward::runControl(std::vector<std::string>(arguments + 1, arguments + argumentCount), environment, std::cout, std::cerr);
 }
