lovagewardctl: Test the command line against the real API; race operators on threads

One table of commands runs over HTTP against the administration server, so that paths and JSON fields of both sides can't drift apart. Four threads submit the same change to a store that a tailer thread feeds, which covers the waiting in submit() that step-driven tests skip.

--- a/Tests/LibConfig/TestConfigStore.cpp
+++ b/Tests/LibConfig/TestConfigStore.cpp
@@ -1,6 +1,8 @@
 #include <LibConfig/InForce.h>
 #include <LibCore/Error.h>
+#include <LibCore/SystemClock.h>
 #include <LibLog/InMemoryLogService.h>
+#include <LibLog/TailerThread.h>
 #include <Support/ConfigNode.h>
 #include <Support/FaultyLogService.h>
 
@@ -357,6 +359,37 @@
     CHECK(inForce(membership, this->one.store.appliedOffset(), Offset(1)).isEverywhere());
 }
 
+TEST_CASE("Operators that submit at the same moment each get the decision on their own change", "[config]")
+{
+    SystemClock clock;
+    SeededRandom random(1);
+    QuietSink sink;
+    Counters counters;
+    AuditTrail audit(1000);
+    InMemoryLogService log(clock, minutes(30));
+    ConfigStore store(clock, random, sink, counters, log, audit);
+    LogTailer tailer(log, configStream, store, sink, counters);
+    TailerThread thread(tailer, clock, random, milliseconds(100), [](LogTailer::Step) {});
+    constexpr std::size_t operatorCount = 4;
+    std::atomic<int> accepted = 0;
+    std::atomic<int> conflicts = 0;
+    std::vector<std::thread> operators;
+    operators.reserve(operatorCount);
+    for (std::size_t count = 0; count < operatorCount; ++count) {
+        operators.emplace_back([&] {
+            ChangeRequest request { store.newRecordId(), "racer", parseEntityKey("model/m"), Offset(0), "{}" };
+            auto decision = store.submit(request, clock.now() + seconds(60));
+            accepted += decision.outcome == ChangeOutcome::Accepted ? 1 : 0;
+            conflicts += decision.outcome == ChangeOutcome::Conflict ? 1 : 0;
+        });
+    }
+    for (auto &racer : operators) {
+        racer.join();
+    }
+    CHECK(accepted == 1);
+    CHECK(conflicts == operatorCount - 1);
+}
+
 TEST_CASE_METHOD(StoreFixture, "Only the current keys of a team open it", "[config]")
 {
     this->change("team/a", R"({"keyHashes":[")" + hashOfKey("first") + R"("]})");
--- a/Tests/LibHttp/TestAdministrationApi.cpp
+++ b/Tests/LibHttp/TestAdministrationApi.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/AdministrationServer.h>
 #include <LibLog/InMemoryLogService.h>
 #include <Support/ConfigNode.h>
+#include <Support/FeedingLog.h>
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -13,40 +14,6 @@
 
 namespace {
 
-/** Lets a node read each record as soon as it is appended, so that waiting for a decision needs no second thread. */
-class FeedingLog final : public LogService
-{
-public:
-    explicit FeedingLog(LogService &inner) : inner(inner)
-    {
-    }
-
-    AppendReceipt append(const StreamName &stream, const std::string &payload, TimePoint deadline) override
-    {
-        if (this->isDown) {
-            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "fault: the log is down");
-        }
-        if (this->isSwallowing) {
-            throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "fault: the append is lost");
-        }
-        auto receipt = this->inner.append(stream, payload, deadline);
-        this->node->readAll();
-        return receipt;
-    }
-
-    LogReadResult read(const StreamName &stream, Offset from, std::size_t maximumRecords, TimePoint waitUntil) override
-    {
-        return this->inner.read(stream, from, maximumRecords, waitUntil);
-    }
-
-    ConfigNode *node = nullptr;
-    bool isDown = false;
-    bool isSwallowing = false;
-
-private:
-    LogService &inner;
-};
-
 class OneOrderDesk final : public OrderDesk
 {
 public:
--- /dev/null
+++ b/Tests/lovagewardctl/TestControlOverHttp.cpp
@@ -0,0 +1,87 @@
+#include <LibHttp/AdministrationServer.h>
+#include <LibLog/InMemoryLogService.h>
+#include <Support/ConfigNode.h>
+#include <Support/FeedingLog.h>
+#include <lovagewardctl/Control.h>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace Lovageward;
+
+namespace {
+
+struct NodeFixture
+{
+    NodeFixture()
+    {
+        this->feeding.node = &this->node;
+        this->node.membership.add("one", Offset(0));
+        this->node.readAll();
+        this->settings.keys = { "operator:" + hashOfKey("op") };
+    }
+
+    ManualClock clock;
+    LocalPeers peers;
+    InMemoryLogService inner { clock, minutes(30) };
+    FeedingLog feeding { inner };
+    ConfigNode node { "one", clock, feeding, peers, 1 };
+    UpstreamTable upstreams { clock, seconds(5) };
+    AdministrationSettings settings;
+};
+
+}
+
+TEST_CASE_METHOD(NodeFixture, "The command line and the administration API agree on paths, values and results", "[control]")
+{
+    AdministrationServer server(this->settings,
+                                this->clock,
+                                this->node.random,
+                                this->node.sink,
+                                this->node.counters,
+                                this->node.store,
+                                this->node.audit,
+                                this->node.membership,
+                                this->upstreams,
+                                nullptr);
+    auto environment
+        = [&server](const std::string &name) { return name == "LOVAGEWARD_ADMIN" ? fmt::format("127.0.0.1:{}", server.port()) : std::string("op"); };
+    struct Case
+    {
+        std::vector<std::string> arguments;
+        int exitCode;
+        const char *shows;
+    };
+    const std::vector<Case> cases = {
+        { { "model", "set", "tailor-llm", "--model-version", "3", "--adapters", "plan,verdict" }, 0, "accepted as version 1" },
+        { { "pool", "set", "tailor-llm", "--models", "tailor-llm", "--fencing", "honours", "--minimum-warm", "60" }, 0, "version 2" },
+        { { "pool", "set", "shop-app" }, 0, "version 3" },
+        { { "class", "set", "plan", "--model", "tailor-llm", "--target-ms", "600000", "--delivery", "hold" }, 0, "version 4" },
+        { { "class", "set", "booking", "--kind", "service", "--pool", "shop-app", "--operation", "book", "--repeatable", "false" }, 0, "version 5" },
+        { { "class", "set", "wrong", "--model", "nix" }, 6, "model/nix, which doesn't exist" },
+        { { "team", "set", "atelier", "--share", "2", "--wait" }, 0, "in force on 1 of 1 nodes" },
+        { { "team", "rotate-key", "atelier" }, 0, "lw_" },
+        { { "team", "list" }, 0, "atelier  8        1" },
+        { { "drain", "add", "surat-a", "--reason", "power", "--wait" }, 0, "accepted" },
+        { { "drain", "list" }, 0, "surat-a" },
+        { { "status" }, 0, "surat-a" },
+        { { "drain", "remove", "surat-a" }, 0, "version 10" },
+        { { "drain", "add", "surat-a", "--based-on", "0" }, 6, "600 VersionConflict" },
+        { { "model", "remove", "tailor-llm" }, 6, "still used by class/plan" },
+        { { "audit", "--entity", "drain/surat-a", "--limit", "2" }, 0, "conflict" },
+        { { "class", "list", "--json" }, 0, R"("targetTimeMs":600000)" },
+        { { "order", "tailor-llm", "LoadModel", "tailor-llm" }, 6, "603 OrderRejected" },
+        { { "wait", "unknown", "--timeout", "0" }, 2, "203 DeadlineExceeded" },
+        { { "status", "--key", "wrong" }, 1, "105 Unauthenticated" },
+    };
+    for (const auto &step : cases) {
+        CAPTURE(step.arguments);
+        std::ostringstream shown;
+        CHECK(runControl(step.arguments, environment, shown, shown) == step.exitCode);
+        CHECK_THAT(shown.str(), Catch::Contains(step.shows));
+    }
+    CHECK(this->node.store.workClass(WorkClassId("plan"))->delivery == DeliveryMode::Hold);
+    CHECK_FALSE(this->node.store.workClass(WorkClassId("booking"))->isRepeatable);
+    CHECK(this->node.store.team(TeamId("atelier"))->keyHashes.size() == 1);
+}
