LibLease: Test leases and orders under faults

Cause: a paused or partitioned holder must not use its lease beside a new one. The scheduler starts the next order of a pool only when no attempt of an earlier one can still arrive, counts an engine without acknowledgement as loading until then, and on pools that honour fencing waits until reports show the predecessor's loads.

--- a/Libraries/LibLease/OrderScheduler.cpp
+++ b/Libraries/LibLease/OrderScheduler.cpp
@@ -65,7 +65,8 @@
         return;
     }
     if (this->orders.size() >= this->settings.maximumOrders) {
-        auto finished = std::find_if(this->orders.begin(), this->orders.end(), isFinished);
+        auto isForgettable = [this](const ActiveOrder &other) { return isFinished(other) && this->isSettled(other); };
+        auto finished = std::find_if(this->orders.begin(), this->orders.end(), isForgettable);
         if (finished == this->orders.end()) {
             throw Error(ResultCode::QueueFull, RunState::NotRun, "too many orders are unfinished", seconds(60));
         }
@@ -128,6 +129,12 @@
     });
 }
 
+bool OrderScheduler::isSettled(const ActiveOrder &order) const
+{
+    auto now = this->clock.now();
+    return std::all_of(order.targets.begin(), order.targets.end(), [now](const Target &target) { return now >= target.unsettledUntil; });
+}
+
 std::vector<PoolId> OrderScheduler::waitingPools() const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -167,7 +174,7 @@
         }
         for (auto &target : active.targets) {
             auto engine = std::find_if(engines.begin(), engines.end(), [&](const PoolEngine &other) { return other.upstream == target.progress.upstream; });
-            auto isBack = engine != engines.end() && engine->isWarm && engine->measuredAt >= target.lastSentAt + this->settings.reportLag;
+            auto isBack = engine != engines.end() && engine->isWarm && engine->measuredAt >= target.quietAt;
             if (target.mayBeLoading && isBack) {
                 target.mayBeLoading = false;
                 if (target.progress.state == OrderState::Loading) {
@@ -202,7 +209,7 @@
         const auto &order = active->order;
         auto id = order.id.value() + "/" + target.progress.upstream.value();
         EngineOrder engineOrder { id, target.progress.upstream, order.kind, order.model, order.detail, FencingNumber() };
-        return Attempt { order.id, active->pool, index, engineOrder, target.mayBeLoading };
+        return Attempt { order.id, active->pool, index, engineOrder, target.mayBeLoading, target.unsettledUntil };
     }
     return std::nullopt;
 }
@@ -247,11 +254,16 @@
 
 OrderScheduler::ActiveOrder *OrderScheduler::activeOrder(const PoolId &pool)
 {
-    // Orders of one pool run one after the other, since two of them could contradict each other.
+    // Orders of one pool run one after the other, and a delayed attempt of one must not undo the next.
+    bool isClear = true;
     for (auto &active : this->orders) {
-        if (active.order.pool == pool && !isFinished(active)) {
-            return &active;
+        if (active.order.pool != pool) {
+            continue;
         }
+        if (!isFinished(active)) {
+            return isClear ? &active : nullptr;
+        }
+        isClear = isClear && this->isSettled(active);
     }
     return nullptr;
 }
@@ -273,8 +285,10 @@
     if (!held) {
         return "the lease of the pool has run out";
     }
-    auto settled = this->settings.orderTimeout + this->settings.deliveryDelay;
-    if (attempt.pool.fencing != FencingSupport::Honours && held->predecessorEndedBy && this->clock.now() < *held->predecessorEndedBy + settled) {
+    // An engine that honours fencing refuses a late order itself, but the reports must show what the predecessor has started.
+    auto isFenced = attempt.pool.fencing == FencingSupport::Honours;
+    auto settled = this->settings.orderTimeout + (isFenced ? this->settings.reportLag : this->settings.deliveryDelay);
+    if (held->predecessorEndedBy && this->clock.now() < *held->predecessorEndedBy + settled) {
         return "orders of the previous lease holder may still arrive";
     }
     if (!loadsWeights(attempt.engineOrder.kind)) {
@@ -319,6 +333,8 @@
         auto &target = this->targetOf(attempt);
         target.mayBeLoading = true;
         target.lastSentAt = this->clock.now();
+        target.unsettledUntil = target.lastSentAt + this->settings.orderTimeout + this->settings.deliveryDelay;
+        target.quietAt = target.unsettledUntil + this->settings.reportLag;
         ++target.progress.attempts;
     }
     try {
@@ -340,13 +356,19 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto &target = this->targetOf(attempt);
+    auto mayStillArrive = error != nullptr && error->runState() != RunState::NotRun;
+    if (!mayStillArrive) {
+        target.unsettledUntil = attempt.unsettledBefore;
+    }
     if (error == nullptr) {
         target.progress.state = OrderState::Loading;
+        target.quietAt = this->clock.now() + this->settings.reportLag;
         target.progress.reason.clear();
         return;
     }
     if (error->runState() == RunState::NotRun) {
         target.mayBeLoading = attempt.mayBeLoadingBefore;
+        target.quietAt = attempt.unsettledBefore + this->settings.reportLag;
     }
     target.progress.reason = error->what();
     target.nextAttemptAt = this->clock.now() + retryBase + this->backoff.delay(target.progress.attempts);
--- a/Libraries/LibLease/OrderScheduler.h
+++ b/Libraries/LibLease/OrderScheduler.h
@@ -82,8 +82,11 @@
         OrderProgress progress;
         TimePoint nextAttemptAt;
         TimePoint lastSentAt;
-        /** True once an attempt may have reached the engine; it then counts as not warm until a later report says so. */
+        /** True once an attempt may have reached the engine; it then counts as not warm until a report from quietAt or later. */
         bool mayBeLoading = false;
+        TimePoint quietAt;
+        /** Time until which an attempt without an answer may still arrive. */
+        TimePoint unsettledUntil;
     };
 
     struct ActiveOrder
@@ -100,10 +103,12 @@
         std::size_t target = 0;
         EngineOrder engineOrder;
         bool mayBeLoadingBefore = false;
+        TimePoint unsettledBefore;
     };
 
     static bool loadsWeights(OrderKind kind);
     static bool isFinished(const ActiveOrder &order);
+    bool isSettled(const ActiveOrder &order) const;
     std::vector<PoolId> waitingPools() const;
     void stepPool(const PoolId &pool);
     void updateLoading(const PoolId &pool, const std::vector<PoolEngine> &engines);
--- a/Tests/Support/ClaimFaultyLog.h
+++ b/Tests/Support/ClaimFaultyLog.h
@@ -5,7 +5,7 @@
 #include <LibLog/InMemoryLogService.h>
 #include <Support/Fibers.h>
 
-#include <functional>
+#include <algorithm>
 #include <string>
 
 namespace Lovageward {
@@ -24,6 +24,7 @@
 class ClaimFaultyLog final : public LogService
 {
 public:
+    /** `clock` is the node's own, against which its deadlines count. */
     ClaimFaultyLog(LogService &target, Fibers &fibers, const Clock &clock, RandomSource &random, const FaultRates &rates, const bool &isDown)
         : target(target), fibers(fibers), clock(clock), random(random), rates(rates), isDown(isDown)
     {
@@ -59,7 +60,7 @@
         if (this->isDown || this->happens(this->rates.failedRead)) {
             throw Error(ResultCode::LogUnavailable, RunState::NotRun, "log down");
         }
-        auto result = this->target.read(stream, from, maximumRecords, this->clock.now());
+        auto result = this->target.read(stream, from, maximumRecords, TimePoint());
         this->fibers.sleepFor(this->latency());
         return result;
     }
@@ -77,17 +78,17 @@
 
     void appendLater(const StreamName &stream, const std::string &payload, Duration longest)
     {
-        auto at = this->clock.now() + Duration(this->random.below(static_cast<std::uint64_t>(longest.count())));
+        auto delay = Duration(this->random.below(static_cast<std::uint64_t>(longest.count())));
         // Node -1 is the world: the append takes effect even if its sender dies.
-        this->fibers.spawn(-1, [this, stream, payload, at] {
-            this->fibers.sleepUntil(at);
-            this->target.append(stream, payload, at);
+        this->fibers.spawn(-1, [this, stream, payload, delay] {
+            this->fibers.sleepFor(delay);
+            this->target.append(stream, payload, this->clock.now());
         });
     }
 
     [[noreturn]] void fail(TimePoint deadline)
     {
-        this->fibers.sleepUntil(deadline);
+        this->fibers.sleepFor(std::max(deadline - this->clock.now(), Duration(0)));
         throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "no answer to the append");
     }
 
--- /dev/null
+++ b/Tests/Support/SkewedClock.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+namespace Lovageward {
+
+/** A node's own clock: another zero and a slightly wrong rate. */
+class SkewedClock final : public Clock
+{
+public:
+    SkewedClock(const Clock &truth, Duration offset, double rate) : truth(truth), offset(offset), rate(rate)
+    {
+    }
+
+    TimePoint now() const override
+    {
+        auto elapsed = static_cast<double>(this->truth.now().time_since_epoch().count()) * this->rate;
+        return TimePoint(this->offset + Duration(static_cast<Duration::rep>(elapsed)));
+    }
+
+    WallTime wallNow() const override
+    {
+        return this->truth.wallNow() + this->offset;
+    }
+
+private:
+    const Clock &truth;
+    Duration offset;
+    double rate;
+};
+
+}
