LibClaims, LibLease: Add fault tables

Decoders refuse short arrays, which msgpack fills with defaults. ClaimWorld also checks that no batch of a paused owner counts.

--- a/Libraries/LibClaims/ClaimMessages.cpp
+++ b/Libraries/LibClaims/ClaimMessages.cpp
@@ -12,6 +12,7 @@
 
 using WireRequest = std::tuple<std::string, std::int64_t, std::string, std::string, std::int64_t>;
 using WireAnswer = std::tuple<int, int, int, std::string, bool>;
+using WireState = std::tuple<int>;
 using WireReport = std::tuple<std::string, std::string, bool, int, std::string, bool>;
 
 template<typename Wire>
@@ -27,11 +28,17 @@
     throw Error(ResultCode::MalformedMessage, RunState::NotRun, "a claim message can't be decoded");
 }
 
+/** msgpack fills missing elements of a short array with defaults, so the length is checked. */
 template<typename Wire>
 Wire unpacked(const std::string &payload)
 {
     try {
-        return msgpack::unpack(payload.data(), payload.size()).get().as<Wire>();
+        auto handle = msgpack::unpack(payload.data(), payload.size());
+        const auto &object = handle.get();
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<Wire>) {
+            refuse();
+        }
+        return object.as<Wire>();
     } catch (const msgpack::unpack_error &) {
         refuse();
     } catch (const msgpack::type_error &) {
@@ -60,7 +67,7 @@
 
 std::string encodeReportState(ReportState state)
 {
-    return packed(static_cast<int>(state));
+    return packed(WireState(static_cast<int>(state)));
 }
 
 ClaimRequest decodeClaimRequest(const std::string &payload)
@@ -86,7 +93,7 @@
 
 ReportState decodeReportState(const std::string &payload)
 {
-    auto state = unpacked<int>(payload);
+    auto [state] = unpacked<WireState>(payload);
     if (state < 0 || state > static_cast<int>(ReportState::NotOwner)) {
         refuse();
     }
--- a/Libraries/LibClaims/ClaimRecords.cpp
+++ b/Libraries/LibClaims/ClaimRecords.cpp
@@ -72,12 +72,14 @@
     if (object.type != msgpack::type::ARRAY || object.via.array.size == 0) {
         return std::nullopt;
     }
+    // msgpack fills missing elements of a short array with defaults, so the length is checked.
+    auto length = object.via.array.size;
     auto kind = object.via.array.ptr[0].as<int>();
-    if (kind == ownershipKind) {
+    if (kind == ownershipKind && length == std::tuple_size_v<WireOwnership>) {
         auto [tag, id, host, incarnation] = object.as<WireOwnership>();
         return Ownership { RecordId(id), HostId(host), Incarnation(incarnation) };
     }
-    if (kind == batchKind) {
+    if (kind == batchKind && length == std::tuple_size_v<WireBatch>) {
         return fromWire(object.as<WireBatch>());
     }
     return std::nullopt;
--- a/Libraries/LibLease/LeaseRecord.cpp
+++ b/Libraries/LibLease/LeaseRecord.cpp
@@ -37,6 +37,10 @@
 {
     try {
         auto handle = msgpack::unpack(payload.data(), payload.size());
+        // msgpack fills missing elements of a short array with defaults, so the length is checked.
+        if (handle.get().type != msgpack::type::ARRAY || handle.get().via.array.size != std::tuple_size_v<WireRecord>) {
+            return std::nullopt;
+        }
         auto [version, id, name, host, incarnation, basedOn, baseExpiry, isRenewal, term] = handle.get().as<WireRecord>();
         if (version != wireVersion || term < 0) {
             return std::nullopt;
--- a/Tests/LibClaims/ClaimWorld.cpp
+++ b/Tests/LibClaims/ClaimWorld.cpp
@@ -218,6 +218,7 @@
     while (!this->isFinished) {
         this->fibers->run(this->clock.now() + seconds(1), [] {});
     }
+    this->checkLog();
     for (const auto &request : this->requests) {
         if (request->executions > 1 || (request->wasRefusedNotRun && request->executions > 0)) {
             this->violate(fmt::format("request {} ran {} times, refused as not_run: {}", request->number, request->executions, request->wasRefusedNotRun));
@@ -433,6 +434,31 @@
     this->isFinished = true;
 }
 
+void ClaimWorld::checkLog()
+{
+    for (std::uint64_t partition = 0; partition < usedPartitions; ++partition) {
+        ClaimTable table;
+        Offset newest;
+        RecordId newestId;
+        std::uint64_t highest = 0;
+        for (const auto &record : this->log.read(streamOf(PartitionId(partition)), Offset(1), 100'000, this->clock.now()).records) {
+            auto isValid = table.apply(record).isValid;
+            auto decoded = decodeClaimRecord(record.payload);
+            if (const auto *ownership = std::get_if<Ownership>(&*decoded)) {
+                highest = ownership->id == newestId ? highest : 0;
+                newest = ownership->id == newestId ? newest : record.offset;
+                newestId = ownership->id;
+                continue;
+            }
+            const auto &batch = std::get<ClaimBatch>(*decoded);
+            if (isValid && (batch.epoch != newest || batch.sequence <= highest)) {
+                this->violate(fmt::format("a batch of a paused owner or a late append counts: partition {} offset {}", partition, record.offset.value()));
+            }
+            highest = isValid ? batch.sequence : highest;
+        }
+    }
+}
+
 std::vector<std::string> ClaimWorld::logLines()
 {
     std::vector<std::string> lines;
--- a/Tests/LibClaims/ClaimWorld.h
+++ b/Tests/LibClaims/ClaimWorld.h
@@ -94,6 +94,7 @@
     void noteAnswer(Request &request, const RecordedAnswer &answer);
     void noteRefusal(Request &request, const Error &error, bool isLate);
     void checkFinally();
+    void checkLog();
     std::size_t keyIndex(const std::string &scoped) const;
     void violate(const std::string &text);
     void note(const std::string &text);
--- /dev/null
+++ b/Tests/LibClaims/TestClaimOwner.cpp
@@ -0,0 +1,221 @@
+#include <LibClaims/ClaimOwner.h>
+#include <LibCore/Error.h>
+#include <LibCore/ManualClock.h>
+#include <LibCore/SeededRandom.h>
+#include <LibLog/InMemoryLogService.h>
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+using namespace Lovageward;
+
+namespace {
+
+/** Log whose next appends fail as told. */
+class ScriptedLog final : public InMemoryLogService
+{
+public:
+    enum class Fault {
+        None,
+        Down,
+        /** The append takes effect, its answer is lost. */
+        AnswerLost,
+        /** The append is held back; takeEffect() lets it through. */
+        Delayed,
+    };
+
+    explicit ScriptedLog(ManualClock &clock) : InMemoryLogService(clock, minutes(30)), clock(clock)
+    {
+    }
+
+    AppendReceipt append(const StreamName &stream, const std::string &payload, TimePoint deadline) override
+    {
+        ++this->appends;
+        if (this->fault == Fault::Down) {
+            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "down");
+        }
+        if (this->fault == Fault::Delayed) {
+            this->delayed.emplace_back(stream, payload);
+        }
+        if (this->fault == Fault::None || this->fault == Fault::AnswerLost) {
+            auto receipt = InMemoryLogService::append(stream, payload, deadline);
+            if (this->fault == Fault::None) {
+                return receipt;
+            }
+        }
+        this->clock.advance(deadline - this->clock.now());
+        throw Error(ResultCode::OutcomeUnknown, RunState::Unknown, "no answer");
+    }
+
+    void takeEffect()
+    {
+        for (const auto &[stream, payload] : this->delayed) {
+            InMemoryLogService::append(stream, payload, this->clock.now());
+        }
+        this->delayed.clear();
+    }
+
+    ManualClock &clock;
+    Fault fault = Fault::None;
+    int appends = 0;
+    std::vector<std::pair<StreamName, std::string>> delayed;
+};
+
+struct OwnerFixture
+{
+    ManualClock clock;
+    SeededRandom random { 1 };
+    ScriptedLog log { clock };
+    ClaimSettings settings;
+    ClaimOwner owner { PartitionId(0), log, clock, random, HostId("a"), Incarnation(1), settings };
+
+    ClaimRequest request(int key, const std::string &attempt, Duration remaining = seconds(10))
+    {
+        auto now = LogTime(this->clock.wallNow().time_since_epoch());
+        return ClaimRequest { fmt::format("key{}", key), now, "hash", AttemptId(attempt), remaining };
+    }
+
+    void stepFor(Duration duration)
+    {
+        auto end = this->clock.now() + duration;
+        while (this->clock.now() < end) {
+            this->owner.step();
+            this->clock.advance(milliseconds(10));
+        }
+    }
+
+    GrantState decide(const ClaimRequest &request)
+    {
+        this->owner.submit(request);
+        this->stepFor(milliseconds(500));
+        return this->owner.submit(request).state;
+    }
+
+    void record(int key, const std::string &attempt, const std::string &body)
+    {
+        ClaimReport report { fmt::format("key{}", key), AttemptId(attempt), true, 200, body, false };
+        this->owner.report(report);
+        this->stepFor(milliseconds(500));
+        REQUIRE(this->owner.report(report) == ReportState::Recorded);
+    }
+};
+
+}
+
+TEST_CASE_METHOD(OwnerFixture, "A busy partition appends five times a second at most, whatever the load", "[claims]")
+{
+    for (int call = 0; call < 1000; ++call) {
+        owner.submit(request(call, fmt::format("x{}", call)));
+        owner.step();
+        clock.advance(milliseconds(10));
+        // Each runner asks again half a second later.
+        if (auto earlier = call - 50; earlier >= 0) {
+            owner.submit(request(earlier, fmt::format("x{}", earlier)));
+        }
+    }
+    CHECK(log.appends <= 51);
+    CHECK(owner.rememberedKeys() > 900);
+}
+
+TEST_CASE_METHOD(OwnerFixture, "A claim whose append has an unknown outcome is settled by the next batch", "[claims]")
+{
+    REQUIRE(decide(request(1, "warmup")) == GrantState::Granted);
+    auto fault = GENERATE(ScriptedLog::Fault::AnswerLost, ScriptedLog::Fault::Delayed);
+    owner.submit(request(2, "x"));
+    clock.advance(seconds(1));
+    log.fault = fault;
+    owner.step();
+    log.fault = ScriptedLog::Fault::None;
+    stepFor(milliseconds(500));
+    CHECK(owner.submit(request(2, "x")).state == GrantState::Granted);
+    // The delayed append comes now; it must not matter.
+    log.takeEffect();
+    CHECK(decide(request(2, "y")) == GrantState::AlreadyRunning);
+}
+
+TEST_CASE_METHOD(OwnerFixture, "A claim that was never granted is released, so a repeat can run", "[claims]")
+{
+    REQUIRE(decide(request(1, "warmup")) == GrantState::Granted);
+    owner.submit(request(2, "x", milliseconds(700)));
+    clock.advance(seconds(1) - milliseconds(700));
+    log.fault = GENERATE(ScriptedLog::Fault::AnswerLost, ScriptedLog::Fault::Delayed);
+    owner.step();
+    log.fault = ScriptedLog::Fault::None;
+    stepFor(seconds(1));
+    log.takeEffect();
+    stepFor(seconds(1));
+    CHECK(decide(request(2, "y")) == GrantState::Granted);
+}
+
+TEST_CASE_METHOD(OwnerFixture, "A granted claim is kept after its deadline, since the call may have run", "[claims]")
+{
+    REQUIRE(decide(request(1, "x", seconds(2))) == GrantState::Granted);
+    stepFor(seconds(5));
+    CHECK(decide(request(1, "y")) == GrantState::Unknown);
+    record(1, "x", "late answer");
+    auto answer = owner.submit(request(1, "z"));
+    CHECK(answer.state == GrantState::Finished);
+    CHECK(answer.body == "late answer");
+}
+
+TEST_CASE_METHOD(OwnerFixture, "During an outage new claims are refused at once and the memory stays bounded", "[claims]")
+{
+    log.fault = ScriptedLog::Fault::Down;
+    owner.submit(request(0, "probe", minutes(1)));
+    stepFor(seconds(5));
+    auto answer = owner.submit(request(1, "x"));
+    CHECK(answer.state == GrantState::Refused);
+    CHECK(answer.code == ResultCode::LogUnavailable);
+    CHECK(log.appends < 15);
+    log.fault = ScriptedLog::Fault::None;
+    stepFor(seconds(3));
+    CHECK(decide(request(1, "y")) == GrantState::Granted);
+}
+
+TEST_CASE_METHOD(OwnerFixture, "Claims beyond the bounds are refused, so a flood can't use up the memory", "[claims]")
+{
+    ClaimAnswer last;
+    for (std::size_t call = 0; call <= settings.maximumPending; ++call) {
+        last = owner.submit(request(static_cast<int>(call), fmt::format("x{}", call)));
+    }
+    CHECK(last.state == GrantState::Refused);
+    CHECK(last.code == ResultCode::ClaimRefused);
+}
+
+TEST_CASE_METHOD(OwnerFixture, "Answers beyond the bounds are recorded by their status only", "[claims]")
+{
+    REQUIRE(decide(request(1, "x")) == GrantState::Granted);
+    record(1, "x", std::string(settings.maximumAnswerSize + 1, 'a'));
+    auto answer = owner.submit(request(1, "y"));
+    CHECK(answer.state == GrantState::Finished);
+    CHECK(answer.isTooLarge);
+    CHECK(answer.status == 200);
+    CHECK(answer.body.empty());
+}
+
+TEST_CASE_METHOD(OwnerFixture, "A new owner that reads within a long stream knows every usable key", "[claims]")
+{
+    REQUIRE(decide(request(1, "x")) == GrantState::Granted);
+    record(1, "x", "old");
+    for (int round = 0; round < 60; ++round) {
+        clock.advance(seconds(30));
+        REQUIRE(decide(request(100 + round, fmt::format("r{}", round))) == GrantState::Granted);
+    }
+    auto recent = request(200, "x200");
+    REQUIRE(decide(recent) == GrantState::Granted);
+    record(200, "x200", "new");
+    for (int round = 0; round < 18; ++round) {
+        clock.advance(seconds(30));
+        REQUIRE(decide(request(300 + round, fmt::format("s{}", round))) == GrantState::Granted);
+    }
+    ClaimOwner next(PartitionId(0), log, clock, random, HostId("b"), Incarnation(1), settings);
+    recent.attempt = AttemptId("y");
+    next.submit(recent);
+    for (int step = 0; step < 100; ++step) {
+        next.step();
+        clock.advance(milliseconds(10));
+    }
+    CHECK(next.submit(recent).body == "new");
+    CHECK(next.rememberedKeys() < 40);
+}
