--- a/Tests/LibMembership/GossipCluster.h
+++ b/Tests/LibMembership/GossipCluster.h
@@ -109,13 +109,24 @@
         return *this->nodes[index]->agent;
     }
 
-    /** Running nodes that count the node as live. */
+    /** For each node, the running nodes that count it as live. */
+    std::vector<std::size_t> believers() const
+    {
+        std::vector<std::size_t> counts(this->nodes.size());
+        for (const auto &node : this->nodes) {
+            if (!this->isRunning(node->index)) {
+                continue;
+            }
+            for (const auto &member : node->agent->liveMembers()) {
+                ++counts[std::stoul(member.host.value().substr(hostPrefix.size()))];
+            }
+        }
+        return counts;
+    }
+
     std::size_t believers(std::size_t index) const
     {
-        return this->countRunning([&](const GossipAgent &agent) {
-            auto members = agent.liveMembers();
-            return std::any_of(members.begin(), members.end(), [&](const auto &member) { return member.host == hostOf(index); });
-        });
+        return this->believers()[index];
     }
 
     /** Running nodes that have declared the node dead. */
@@ -143,10 +154,11 @@
     static HostId hostOf(std::size_t index)
     {
         auto number = std::to_string(index);
-        return HostId("entry-" + std::string(3 - std::min<std::size_t>(3, number.size()), '0') + number);
+        return HostId(hostPrefix + std::string(3 - std::min<std::size_t>(3, number.size()), '0') + number);
     }
 
 private:
+    static inline const std::string hostPrefix = "entry-";
     // TCP, IP and nng headers of a message and of its acknowledgement.
     static constexpr std::uint64_t headerBytes = 116;
     // Opening and closing the connection of a probe, since a node keeps connections to a part of the others only.
--- a/Tests/LibMembership/TestGossip.cpp
+++ b/Tests/LibMembership/TestGossip.cpp
@@ -61,6 +61,27 @@
     }
 }
 
+TEST_CASE("A failure domain that is lost at once is known to be dead within about 10 s, and takes no live node with it", "[gossip]")
+{
+    for (const auto &size : sizes()) {
+        // 21 failure domains share 340 nodes, 3 share 8.
+        auto lost = size.nodes / (size.nodes > 21 ? 21 : 3);
+        for (std::uint64_t seed = 1; seed <= std::max<std::uint64_t>(1, size.seeds / 4); ++seed) {
+            GossipCluster cluster(size.nodes, seed);
+            cluster.steps(30);
+            for (std::size_t index = 0; index < lost; ++index) {
+                cluster.kill(index);
+            }
+            cluster.steps(detectionSteps);
+            INFO("nodes " << size.nodes << " seed " << seed);
+            auto believers = cluster.believers();
+            for (std::size_t index = 0; index < size.nodes; ++index) {
+                CHECK(believers[index] == (index < lost ? 0 : size.nodes - lost));
+            }
+        }
+    }
+}
+
 TEST_CASE("A live node that answers is never declared dead, even when a tenth of the messages is lost", "[gossip]")
 {
     for (const auto &size : sizes()) {
