--- /dev/null
+++ b/Benchmarks/policy/Run.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <policy/Arrivals.h>
+#include <policy/Case.h>
+#include <policy/FakeEngine.h>
+#include <policy/FakeNode.h>
+#include <policy/Measures.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <vector>
+
+namespace Lovageward::Bench {
+
+/** One run of one policy over the fake engines. */
+class Run final : public EngineListener
+{
+public:
+    /** `capacity` as capacityOf gives it. */
+    Run(const Case &setup, const std::string &policy, double capacity);
+    ~Run() override;
+
+    Measures execute();
+
+private:
+    struct Event
+    {
+        Micros at = 0;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator>(const Event &other) const
+        {
+            return this->at != other.at ? this->at > other.at : this->order > other.order;
+        }
+    };
+
+    /** An engine with the history of its reports, for reports that lag. */
+    struct EngineSite
+    {
+        UpstreamId id;
+        std::unique_ptr<FakeEngine> engine;
+        std::deque<LoadReport> reports;
+        std::uint32_t credits = 0;
+    };
+
+    void produced(std::uint32_t work, std::uint32_t tokens, Micros at) override;
+    void stalled(std::uint32_t work, Micros gap, Micros at) override;
+    void ended(std::uint32_t work, std::uint32_t tokens, Micros at) override;
+
+    void schedule(Micros at, std::function<void()> action);
+    void addEngines();
+    void scheduleDisturbance();
+    void scheduleNextArrival();
+    void arrive(std::uint32_t number);
+    void poll(std::size_t engine);
+    void sampleMemory(const LoadReport &report);
+    void dispatch(std::uint32_t nodeNumber);
+    void dispatchClass(FakeNode &node, std::uint32_t workClass);
+    bool place(FakeNode &node, std::uint32_t number);
+    bool tryEngine(FakeNode &node, std::uint32_t number, const PlacementRequest &wanted, const UpstreamChoice &choice);
+    void giveUp(std::uint32_t number);
+    void release(Request &request, bool isComplete);
+    void setDrained(bool isDrained);
+    void crash(std::size_t engine, bool isRestarted);
+    void runUntil(Micros end);
+    void advanceTo(Micros at);
+    std::size_t victim() const;
+    Measures evaluate() const;
+    bool isGood(const Request &request) const;
+    double goodPerSecond(Micros from, Micros to) const;
+    double fairness() const;
+
+    Case setup;
+    const Deployment &deployment;
+    Timetable timetable;
+    ManualClock clock;
+    Micros now = 0;
+    std::vector<Arrival> arrivals;
+    std::deque<Request> requests;
+    std::vector<EngineSite> engines;
+    std::vector<std::unique_ptr<FakeNode>> nodes;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::uint64_t nextOrder = 0;
+    std::uint64_t nextPlacement = 1;
+    Micros stallTime = 0;
+    double blastRadius = 0;
+    double blocksUsed = 0;
+    double blocksTotal = 0;
+    /** Nodes whose queue should be looked at after the current event. */
+    std::set<std::uint32_t> pending;
+};
+
+}
