LibDispatch: Count a probe as success only when it completes

The first token now only lets the next probe pass, and the breaker closes after two completed probes.

--- a/Libraries/LibDispatch/CircuitBreaker.cpp
+++ b/Libraries/LibDispatch/CircuitBreaker.cpp
@@ -41,6 +41,11 @@
     return true;
 }
 
+void CircuitBreaker::probeResponded()
+{
+    this->isProbeRunning = false;
+}
+
 void CircuitBreaker::succeeded(TimePoint now, bool isProbe)
 {
     if (this->isClosed) {
--- a/Libraries/LibDispatch/CircuitBreaker.h
+++ b/Libraries/LibDispatch/CircuitBreaker.h
@@ -11,7 +11,7 @@
 
 /**
  * Keeps new work away from an upstream that fails. Closed: all work passes. Open: none, until a time that doubles with each failed
- * probe. Half-open: one request at a time passes as a probe, and two successes close the breaker.
+ * probe. Half-open: one request at a time passes as a probe, and two that complete close the breaker.
  * Not thread-safe: its owner serialises the calls.
  */
 class CircuitBreaker
@@ -23,6 +23,9 @@
     /** Records that a request is sent. Returns true if it is a probe, which the end of the request then has to state. */
     bool started();
 
+    /** Lets the next probe pass once this one has its first token, because a long generation's end would come too late. */
+    void probeResponded();
+
     /** Records a request that succeeded. Work from before the breaker opened doesn't close it. */
     void succeeded(TimePoint now, bool isProbe);
 
--- a/Libraries/LibDispatch/CircuitBreakers.cpp
+++ b/Libraries/LibDispatch/CircuitBreakers.cpp
@@ -17,6 +17,14 @@
     return found != this->breakers.end() && found->second.started();
 }
 
+void CircuitBreakers::probeResponded(const UpstreamId &upstream)
+{
+    auto found = this->breakers.find(upstream);
+    if (found != this->breakers.end()) {
+        found->second.probeResponded();
+    }
+}
+
 bool CircuitBreakers::ended(const UpstreamId &upstream, PlacementOutcome outcome, bool isProbe, TimePoint now)
 {
     auto isFailure = outcome != PlacementOutcome::Completed && outcome != PlacementOutcome::Cancelled;
--- a/Libraries/LibDispatch/CircuitBreakers.h
+++ b/Libraries/LibDispatch/CircuitBreakers.h
@@ -26,6 +26,9 @@
     /** Records that work is sent to the upstream. Returns true if it is a probe. */
     bool started(const UpstreamId &upstream);
 
+    /** Records the first token of a probe. */
+    void probeResponded(const UpstreamId &upstream);
+
     /** Records the end of work on the upstream. Returns true if this opened the breaker. */
     bool ended(const UpstreamId &upstream, PlacementOutcome outcome, bool isProbe, TimePoint now);
 
--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -35,6 +35,8 @@
     double retryShare = 0.1;
     std::uint32_t retryFloor = 3;
     Duration retryWindow = seconds(10);
+    /** Time between two questions of a waiting thread whether its caller has gone. */
+    Duration callerCheckInterval = milliseconds(250);
     /** False if the owner calls `tick` itself, as tests with a manual clock do. */
     bool runsTicker = true;
 };
--- a/Libraries/LibDispatch/Placer.cpp
+++ b/Libraries/LibDispatch/Placer.cpp
@@ -71,13 +71,11 @@
         return;
     }
     auto &work = found->second;
+    if (work.isProbe && work.produced == TokenCount(0) && produced > TokenCount(0)) {
+        this->breakers.probeResponded(work.upstream);
+    }
     work.produced = std::max(work.produced, produced);
     this->chooser.progressed(id, produced);
-    if (work.isProbe && produced > TokenCount(0)) {
-        // A long generation shows with its first token that the upstream works; its end would come too late.
-        this->breakers.ended(work.upstream, PlacementOutcome::Completed, true, this->clock.now());
-        work.isProbe = false;
-    }
 }
 
 std::optional<TokenCount> Placer::release(PlacementId id, PlacementOutcome outcome)
--- a/Libraries/LibDispatch/QueueingDispatcher.cpp
+++ b/Libraries/LibDispatch/QueueingDispatcher.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Duration callerCheckInterval = milliseconds(250);
-
 /** A check that fails counts as a caller that is gone, because an exception must not leave the waiting request behind. */
 bool isCallerGone(const WorkItem &item)
 {
@@ -33,6 +31,7 @@
                                        Counters &counters,
                                        LogSink &logSink)
     : tickInterval(settings.tickInterval)
+    , callerCheckInterval(settings.callerCheckInterval)
     , clock(clock)
     , link(link)
     , logger(logSink, "dispatch")
@@ -139,7 +138,7 @@
         waiter.changed.wait(lock, isDecided);
         return;
     }
-    while (!waiter.changed.wait_for(lock, callerCheckInterval, isDecided)) {
+    while (!waiter.changed.wait_for(lock, this->callerCheckInterval, isDecided)) {
         lock.unlock();
         auto isGone = isCallerGone(item);
         lock.lock();
--- a/Libraries/LibDispatch/QueueingDispatcher.h
+++ b/Libraries/LibDispatch/QueueingDispatcher.h
@@ -72,6 +72,7 @@
     void runTicker();
 
     Duration tickInterval;
+    Duration callerCheckInterval;
     const Clock &clock;
     LinkBudget &link;
     Logger logger;
--- a/Tests/LibDispatch/DispatchFixture.h
+++ b/Tests/LibDispatch/DispatchFixture.h
@@ -216,6 +216,7 @@
         for (auto &decision : this->core->takeDecisions()) {
             if (auto *placement = std::get_if<Placement>(&decision.result)) {
                 REQUIRE(this->placed.emplace(decision.ticket, *placement).second);
+                this->placedOrder.push_back(decision.ticket);
             } else {
                 REQUIRE(this->refused.emplace(decision.ticket, std::get<Error>(decision.result).code()).second);
             }
@@ -227,6 +228,7 @@
     std::optional<DispatchCore> core;
     std::map<TicketId, Placement> placed;
     std::map<TicketId, ResultCode> refused;
+    std::vector<TicketId> placedOrder;
 };
 
 }
--- a/Tests/LibDispatch/FakeChooser.h
+++ b/Tests/LibDispatch/FakeChooser.h
@@ -21,20 +21,13 @@
 
     std::optional<UpstreamChoice> choose(const PlacementRequest &request) override
     {
-        ++this->chooses;
-        std::optional<UpstreamChoice> cold;
-        for (const auto &pool : request.pools) {
-            for (const auto &state : this->table.upstreamsOf(pool)) {
-                if (!this->isUsable(state, request)) {
-                    continue;
-                }
-                if (state.report.phase == UpstreamPhase::Warm) {
-                    return UpstreamChoice { .upstream = state.id, .needsCredit = false };
-                }
-                cold = cold ? cold : UpstreamChoice { .upstream = state.id, .needsCredit = true };
-            }
+        // The dispatcher promises to serialise the calls.
+        if (this->isBusy.exchange(true)) {
+            throw std::logic_error("the chooser was called concurrently");
         }
-        return cold;
+        auto choice = this->find(request);
+        this->isBusy = false;
+        return choice;
     }
 
     void started(PlacementId id, const UpstreamId &upstream, const PlacementRequest &request) override
@@ -62,10 +55,26 @@
     std::map<WorkClassId, std::uint32_t> costs;
     /** Simulates a chooser whose copy of the table is older than a drain. */
     bool ignoresLeaving = false;
-    std::uint64_t chooses = 0;
     std::map<UpstreamId, std::uint32_t> used;
 
 private:
+    std::optional<UpstreamChoice> find(const PlacementRequest &request)
+    {
+        std::optional<UpstreamChoice> cold;
+        for (const auto &pool : request.pools) {
+            for (const auto &state : this->table.upstreamsOf(pool)) {
+                if (!this->isUsable(state, request)) {
+                    continue;
+                }
+                if (state.report.phase == UpstreamPhase::Warm) {
+                    return UpstreamChoice { .upstream = state.id, .needsCredit = false };
+                }
+                cold = cold ? cold : UpstreamChoice { .upstream = state.id, .needsCredit = true };
+            }
+        }
+        return cold;
+    }
+
     struct Work
     {
         UpstreamId upstream;
@@ -87,6 +96,7 @@
     }
 
     const UpstreamTable &table;
+    std::atomic<bool> isBusy = false;
     std::map<PlacementId, Work> works;
 };
 
--- /dev/null
+++ b/Tests/LibDispatch/TestDispatchRuns.cpp
@@ -0,0 +1,234 @@
+#include <catch2/catch.hpp>
+
+#include "DispatchFixture.h"
+
+#include <cmath>
+#include <functional>
+#include <map>
+#include <vector>
+
+using namespace Lovageward;
+
+namespace {
+
+/** Runs placed work on simulated time: each placement ends after its time with the outcome that the test decides. */
+struct DispatchRun : CoreFixture
+{
+    struct Work
+    {
+        TicketId ticket;
+        PlacementId id;
+        std::uint64_t tokens = 0;
+    };
+
+    /** Gives the number of tokens of a ticket, at 5 ms each. */
+    std::function<std::uint64_t(TicketId)> tokensOf = [](TicketId) { return 100; };
+    std::function<PlacementOutcome(const Placement &)> outcomeOf = [](const Placement &) { return PlacementOutcome::Completed; };
+    std::function<void(TicketId, std::uint64_t, PlacementOutcome)> onEnd = [](TicketId, std::uint64_t, PlacementOutcome) {};
+
+    void advance(Duration step)
+    {
+        this->clock.advance(step);
+        this->startPlaced();
+        while (!this->ends.empty() && this->ends.begin()->first <= this->clock.now()) {
+            auto work = this->ends.begin()->second;
+            this->ends.erase(this->ends.begin());
+            auto outcome = this->outcomeOf(this->placed.at(work.ticket));
+            this->core->progress(work.id, TokenCount(work.tokens));
+            this->release(work.id, outcome);
+            this->onEnd(work.ticket, work.tokens, outcome);
+            this->startPlaced();
+        }
+        this->step();
+        this->startPlaced();
+    }
+
+    void startPlaced()
+    {
+        for (; this->started < this->placedOrder.size(); ++this->started) {
+            auto ticket = this->placedOrder[this->started];
+            auto tokens = this->tokensOf(ticket);
+            this->ends.emplace(this->clock.now() + milliseconds(5 * tokens), Work { ticket, this->placed.at(ticket).id, tokens });
+        }
+    }
+
+    std::multimap<TimePoint, Work> ends;
+    std::size_t started = 0;
+};
+
+struct TeamLoad
+{
+    std::uint32_t share;
+    /** Requests that the team keeps in the queue. */
+    std::size_t backlog;
+    std::uint64_t meanTokens;
+};
+
+struct FairnessCase
+{
+    std::string name;
+    std::vector<TeamLoad> teams;
+};
+
+std::vector<TeamLoad> oneLargeNineSmall(TeamLoad large, TeamLoad small)
+{
+    std::vector<TeamLoad> teams(10, small);
+    teams.front() = large;
+    return teams;
+}
+
+}
+
+TEST_CASE("Under saturation each team gets its share of tokens within 10 %, whatever the others send", "[dispatch]")
+{
+    auto load = GENERATE(values<FairnessCase>({
+        { "one large team floods", oneLargeNineSmall({ 1, 200, 200 }, { 1, 12, 200 }) },
+        { "the large team has long answers", oneLargeNineSmall({ 1, 200, 1500 }, { 1, 12, 80 }) },
+        { "the large team has short answers", oneLargeNineSmall({ 1, 200, 20 }, { 1, 12, 400 }) },
+        { "the large team has three shares", oneLargeNineSmall({ 3, 200, 200 }, { 1, 12, 200 }) },
+    }));
+    auto seed = GENERATE(1U, 2U, 3U);
+    INFO(load.name << ", seed " << seed);
+    DispatchRun run;
+    SeededRandom random(seed);
+    run.addUpstream("u1");
+    run.chooser.slots = 20;
+    std::map<TicketId, std::size_t> teamOf;
+    std::vector<std::size_t> waiting(load.teams.size());
+    std::vector<double> tokens(load.teams.size());
+    double total = 0;
+    double shares = 0;
+    for (std::size_t team = 0; team < load.teams.size(); ++team) {
+        run.addTeam("t" + std::to_string(team), load.teams[team].share);
+        shares += load.teams[team].share;
+    }
+    run.tokensOf = [&](TicketId ticket) {
+        auto team = teamOf.at(ticket);
+        --waiting[team];
+        return 1 + static_cast<std::uint64_t>(-std::log(1 - random.unit()) * static_cast<double>(load.teams[team].meanTokens));
+    };
+    run.onEnd = [&](TicketId ticket, std::uint64_t count, PlacementOutcome) {
+        // The first minute is left out because reservations have no history yet.
+        if (run.clock.now() > TimePoint(seconds(60))) {
+            tokens[teamOf.at(ticket)] += static_cast<double>(count);
+            total += static_cast<double>(count);
+        }
+    };
+    while (run.clock.now() < TimePoint(seconds(900))) {
+        for (std::size_t team = 0; team < load.teams.size(); ++team) {
+            while (waiting[team] < load.teams[team].backlog) {
+                auto ticket = run.core->submit(run.item("t" + std::to_string(team), "plan", seconds(100000)));
+                teamOf[ticket] = team;
+                ++waiting[team];
+                run.collect();
+                run.startPlaced();
+            }
+        }
+        run.advance(milliseconds(20));
+    }
+    for (std::size_t team = 0; team < load.teams.size(); ++team) {
+        INFO("team " << team << " got " << tokens[team] << " of " << total);
+        auto fair = load.teams[team].share / shares;
+        CHECK(tokens[team] / total == Approx(fair).epsilon(0.1));
+    }
+}
+
+TEST_CASE("A verdict goes before a plan, yet a stream of verdicts doesn't starve the plan", "[dispatch]")
+{
+    auto planTeam = GENERATE(values<std::string>({ "red", "blue" }));
+    auto isRetried = GENERATE(false, true);
+    DispatchRun run;
+    run.addUpstream("u1");
+    run.chooser.slots = 4;
+    run.chooser.costs[WorkClassId("plan")] = 4;
+    run.tokensOf = [](TicketId) { return 100; };
+    auto plan = TicketId();
+    std::size_t verdictsBeforePlan = 0;
+    // The verdicts alone are more than the upstream can do: 10/s of 0.5 s on 4 places.
+    for (int step = 0; step < 700; ++step) {
+        run.submit(run.item("red", "verdict", seconds(5)));
+        if (step == 20) {
+            auto item = run.item(planTeam, "plan", seconds(60));
+            if (isRetried) {
+                item.excluded.emplace_back("u9");
+            }
+            plan = run.admit(item);
+        }
+        run.advance(milliseconds(100));
+        verdictsBeforePlan += step > 20 && run.placed.count(plan) == 0 ? 1 : 0;
+    }
+    CHECK(run.refused.count(plan) == 0);
+    REQUIRE(run.placed.count(plan) == 1);
+    // It is due after half of its 60 s; until then verdicts go first.
+    CHECK(verdictsBeforePlan >= 290);
+    CHECK(verdictsBeforePlan <= 350);
+}
+
+TEST_CASE("When every upstream fails, retries stay within the budget and the breakers keep work away", "[dispatch]")
+{
+    auto outcome = GENERATE(PlacementOutcome::Failed, PlacementOutcome::Refused, PlacementOutcome::ConnectionFailed);
+    DispatchRun run;
+    run.chooser.slots = 100;
+    for (auto id : { "u1", "u2", "u3" }) {
+        run.addUpstream(id);
+        run.credits.available[UpstreamId(id)] = 1000000;
+    }
+    run.outcomeOf = [outcome](const Placement &) { return outcome; };
+    run.tokensOf = [](TicketId) { return 1; };
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t attempts = 0;
+    std::vector<TicketId> failed;
+    std::size_t refusedBefore = 0;
+    run.onEnd = [&](TicketId ticket, std::uint64_t, PlacementOutcome) {
+        ++attempts;
+        failed.push_back(ticket);
+    };
+    auto count = [&](const WorkItem &item, std::uint64_t &admitted) { admitted += std::holds_alternative<TicketId>(run.submit(item)) ? 1 : 0; };
+    for (int step = 0; step < 6000; ++step) {
+        count(run.item("red", "verdict", seconds(1)), requests);
+        // Every caller whose request failed or was refused comes back twice at once.
+        auto storm = 2 * (failed.size() + run.refused.size() - refusedBefore);
+        refusedBefore = run.refused.size();
+        for (auto index = storm; index > 0; --index) {
+            auto item = run.item("red", "verdict", seconds(1));
+            item.isRetry = true;
+            count(item, retries);
+        }
+        failed.clear();
+        run.advance(milliseconds(10));
+    }
+    CHECK(retries > requests / 20);
+    CHECK(static_cast<double>(retries) <= 0.1 * static_cast<double>(requests) + 3.0 * 6);
+    // A minute has six windows. Each breaker opens after 5 failures; each of its probes then follows a pause of at least half a second.
+    constexpr std::uint64_t attemptsPerUpstream = 5 + 2 * 60;
+    CHECK(attempts <= 3 * attemptsPerUpstream);
+}
+
+TEST_CASE("One failing upstream beside a good one costs few retries, because its breaker opens", "[dispatch]")
+{
+    DispatchRun run;
+    run.chooser.slots = 100;
+    run.addUpstream("bad");
+    run.addUpstream("good");
+    run.outcomeOf = [](const Placement &placement) { return placement.upstream == UpstreamId("bad") ? PlacementOutcome::Failed : PlacementOutcome::Completed; };
+    std::uint64_t failures = 0;
+    run.onEnd = [&failures](TicketId, std::uint64_t, PlacementOutcome outcome) { failures += outcome == PlacementOutcome::Failed ? 1 : 0; };
+    run.tokensOf = [](TicketId) { return 10; };
+    for (int step = 0; step < 6000; ++step) {
+        run.admit(run.item("red", "verdict", seconds(1)));
+        run.advance(milliseconds(10));
+    }
+    // Five requests may be under way when the fifth failure opens the breaker; then one probe per pause of half a second or more.
+    CHECK(failures <= 5 + 5 + 120);
+    CHECK(run.refused.empty());
+    // Once the upstream works again, it is used again after the longest pause.
+    run.outcomeOf = [](const Placement &) { return PlacementOutcome::Completed; };
+    std::uint64_t onBad = 0;
+    for (int step = 0; step < 7000; ++step) {
+        auto ticket = run.admit(run.item("red", "verdict", seconds(1)));
+        run.advance(milliseconds(10));
+        onBad += step > 6200 && run.placed.at(ticket).upstream == UpstreamId("bad") ? 1 : 0;
+    }
+    CHECK(onBad > 700);
+}
