--- a/Libraries/LibDispatch/DispatchCore.cpp
+++ b/Libraries/LibDispatch/DispatchCore.cpp
@@ -35,6 +35,7 @@
     , retries(this->settings.retryShare, this->settings.retryFloor, this->settings.retryWindow)
     , placements(counters.counter("lovageward_placements_total"))
     , retriesAdmitted(counters.counter("lovageward_retries_total"))
+    , withdrawn(counters.counter("lovageward_requests_withdrawn_total"))
     , queueLength(counters.counter("lovageward_queue_length"))
     , runningCount(counters.counter("lovageward_running_placements"))
 {
@@ -78,6 +79,7 @@
 void DispatchCore::cancel(TicketId ticket)
 {
     if (this->waitingWork.contains(ticket)) {
+        this->withdrawn.add();
         this->refuse(ticket, ResultCode::DeadlineExceeded, "the caller withdrew the request", Duration(0));
     }
 }
--- a/Libraries/LibDispatch/DispatchCore.h
+++ b/Libraries/LibDispatch/DispatchCore.h
@@ -138,6 +138,7 @@
     bool isIsolated = false;
     Counter &placements;
     Counter &retriesAdmitted;
+    Counter &withdrawn;
     Counter &queueLength;
     Counter &runningCount;
 };
--- a/Tests/LibDispatch/FakeChooser.h
+++ b/Tests/LibDispatch/FakeChooser.h
@@ -53,8 +53,8 @@
     std::uint32_t slots = 1;
     /** Slots that a request of a class takes; 1 for classes that aren't listed. */
     std::map<WorkClassId, std::uint32_t> costs;
-    /** Simulates a chooser whose copy of the table is older than a drain. */
-    bool ignoresLeaving = false;
+    /** Simulates a chooser whose copy of the table is old, in which every upstream is warm. */
+    bool isStale = false;
     std::map<UpstreamId, std::uint32_t> used;
 
 private:
@@ -66,7 +66,7 @@
                 if (!this->isUsable(state, request)) {
                     continue;
                 }
-                if (state.report.phase == UpstreamPhase::Warm) {
+                if (this->isStale || state.report.phase == UpstreamPhase::Warm) {
                     return UpstreamChoice { .upstream = state.id, .needsCredit = false };
                 }
                 cold = cold ? cold : UpstreamChoice { .upstream = state.id, .needsCredit = true };
@@ -90,7 +90,7 @@
     bool isUsable(const UpstreamState &state, const PlacementRequest &request)
     {
         auto isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.id) != request.excluded.end();
-        auto isLeaving = state.report.phase == UpstreamPhase::Leaving && !this->ignoresLeaving;
+        auto isLeaving = state.report.phase == UpstreamPhase::Leaving && !this->isStale;
         auto isForeign = request.isOwnRegionOnly && state.region != RegionId("home");
         return !isExcluded && !isLeaving && !isForeign && this->used[state.id] + this->costOf(request) <= this->slots;
     }
--- a/Tests/LibDispatch/TestDispatchCore.cpp
+++ b/Tests/LibDispatch/TestDispatchCore.cpp
@@ -169,7 +169,8 @@
     auto running = fixture.admit(fixture.item("red", "plan"));
     auto waiting = fixture.admit(fixture.item("red", "plan"));
     change(fixture);
-    fixture.chooser.ignoresLeaving = isChooserStale;
+    fixture.chooser.isStale = isChooserStale;
+    fixture.credits.available[UpstreamId("u1")] = 100;
     fixture.release(fixture.placed.at(running).id);
     fixture.step();
     CHECK(fixture.placed.count(waiting) == 0);
@@ -199,6 +200,7 @@
 {
     CoreFixture fixture;
     fixture.chooser.slots = 100;
+    fixture.chooser.isStale = GENERATE(false, true);
     fixture.addUpstream("u1", UpstreamPhase::Cold);
     fixture.credits.available[UpstreamId("u1")] = 3;
     for (int count = 0; count < 10; ++count) {
--- a/Tests/LibDispatch/TestDispatchRuns.cpp
+++ b/Tests/LibDispatch/TestDispatchRuns.cpp
@@ -62,6 +62,8 @@
     /** Requests that the team keeps in the queue. */
     std::size_t backlog;
     std::uint64_t meanTokens;
+    /** One answer in ten is long and the others are short, so that the usual length is wrong for each. */
+    bool isBimodal = false;
 };
 
 struct FairnessCase
@@ -85,6 +87,7 @@
         { "one large team floods", oneLargeNineSmall({ 1, 200, 200 }, { 1, 12, 200 }) },
         { "the large team has long answers", oneLargeNineSmall({ 1, 200, 1500 }, { 1, 12, 80 }) },
         { "the large team has short answers", oneLargeNineSmall({ 1, 200, 20 }, { 1, 12, 400 }) },
+        { "the large team's lengths vary most", oneLargeNineSmall({ 1, 200, 200, true }, { 1, 12, 200 }) },
         { "the large team has three shares", oneLargeNineSmall({ 3, 200, 200 }, { 1, 12, 200 }) },
     }));
     auto seed = GENERATE(1U, 2U, 3U);
@@ -105,7 +108,11 @@
     run.tokensOf = [&](TicketId ticket) {
         auto team = teamOf.at(ticket);
         --waiting[team];
-        return 1 + static_cast<std::uint64_t>(-std::log(1 - random.unit()) * static_cast<double>(load.teams[team].meanTokens));
+        auto mean = load.teams[team].meanTokens;
+        if (load.teams[team].isBimodal) {
+            return random.below(10) == 0 ? 9 * mean : mean / 9;
+        }
+        return 1 + static_cast<std::uint64_t>(-std::log(1 - random.unit()) * static_cast<double>(mean));
     };
     run.onEnd = [&](TicketId ticket, std::uint64_t count, PlacementOutcome) {
         // The first minute is left out because reservations have no history yet.
