--- a/Libraries/LibNode/Routing.cpp
+++ b/Libraries/LibNode/Routing.cpp
@@ -47,7 +47,8 @@
                    sharedState.runner,
                    sharedState.basis.sink,
                    sharedState.basis.counters,
-                   sharedState.basis.settings.host)
+                   sharedState.basis.settings.host,
+                   sharedState.basis.random.next())
     , digestReceiver(sharedState.basis.clock, sharedState.gossip, this->table)
     , coldStartLease(sharedState.leaseLog, sharedState.basis.clock, sharedState.basis.random, sharedState.leaseOwner, LeaseSettings())
     , creditOwner(sharedState.basis.clock, sharedState.basis.random, this->coldStartLease, sharedState.basis.sink, sharedState.basis.counters)
