LibRelay: Keep the generation of a cut caller until it resumes

Cause: a caller whose connection is cut looks like one that gave up, so its generation was cancelled at once and its resume at any node found nothing. Change: the node keeps such a generation for 10 s and then cancels it. A node that resumes it tells the keeper, whose host id the resume token now names, by a StreamTakeOver message; take-overs that come before the loss is noticed, repeated ones and resumes at the same node are covered. Streams that cross regions are metered against the link budget, which nothing called before. Conclusion: a cut caller can resume at any node; an engine runs at most 10 s for a caller that stays away.

--- a/Benchmarks/fleet/CallerLoad.cpp
+++ b/Benchmarks/fleet/CallerLoad.cpp
@@ -108,6 +108,9 @@
         auto &stream = session.receiveResponse(response);
         if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
             // A refused resume is tried again at the next node; a refused start is a refusal.
+            std::string answer;
+            Poco::StreamCopier::copyToString(stream, answer);
+            this->noteRefusal(answer);
             reader.isRefused = reader.lastEventId.empty();
             return;
         }
@@ -120,6 +123,19 @@
     }
 }
 
+void CallerLoad::noteRefusal(const std::string &answer)
+{
+    auto name = between(answer, R"("name":")", R"(")");
+    std::lock_guard<std::mutex> guard(this->mutex);
+    ++this->refusalCounts[name.empty() ? "unnamed" : name];
+}
+
+std::map<std::string, std::uint64_t> CallerLoad::refusals() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->refusalCounts;
+}
+
 void CallerLoad::takeLine(const std::string &line, Reader &reader)
 {
     if (line.rfind("id: ", 0) == 0) {
--- a/Benchmarks/fleet/CallerLoad.h
+++ b/Benchmarks/fleet/CallerLoad.h
@@ -3,6 +3,7 @@
 #include "Fleet.h"
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -51,6 +52,9 @@
     /** Compares the answers to the bookings with what the services executed. Returns the number of broken promises. */
     std::uint64_t countBrokenBookings() const;
 
+    /** Numbers of refused generations by the name of the result code. */
+    std::map<std::string, std::uint64_t> refusals() const;
+
     GenerationCounts generations;
     BookingCounts bookings;
 
@@ -70,6 +74,7 @@
     void runBookings(std::size_t seed);
     void generateOnce(std::size_t &node);
     void streamFrom(std::size_t node, Reader &reader);
+    void noteRefusal(const std::string &answer);
     void takeLine(const std::string &line, Reader &reader);
     void bookOnce(std::size_t &node, const std::string &body);
     BookingState callBooking(std::size_t node, const std::string &body, const std::string &key);
@@ -81,6 +86,7 @@
     std::atomic<std::uint64_t> lastBooking = 0;
     mutable std::mutex mutex;
     std::unordered_map<std::string, BookingState> outcomes;
+    std::map<std::string, std::uint64_t> refusalCounts;
     std::vector<std::thread> threads;
 };
 
--- a/Benchmarks/fleet/main.cpp
+++ b/Benchmarks/fleet/main.cpp
@@ -187,6 +187,9 @@
     row("generations whole", fmt::format("{}", load.generations.whole.load()));
     row("generations whole after a reconnect of the caller", fmt::format("{}", load.generations.resumed.load()));
     row("generations refused", fmt::format("{}", load.generations.refused.load()));
+    for (const auto &[name, count] : load.refusals()) {
+        row("    answers " + name, fmt::format("{}", count));
+    }
     row("generations incomplete", fmt::format("{}", load.generations.incomplete.load()));
     row("tokens twice, out of order or of another generation", fmt::format("{}", load.generations.wrongTokens.load()), "0");
     row("bookings done", fmt::format("{}", load.bookings.done.load()));
--- a/Libraries/LibHttp/CallerServer.h
+++ b/Libraries/LibHttp/CallerServer.h
@@ -11,6 +11,7 @@
 #include <LibHttp/Readiness.h>
 #include <LibRelay/EngineClient.h>
 #include <LibRelay/ServiceClient.h>
+#include <LibRelay/StreamHandover.h>
 
 #include <cstdint>
 #include <memory>
@@ -30,6 +31,7 @@
     ServiceClient &services;
     AtMostOnceCaller &atMostOnce;
     const Readiness &readiness;
+    StreamHandover &handover;
 };
 
 /** HTTP server for callers (docs/design.md, section 8). One pooled thread serves one connection. */
--- a/Libraries/LibHttp/CompletionHandler.cpp
+++ b/Libraries/LibHttp/CompletionHandler.cpp
@@ -37,7 +37,7 @@
     , parser(settings.maximumBodyBytes)
     , tokens(settings.resumeKey)
     , counters(parts.counters)
-    , relayParts { parts.clock, parts.random, parts.logSink, parts.engines, waiter, drain, this->tokens, this->counters }
+    , relayParts { parts.clock, parts.random, parts.logSink, parts.engines, waiter, drain, this->tokens, this->counters, parts.handover }
 {
 }
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -8,6 +8,7 @@
 #include <LibHttp/HttpOrderSender.h>
 #include <LibHttp/HttpServiceClient.h>
 #include <LibNode/NodeUpkeep.h>
+#include <LibNode/PeerStreamHandover.h>
 #include <LibNode/SchedulerOrderDesk.h>
 #include <LibNode/TablePoolView.h>
 #include <LibNode/UniformWeightStore.h>
@@ -20,6 +21,7 @@
 
 constexpr unsigned claimThreads = 4;
 constexpr std::size_t claimHandlers = 6;
+constexpr std::size_t takeOverHandlers = 2;
 constexpr auto claimReportLimit = seconds(5);
 /** Weights of a model of 7 billion parameters with 2 bytes each. */
 constexpr ByteCount typicalWeights(14'000'000'000);
@@ -83,6 +85,7 @@
     ClaimedCallRunner claimedCalls;
     HttpEngineClient engines;
     HttpServiceClient services;
+    PeerStreamHandover handover;
     HttpOrderSender orderSender;
     TablePoolView poolView;
     UniformWeightStore weightStore;
@@ -93,6 +96,7 @@
     AdministrationServer administration;
     std::unique_ptr<TaskThread> upkeepThread;
     std::unique_ptr<TaskThread> orderThread;
+    std::unique_ptr<TaskThread> handoverThread;
 };
 
 Node::Implementation::Implementation(const NodeSettings &settings)
@@ -116,6 +120,7 @@
                    this->basis.counters)
     , engines(this->basis.clock, this->basis.counters)
     , services(this->basis.clock, this->basis.counters)
+    , handover(this->basis.clock, this->shared.transport, this->shared.gossip, this->engines, this->basis.counters)
     , orderSender(this->basis.clock, this->routing.table)
     , poolView(this->routing.table)
     , weightStore(typicalWeights)
@@ -140,7 +145,8 @@
                                   this->engines,
                                   this->services,
                                   this->claimedCalls,
-                                  this->upkeep },
+                                  this->upkeep,
+                                  this->handover },
               callerSettingsOf(this->basis.settings))
     , administration(administrationSettingsOf(this->basis.settings),
                      this->basis.clock,
@@ -155,6 +161,7 @@
 {
     this->shared.router.registerHandler(PeerMessageKind::ClaimRequest, this->claims, claimHandlers);
     this->shared.router.registerHandler(PeerMessageKind::ClaimResult, this->claims, claimHandlers);
+    this->shared.router.registerHandler(PeerMessageKind::StreamTakeOver, this->handover, takeOverHandlers);
 }
 
 void Node::Implementation::start()
@@ -165,6 +172,7 @@
     this->claimedCalls.start();
     this->upkeepThread = std::make_unique<TaskThread>(this->basis.clock, this->basis.sink, "node", this->upkeep);
     this->orderThread = std::make_unique<TaskThread>(this->basis.clock, this->basis.sink, "orders", this->orderTask);
+    this->handoverThread = std::make_unique<TaskThread>(this->basis.clock, this->basis.sink, "relay", this->handover);
     this->callers.start();
     this->basis.logger.info("Listening for callers on {}, for operators on {}.", this->basis.settings.listen, this->basis.settings.administrationListen);
 }
@@ -177,6 +185,7 @@
     auto isComplete = this->callers.stop(deadline);
     this->claimedCalls.stop(this->basis.clock.now() + claimReportLimit);
     this->shared.gossip.leave();
+    this->handoverThread.reset();
     this->orderThread.reset();
     this->upkeepThread.reset();
     this->claims.stop();
--- /dev/null
+++ b/Libraries/LibNode/PeerStreamHandover.cpp
@@ -0,0 +1,118 @@
+#include <LibNode/PeerStreamHandover.h>
+
+#include <LibCore/Error.h>
+#include <LibPeer/MessageReader.h>
+#include <LibPeer/MessageWriter.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr auto period = milliseconds(500);
+/** A caller waits for this at its resume, so it is short; an unreachable keeper is most likely dead. */
+constexpr auto messageTimeout = milliseconds(500);
+constexpr auto cancelTimeout = seconds(2);
+/** Bounds the chain of earlier take-overs that is followed. */
+constexpr int maximumHops = 4;
+
+}
+
+PeerStreamHandover::PeerStreamHandover(const Clock &clock, PeerTransport &transport, const Membership &membership, EngineClient &engines, Counters &counters)
+    : clock(clock)
+    , transport(transport)
+    , membership(membership)
+    , engines(engines)
+    , abandonedStreams(counters.counter("lovageward_streams_abandoned_total"))
+    , takenOverStreams(counters.counter("lovageward_streams_taken_over_total"))
+    , cancelledStreams(counters.counter("lovageward_streams_cancelled_total"))
+    , failedMessages(counters.counter("lovageward_stream_take_overs_failed_total"))
+    , streams(AbandonedStreamLimits())
+{
+}
+
+HostId PeerStreamHandover::keeper() const
+{
+    return this->membership.self().host;
+}
+
+void PeerStreamHandover::abandon(const GenerationTarget &target)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->streams.abandon(target, this->clock.now());
+    this->abandonedStreams.add();
+}
+
+void PeerStreamHandover::takeOver(const HostId &keeperHost, const GenerationId &generation)
+{
+    auto self = this->membership.self().host;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->streams.resumeHere(generation, keeperHost == self, this->clock.now());
+    }
+    std::optional<HostId> next = keeperHost;
+    for (int hop = 0; hop < maximumHops && next && *next != self; ++hop) {
+        next = this->tell(*next, generation);
+    }
+}
+
+std::optional<HostId> PeerStreamHandover::tell(const HostId &host, const GenerationId &generation)
+{
+    auto members = this->membership.liveMembers();
+    auto member = std::find_if(members.begin(), members.end(), [&](const Member &candidate) { return candidate.host == host; });
+    if (member == members.end()) {
+        return std::nullopt;
+    }
+    MessageWriter writer;
+    writer.array(1).text(generation.value());
+    PeerMessage message { PeerMessageKind::StreamTakeOver, this->membership.self().host, writer.encoded() };
+    try {
+        MessageReader answer(this->transport.request(member->peerAddress, message, this->clock.now() + messageTimeout));
+        answer.beginArray(1, 1);
+        HostId previous(answer.text());
+        answer.endArray();
+        return previous.isEmpty() ? std::nullopt : std::optional(previous);
+    } catch (const Error &) {
+        this->failedMessages.add();
+        return std::nullopt;
+    }
+}
+
+std::string PeerStreamHandover::handle(const PeerMessage &message)
+{
+    MessageReader reader(message.payload);
+    reader.beginArray(1, 1);
+    GenerationId generation(reader.text());
+    reader.endArray();
+    std::optional<HostId> previous;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        previous = this->streams.takeOver(generation, message.sender, this->clock.now());
+    }
+    this->takenOverStreams.add();
+    MessageWriter writer;
+    writer.array(1).text(previous ? previous->value() : std::string());
+    return writer.encoded();
+}
+
+TimePoint PeerStreamHandover::step()
+{
+    std::vector<GenerationTarget> due;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        due = this->streams.takeDue(this->clock.now());
+    }
+    for (const auto &target : due) {
+        this->cancelledStreams.add();
+        try {
+            this->engines.cancel(target.address, target.generation, this->clock.now() + cancelTimeout);
+        } catch (const Error &) {
+            // The engine is gone or silent, and the generation with it; it ends by itself at the latest.
+            this->failedMessages.add();
+        }
+    }
+    return this->clock.now() + period;
+}
+
+}
--- a/Libraries/LibPeer/PeerEnvelope.cpp
+++ b/Libraries/LibPeer/PeerEnvelope.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr auto greatestKind = static_cast<std::uint64_t>(PeerMessageKind::ClaimResult);
+constexpr auto greatestKind = static_cast<std::uint64_t>(PeerMessageKind::StreamTakeOver);
 constexpr std::size_t envelopeValues = 3;
 // Leaves room for values that later versions append.
 constexpr std::size_t maximumEnvelopeValues = 16;
@@ -56,6 +56,8 @@
         return "ClaimRequest";
     case PeerMessageKind::ClaimResult:
         return "ClaimResult";
+    case PeerMessageKind::StreamTakeOver:
+        return "StreamTakeOver";
     }
     return "unknown";
 }
--- a/Libraries/LibPeer/PeerTraffic.h
+++ b/Libraries/LibPeer/PeerTraffic.h
@@ -22,7 +22,7 @@
     void count(PeerDirection direction, PeerMessageKind kind, std::size_t bytes);
 
 private:
-    static constexpr std::size_t kinds = static_cast<std::size_t>(PeerMessageKind::ClaimResult) + 1;
+    static constexpr std::size_t kinds = static_cast<std::size_t>(PeerMessageKind::StreamTakeOver) + 1;
 
     struct Series
     {
--- a/Libraries/LibPeer/PeerTransport.h
+++ b/Libraries/LibPeer/PeerTransport.h
@@ -21,6 +21,7 @@
     CreditReturn = 6,
     ClaimRequest = 7,
     ClaimResult = 8,
+    StreamTakeOver = 9,
 };
 
 /** A message between nodes. The payload is the msgpack encoding of the struct that belongs to the kind. */
--- /dev/null
+++ b/Libraries/LibRelay/AbandonedStreams.cpp
@@ -0,0 +1,74 @@
+#include <LibRelay/AbandonedStreams.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+AbandonedStreams::AbandonedStreams(const AbandonedStreamLimits &limits) : limits(limits)
+{
+}
+
+void AbandonedStreams::abandon(const GenerationTarget &target, TimePoint now)
+{
+    if (this->takenOver.contains(target.generation) || this->earlierRelays.erase(target.generation) > 0) {
+        return;
+    }
+    // Beyond the bound the newest generations are cancelled at once, which costs a resume but never memory.
+    auto isFull = this->kept.size() >= this->limits.maximumKept;
+    auto cancelAt = isFull ? now : now + this->limits.resumeTime;
+    this->kept.insert_or_assign(target.generation, Kept { target, cancelAt });
+}
+
+std::optional<HostId> AbandonedStreams::takeOver(const GenerationId &generation, const HostId &byHost, TimePoint now)
+{
+    this->forgetOld(now);
+    this->kept.erase(generation);
+    std::optional<HostId> previous;
+    auto found = this->takenOver.find(generation);
+    if (found != this->takenOver.end()) {
+        previous = found->second.byHost;
+    }
+    this->takenOver.insert_or_assign(generation, TakenOver { byHost, now + this->limits.memory });
+    return previous == byHost ? std::nullopt : previous;
+}
+
+void AbandonedStreams::resumeHere(const GenerationId &generation, bool isOwn, TimePoint now)
+{
+    this->forgetOld(now);
+    auto wasKept = this->kept.erase(generation) > 0;
+    auto wasTakenOver = this->takenOver.erase(generation) > 0;
+    if (isOwn && !wasKept && !wasTakenOver) {
+        this->earlierRelays.insert_or_assign(generation, now + this->limits.memory);
+    }
+}
+
+std::vector<GenerationTarget> AbandonedStreams::takeDue(TimePoint now)
+{
+    std::vector<GenerationTarget> due;
+    std::erase_if(this->kept, [&](const auto &entry) {
+        if (entry.second.cancelAt > now) {
+            return false;
+        }
+        due.push_back(entry.second.target);
+        return true;
+    });
+    return due;
+}
+
+std::size_t AbandonedStreams::size() const
+{
+    return this->kept.size();
+}
+
+void AbandonedStreams::forgetOld(TimePoint now)
+{
+    std::erase_if(this->takenOver, [&](const auto &entry) { return entry.second.forgetAt <= now; });
+    std::erase_if(this->earlierRelays, [&](const auto &entry) { return entry.second <= now; });
+    if (this->takenOver.size() < this->limits.maximumRemembered) {
+        return;
+    }
+    auto isEarlier = [](const auto &left, const auto &right) { return left.second.forgetAt < right.second.forgetAt; };
+    this->takenOver.erase(std::min_element(this->takenOver.begin(), this->takenOver.end(), isEarlier));
+}
+
+}
--- a/Libraries/LibRelay/GenerationFollower.cpp
+++ b/Libraries/LibRelay/GenerationFollower.cpp
@@ -95,6 +95,7 @@
 std::optional<FollowResult> GenerationFollower::accept(const EngineEvent &event)
 {
     this->verify(event);
+    this->payForLink(event);
     return event.kind == EngineEvent::Kind::End ? this->acceptEnd(event) : this->acceptToken(event);
 }
 
@@ -148,6 +149,22 @@
     return this->sink.token(event, ResumeTokenCodec::eventId(this->sealedToken, event.offset));
 }
 
+void GenerationFollower::payForLink(const EngineEvent &event)
+{
+    if (!this->meter) {
+        return;
+    }
+    auto freeAt = this->meter(ByteCount(event.data.size()));
+    auto now = this->parts.clock.now();
+    if (freeAt <= now) {
+        return;
+    }
+    auto end = std::min(freeAt, this->parts.drain.deadline());
+    this->parts.waiter.waitUntil(end);
+    // The wait is ours and must not look like silence of the engine.
+    this->eventDeadline += end - now;
+}
+
 void GenerationFollower::reportProgress()
 {
     if (this->progress) {
--- a/Libraries/LibRelay/GenerationFollower.h
+++ b/Libraries/LibRelay/GenerationFollower.h
@@ -7,9 +7,11 @@
 #include <LibRelay/AnswerSink.h>
 #include <LibRelay/DrainSignal.h>
 #include <LibRelay/EngineClient.h>
+#include <LibRelay/GenerationTarget.h>
 #include <LibRelay/RelayCounters.h>
 #include <LibRelay/RelayLimits.h>
 #include <LibRelay/ResumeToken.h>
+#include <LibRelay/StreamHandover.h>
 #include <LibRelay/Waiter.h>
 
 #include <functional>
@@ -31,18 +33,7 @@
     const DrainSignal &drain;
     const ResumeTokenCodec &tokens;
     RelayCounters &counters;
-};
-
-/** One generation on one engine, and for whom it runs. */
-struct GenerationTarget
-{
-    UpstreamId upstream;
-    /** "IP:port". */
-    std::string address;
-    RequestId request;
-    GenerationId generation;
-    TeamId team;
-    WorkClassId workClass;
+    StreamHandover &handover;
 };
 
 enum class FollowResult {
@@ -78,6 +69,15 @@
         this->progress = std::move(receiver);
     }
 
+    /**
+     * Is called with the bytes of each event and returns the time before which the next one must not be read; for streams that
+     * cross the link between regions.
+     */
+    void meterBy(std::function<TimePoint(ByteCount)> receiver)
+    {
+        this->meter = std::move(receiver);
+    }
+
     /** Follows the generation; `opened` is its connection, or null to open one first. */
     FollowResult follow(std::unique_ptr<EngineStream> opened);
 
@@ -121,6 +121,7 @@
     void verify(const EngineEvent &event);
     bool deliver(const EngineEvent &event);
     void reportProgress();
+    void payForLink(const EngineEvent &event);
 
     /** Opens a new connection. Returns a result when that is given up. */
     std::optional<FollowResult> reconnect();
@@ -137,6 +138,7 @@
     bool startsAtBeginning;
     bool isHeld = false;
     std::function<void(TokenCount)> progress;
+    std::function<TimePoint(ByteCount)> meter;
     Backoff backoff;
     Logger logger;
     std::unique_ptr<EngineStream> stream;
--- a/Libraries/LibRelay/GenerationRelay.cpp
+++ b/Libraries/LibRelay/GenerationRelay.cpp
@@ -82,6 +82,9 @@
     if (task.isHeld) {
         follower.hold();
     }
+    if (placement.isCrossRegion) {
+        follower.meterBy([this](ByteCount bytes) { return this->dispatcher.account(bytes); });
+    }
     follower.reportProgressTo([this, &placement](TokenCount produced) { this->dispatcher.reportProgress(placement.id, produced); });
 
     bool mayHaveStarted = true;
@@ -137,7 +140,7 @@
         return true;
     case FollowResult::CallerGone:
         guard.setOutcome(PlacementOutcome::Cancelled);
-        this->cancel(follower.followed());
+        this->leave(follower);
         this->parts.counters.callerGone.add();
         return true;
     case FollowResult::DrainEnded:
@@ -165,6 +168,7 @@
     if (isHeld) {
         follower.hold();
     }
+    this->parts.handover.takeOver(token.keeper, token.generation);
     auto result = follower.follow(nullptr);
     this->runState = follower.hasReceived() ? RunState::Ran : this->runState;
     switch (result) {
@@ -173,7 +177,7 @@
         this->parts.counters.completed.add();
         return;
     case FollowResult::CallerGone:
-        this->cancel(target);
+        this->parts.handover.abandon(target);
         this->parts.counters.callerGone.add();
         return;
     case FollowResult::DrainEnded:
@@ -208,6 +212,16 @@
     return !hasDelivered && !isLastAttempt && !isFaultOfRequest(this->lastError->code()) && this->lastError->code() != ResultCode::AnswerIncomplete;
 }
 
+void GenerationRelay::leave(const GenerationFollower &follower)
+{
+    // A caller without any event has no id with which it could resume.
+    if (follower.hasDelivered()) {
+        this->parts.handover.abandon(follower.followed());
+    } else {
+        this->cancel(follower.followed());
+    }
+}
+
 void GenerationRelay::cancel(const GenerationTarget &target)
 {
     try {
@@ -238,6 +252,7 @@
                                      target.request,
                                      target.team,
                                      target.workClass,
+                                     this->parts.handover.keeper(),
                                      this->parts.clock.wallNow() + this->tokenLifetime });
 }
 
--- a/Libraries/LibRelay/GenerationRelay.h
+++ b/Libraries/LibRelay/GenerationRelay.h
@@ -58,6 +58,8 @@
     bool finish(const GenerationFollower &follower, FollowResult result, PlacementGuard &guard);
     PlacementOutcome lossOutcome() const;
     bool mayRestart(bool hasDelivered, bool isLastAttempt) const;
+    /** Ends the work for a caller that is gone: its generation is kept for a while if the caller can resume, and cancelled otherwise. */
+    void leave(const GenerationFollower &follower);
     void cancel(const GenerationTarget &target);
     void fail(const Error &error, const GenerationFollower *follower);
     void noteFailure(const Error &error);
--- a/Libraries/LibRelay/ResumeToken.cpp
+++ b/Libraries/LibRelay/ResumeToken.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr char formatVersion = 1;
+constexpr char formatVersion = 2;
 constexpr std::size_t signatureBytes = 32;
 constexpr std::size_t maximumTokenBytes = 2048;
 constexpr std::string_view nothingDelivered = "none";
@@ -107,6 +107,7 @@
     appendField(content, token.request.value());
     appendField(content, token.team.value());
     appendField(content, token.workClass.value());
+    appendField(content, token.keeper.value());
     appendField(content, std::to_string(toMilliseconds(token.expiresAt)));
     return encode(content + this->signature(content));
 }
@@ -139,6 +140,7 @@
     token.request = RequestId(takeField(rest));
     token.team = TeamId(takeField(rest));
     token.workClass = WorkClassId(takeField(rest));
+    token.keeper = HostId(takeField(rest));
     std::int64_t expiry = 0;
     if (!parseNumber(takeField(rest), expiry) || !rest.empty()) {
         refuse("the resume token is malformed");
--- a/Libraries/LibRelay/ResumeToken.h
+++ b/Libraries/LibRelay/ResumeToken.h
@@ -19,6 +19,8 @@
     RequestId request;
     TeamId team;
     WorkClassId workClass;
+    /** Node that cancels the generation if its caller stays away, and has to be told of a resume. */
+    HostId keeper;
     WallTime expiresAt;
 };
 
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -134,6 +134,33 @@
     }
 };
 
+/** Notes what becomes of streams whose callers are gone. */
+class RecordingHandover final : public StreamHandover
+{
+public:
+    explicit RecordingHandover(RelayScene &scene) : scene(scene)
+    {
+    }
+
+    HostId keeper() const override
+    {
+        return HostId("self");
+    }
+
+    void abandon(const GenerationTarget &target) override
+    {
+        this->scene.trace.push_back("abandon:" + target.address);
+    }
+
+    void takeOver(const HostId &keeperHost, const GenerationId & /*generation*/) override
+    {
+        this->scene.trace.push_back("takeover:" + keeperHost.value());
+    }
+
+private:
+    RelayScene &scene;
+};
+
 /** A relay with scripted engines. */
 struct RelayFixture
 {
@@ -146,7 +173,8 @@
 
     GenerationRelay relay()
     {
-        RelayParts parts { this->scene.clock, this->random, this->log, this->engine, this->waiter, this->scene.drain, this->codec, this->counters };
+        RelayParts parts { this->scene.clock, this->random, this->log,      this->engine,  this->waiter,
+                           this->scene.drain, this->codec,  this->counters, this->handover };
         return { parts, this->dispatcher, this->limits, minutes(10), this->sink };
     }
 
@@ -160,6 +188,7 @@
     RelayCounters counters { this->registry };
     FakeDispatcher dispatcher { this->scene };
     RecordingSink sink { this->scene };
+    RecordingHandover handover { this->scene };
     RelayLimits limits;
     RelayTask task;
 };
--- a/Tests/LibRelay/TestResumeToken.cpp
+++ b/Tests/LibRelay/TestResumeToken.cpp
@@ -10,8 +10,14 @@
 
 ResumeToken sampleToken(WallTime now)
 {
-    return { UpstreamId("kare-writer-3"), "10.1.2.3:8000", GenerationId("0123456789abcdef0123456789abcdef"), RequestId("fedcba9876543210"), TeamId("ege-düğün"),
-             WorkClassId("album-story"),  now + minutes(1) };
+    return { UpstreamId("kare-writer-3"),
+             "10.1.2.3:8000",
+             GenerationId("0123456789abcdef0123456789abcdef"),
+             RequestId("fedcba9876543210"),
+             TeamId("ege-düğün"),
+             WorkClassId("album-story"),
+             HostId("node-7"),
+             now + minutes(1) };
 }
 
 ResultCode codeOf(const ResumeTokenCodec &codec, const std::string &eventId, WallTime now)
@@ -41,6 +47,7 @@
     CHECK(point.token.request == token.request);
     CHECK(point.token.team == token.team);
     CHECK(point.token.workClass == token.workClass);
+    CHECK(point.token.keeper == token.keeper);
     CHECK(point.token.expiresAt == token.expiresAt);
 }
 
