LibNode: Stay unready until the host list has shown an upstream

Cause: in the fleet bench a node that restarted while the platform was down was ready with an empty upstream table and refused 119 requests with NoCapacity, and answered valid keys with Unauthenticated before it had read the configuration. Change: the node is NodeStarting until it has seen an upstream, and readiness is checked before the key. Conclusion: such a node gets no requests from the balancer, and its refusals are true.

--- a/Benchmarks/fleet/CallerLoad.cpp
+++ b/Benchmarks/fleet/CallerLoad.cpp
@@ -35,8 +35,8 @@
 
 }
 
-CallerLoad::CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer)
-    : fleet(fleet), tokensPerAnswer(tokensPerAnswer)
+CallerLoad::CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer, std::uint64_t cutEvery)
+ : fleet(fleet), tokensPerAnswer(tokensPerAnswer), cutEvery(cutEvery)
 {
     for (std::size_t index = 0; index < generationThreads; ++index) {
         this->threads.emplace_back([this, index] { this->runGenerations(index); });
@@ -71,6 +71,9 @@
 void CallerLoad::generateOnce(std::size_t &node)
 {
     Reader reader;
+    auto number = ++this->lastGeneration;
+    auto isCut = this->cutEvery > 0 && number % this->cutEvery == 0;
+    reader.cutAfter = isCut ? this->tokensPerAnswer / 3 : 0;
     int connections = 0;
     while (!reader.isWhole && !reader.isRefused && !reader.isIncomplete && connections <= maximumReconnects) {
         node = this->nextNode(node);
@@ -117,6 +120,11 @@
         std::string line;
         while (!reader.isWhole && std::getline(stream, line)) {
             this->takeLine(line, reader);
+            if (reader.cutAfter > 0 && reader.received >= reader.cutAfter) {
+                reader.cutAfter = 0;
+                ++this->generations.cut;
+                return;
+            }
         }
     } catch (const Poco::Exception &) {
         // The node is gone; the next connection resumes.
--- a/Benchmarks/fleet/CallerLoad.h
+++ b/Benchmarks/fleet/CallerLoad.h
@@ -17,6 +17,8 @@
     std::atomic<std::uint64_t> whole = 0;
     /** Whole answers for which the caller had to reconnect. */
     std::atomic<std::uint64_t> resumed = 0;
+    /** Connections that the caller cut on purpose in the middle of an answer. */
+    std::atomic<std::uint64_t> cut = 0;
     std::atomic<std::uint64_t> refused = 0;
     /** Ended by a typed `incomplete` event, or given up on. */
     std::atomic<std::uint64_t> incomplete = 0;
@@ -43,7 +45,8 @@
 class CallerLoad
 {
 public:
-    CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer);
+    /** With `cutEvery`, every so many generations the caller cuts its connection once and resumes at another node. */
+    CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer, std::uint64_t cutEvery);
     ~CallerLoad();
 
     /** Lets running requests end and joins the threads. */
@@ -65,6 +68,8 @@
         std::uint32_t received = 0;
         std::string generation;
         std::string lastEventId;
+        /** Cut the connection after this many tokens; 0 for never. */
+        std::uint32_t cutAfter = 0;
         bool isWhole = false;
         bool isRefused = false;
         bool isIncomplete = false;
@@ -82,8 +87,10 @@
 
     const Fleet &fleet;
     std::uint32_t tokensPerAnswer;
+    std::uint64_t cutEvery;
     std::atomic<bool> isStopping = false;
     std::atomic<std::uint64_t> lastBooking = 0;
+    std::atomic<std::uint64_t> lastGeneration = 0;
     mutable std::mutex mutex;
     std::unordered_map<std::string, BookingState> outcomes;
     std::map<std::string, std::uint64_t> refusalCounts;
--- a/Benchmarks/fleet/main.cpp
+++ b/Benchmarks/fleet/main.cpp
@@ -186,6 +186,7 @@
 {
     row("generations whole", fmt::format("{}", load.generations.whole.load()));
     row("generations whole after a reconnect of the caller", fmt::format("{}", load.generations.resumed.load()));
+    row("connections cut by callers on purpose", fmt::format("{}", load.generations.cut.load()));
     row("generations refused", fmt::format("{}", load.generations.refused.load()));
     for (const auto &[name, count] : load.refusals()) {
         row("    answers " + name, fmt::format("{}", count));
@@ -204,7 +205,7 @@
 /** One stream per node, then SIGTERM to all nodes; every stream must end whole without a reconnect. */
 std::uint64_t measureShutdown(Lovageward::Fleet::Fleet &fleet)
 {
-    CallerLoad load(fleet, 4 * fleet.nodes.size(), 0, 150);
+    CallerLoad load(fleet, 4 * fleet.nodes.size(), 0, 150, 0);
     pause(milliseconds(1500));
     std::vector<std::thread> stops;
     std::thread callers([&] { load.stop(); });
@@ -249,7 +250,7 @@
         reportUsage("idle", idle, usageOf(fleet), fleet.nodes.size(), "<= 3.1");
         std::uint64_t broken = 0;
         {
-            CallerLoad load(fleet, 48, 64, 50);
+            CallerLoad load(fleet, 48, 64, 50, 7);
             pause(seconds(3));
             auto before = usageOf(fleet);
             auto doneBefore = load.bookings.done.load();
--- a/Libraries/LibHttp/CallerRouter.cpp
+++ b/Libraries/LibHttp/CallerRouter.cpp
@@ -97,8 +97,9 @@
         throw Error(ResultCode::NotFound, RunState::NotRun, "no such path: " + path);
     }
     requireMethod(request, "POST");
-    auto team = this->authenticate(request);
+    // A node that hasn't read the configuration knows no keys; it must not answer that a valid key is wrong.
     this->checkReadiness();
+    auto team = this->authenticate(request);
     if (!isService) {
         this->completions.handle(isChat ? CompletionKind::Chat : CompletionKind::Plain, team, request, response);
         return;
--- a/Libraries/LibNode/NodeUpkeep.cpp
+++ b/Libraries/LibNode/NodeUpkeep.cpp
@@ -24,6 +24,9 @@
     auto inRegion = std::count_if(members.begin(), members.end(), [&](const Member &member) { return member.region == ownRegion; });
     this->routing.link.setLiveNodes(static_cast<std::size_t>(inRegion));
     this->routing.chooser.setNodeCount(members.size());
+    if (!this->hasUpstreams) {
+        this->hasUpstreams = !this->routing.table.all().empty();
+    }
     if (shared.config.isReady()) {
         this->noteIsolation(shared.isIsolated());
     }
@@ -35,6 +38,9 @@
     if (!this->routing.shared.config.isReady()) {
         return ReadinessReport { false, ResultCode::NodeStarting, "the configuration hasn't been read yet" };
     }
+    if (!this->hasUpstreams) {
+        return ReadinessReport { false, ResultCode::NodeStarting, "the host list has shown no upstream yet" };
+    }
     if (this->isIsolated) {
         return ReadinessReport { false, ResultCode::NodeIsolated, "neither the log nor any peer is in reach" };
     }
--- a/Libraries/LibNode/NodeUpkeep.h
+++ b/Libraries/LibNode/NodeUpkeep.h
@@ -27,6 +27,8 @@
     Logger logger;
     Counter &isolatedGauge;
     std::atomic<bool> isIsolated = false;
+    /** False until the host list has shown any upstream; before that every request would be refused for lack of capacity. */
+    std::atomic<bool> hasUpstreams = false;
 };
 
 }
