LibDispatch: Deliver decisions after the lock is released

A woken request blocked at once on the dispatcher's mutex, which its waker still held. Each waiting request now has a mutex of its own and decisions are delivered after the dispatcher's is released.

Decisions that follow from releasing an abandoned placement were left until the next call; they are collected at once.

--- a/Libraries/LibDispatch/QueueingDispatcher.cpp
+++ b/Libraries/LibDispatch/QueueingDispatcher.cpp
@@ -57,20 +57,23 @@
 
 Placement QueueingDispatcher::acquire(const WorkItem &item)
 {
-    Waiter waiter;
+    std::vector<Delivery> deliveries;
+    std::shared_ptr<Waiter> waiter;
     std::unique_lock<std::mutex> lock(this->mutex);
     auto ticket = this->core.submit(item);
-    this->waiters.emplace(ticket, &waiter);
-    this->deliver();
-    if (!waiter.result) {
+    auto decision = this->collect(ticket, deliveries);
+    if (!decision) {
+        waiter = std::make_shared<Waiter>();
+        this->waiters.emplace(ticket, waiter);
         this->wakeTicker();
-        this->await(lock, waiter, ticket, item);
     }
     lock.unlock();
-    if (auto *error = std::get_if<Error>(&*waiter.result)) {
-        throw Error(*error);
+    deliver(deliveries);
+    if (decision) {
+        return unwrap(std::move(*decision));
     }
-    return std::get<Placement>(std::move(*waiter.result));
+    this->await(*waiter, ticket, item);
+    return unwrap(std::move(*waiter->result));
 }
 
 void QueueingDispatcher::reportProgress(PlacementId id, TokenCount produced)
@@ -81,16 +84,12 @@
 
 void QueueingDispatcher::release(PlacementId id, PlacementOutcome outcome)
 {
-    std::lock_guard<std::mutex> guard(this->mutex);
-    this->core.release(id, outcome);
-    this->deliver();
+    this->decide([&] { this->core.release(id, outcome); });
 }
 
 void QueueingDispatcher::cancel(const RequestId &request)
 {
-    std::lock_guard<std::mutex> guard(this->mutex);
-    this->core.cancel(request);
-    this->deliver();
+    this->decide([&] { this->core.cancel(request); });
 }
 
 TimePoint QueueingDispatcher::account(ByteCount bytes)
@@ -107,16 +106,12 @@
 
 void QueueingDispatcher::setIsolated(bool newIsIsolated)
 {
-    std::lock_guard<std::mutex> guard(this->mutex);
-    this->core.setIsolated(newIsIsolated);
-    this->deliver();
+    this->decide([&] { this->core.setIsolated(newIsIsolated); });
 }
 
 void QueueingDispatcher::tick()
 {
-    std::lock_guard<std::mutex> guard(this->mutex);
-    this->core.step();
-    this->deliver();
+    this->decide([&] { this->core.step(); });
 }
 
 std::size_t QueueingDispatcher::waiting() const
@@ -131,38 +126,73 @@
     return this->core.running();
 }
 
-void QueueingDispatcher::await(std::unique_lock<std::mutex> &lock, Waiter &waiter, TicketId ticket, const WorkItem &item)
+std::optional<std::variant<Placement, Error>> QueueingDispatcher::collect(std::optional<TicketId> own, std::vector<Delivery> &deliveries)
+{
+    std::optional<std::variant<Placement, Error>> ownResult;
+    auto decisions = this->core.takeDecisions();
+    while (!decisions.empty()) {
+        for (auto &decision : decisions) {
+            auto found = this->waiters.find(decision.ticket);
+            if (found != this->waiters.end()) {
+                deliveries.push_back({ .waiter = std::move(found->second), .result = std::move(decision.result) });
+                this->waiters.erase(found);
+            } else if (own == decision.ticket) {
+                ownResult = std::move(decision.result);
+            } else if (auto *placement = std::get_if<Placement>(&decision.result)) {
+                // An exception ended the call of acquire before it waited; nobody else would release the placement.
+                this->core.release(placement->id, PlacementOutcome::Cancelled);
+            }
+        }
+        decisions = this->core.takeDecisions();
+    }
+    return ownResult;
+}
+
+template<typename Action>
+void QueueingDispatcher::decide(Action action)
+{
+    std::vector<Delivery> deliveries;
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        action();
+        this->collect(std::nullopt, deliveries);
+    }
+    deliver(deliveries);
+}
+
+void QueueingDispatcher::deliver(std::vector<Delivery> &deliveries)
+{
+    for (auto &delivery : deliveries) {
+        {
+            std::lock_guard<std::mutex> guard(delivery.waiter->mutex);
+            delivery.waiter->result = std::move(delivery.result);
+        }
+        delivery.waiter->changed.notify_one();
+    }
+}
+
+Placement QueueingDispatcher::unwrap(std::variant<Placement, Error> result)
+{
+    if (auto *error = std::get_if<Error>(&result)) {
+        throw Error(*error);
+    }
+    return std::get<Placement>(std::move(result));
+}
+
+void QueueingDispatcher::await(Waiter &waiter, TicketId ticket, const WorkItem &item)
 {
     auto isDecided = [&waiter] { return waiter.result.has_value(); };
+    std::unique_lock<std::mutex> lock(waiter.mutex);
     if (!item.isCallerGone) {
         waiter.changed.wait(lock, isDecided);
         return;
     }
     while (!waiter.changed.wait_for(lock, this->callerCheckInterval, isDecided)) {
         lock.unlock();
-        auto isGone = isCallerGone(item);
-        lock.lock();
-        if (isGone) {
-            this->core.cancel(ticket);
-            this->deliver();
+        if (isCallerGone(item)) {
+            this->decide([&] { this->core.cancel(ticket); });
         }
-    }
-}
-
-void QueueingDispatcher::deliver()
-{
-    for (auto &decision : this->core.takeDecisions()) {
-        auto found = this->waiters.find(decision.ticket);
-        if (found == this->waiters.end()) {
-            // An exception ended the call of acquire before it waited; nobody else would release the placement.
-            if (auto *placement = std::get_if<Placement>(&decision.result)) {
-                this->core.release(placement->id, PlacementOutcome::Cancelled);
-            }
-            continue;
-        }
-        found->second->result = std::move(decision.result);
-        found->second->changed.notify_one();
-        this->waiters.erase(found);
+        lock.lock();
     }
 }
 
@@ -191,12 +221,13 @@
         }
         this->tickerWakesAt = this->nextTick();
         this->tickerChanged.wait_for(lock, *this->tickerWakesAt - this->clock.now());
+        lock.unlock();
         try {
-            this->core.step();
-            this->deliver();
+            this->tick();
         } catch (const std::exception &error) {
             this->logger.error("A background pass failed: {}", error.what());
         }
+        lock.lock();
     }
 }
 
--- a/Libraries/LibDispatch/QueueingDispatcher.h
+++ b/Libraries/LibDispatch/QueueingDispatcher.h
@@ -4,20 +4,24 @@
 #include <LibDispatch/Dispatcher.h>
 
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <thread>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace Lovageward {
 
 /**
  * The node's dispatcher: request threads wait in `acquire` on a condition variable of their own, so that a decision wakes only the
  * request that it concerns. One background thread runs while requests wait.
+ * Decisions are delivered after the mutex is released, so that a woken thread doesn't block on it at once.
  *
  * Lock order: the mutex of this class is taken first; under it come the upstream table, credits, configuration, link budget and
  * counters. The chooser is called under it and needs no lock of its own. No I/O happens under it.
+ * The mutex of a waiter is taken with no other lock held.
  */
 class QueueingDispatcher final : public Dispatcher
 {
@@ -58,15 +62,29 @@
     std::size_t running() const;
 
 private:
+    /** Shared by the waiting thread and the one that delivers, so that the delivery may outlast the wait. */
     struct Waiter
     {
+        std::mutex mutex;
         std::condition_variable changed;
         std::optional<std::variant<Placement, Error>> result;
     };
 
+    struct Delivery
+    {
+        std::shared_ptr<Waiter> waiter;
+        std::variant<Placement, Error> result;
+    };
+
+    /** Decision of a ticket that has no waiter yet, if it is there; the others are added to `deliveries`. */
+    std::optional<std::variant<Placement, Error>> collect(std::optional<TicketId> own, std::vector<Delivery> &deliveries);
+    /** Runs an action on the core under the lock and delivers the decisions after it. */
+    template<typename Action>
+    void decide(Action action);
+    static void deliver(std::vector<Delivery> &deliveries);
+    static Placement unwrap(std::variant<Placement, Error> result);
     /** Waits for the decision and withdraws the request once its caller is gone. */
-    void await(std::unique_lock<std::mutex> &lock, Waiter &waiter, TicketId ticket, const WorkItem &item);
-    void deliver();
+    void await(Waiter &waiter, TicketId ticket, const WorkItem &item);
     void wakeTicker();
     TimePoint nextTick() const;
     void runTicker();
@@ -79,7 +97,7 @@
     mutable std::mutex mutex;
     Placer placer;
     DispatchCore core;
-    std::unordered_map<TicketId, Waiter *> waiters;
+    std::unordered_map<TicketId, std::shared_ptr<Waiter>> waiters;
     std::condition_variable tickerChanged;
     /** Time at which the ticker runs next; nothing while it sleeps because no request waits. */
     std::optional<TimePoint> tickerWakesAt;
