LibDispatch: Shorten the wait of requests that no upstream can take

A retry that excludes the only upstream of its pool waited until its queue deadline. It now waits for a new upstream for at most 2 s and is then refused with NoCapacity.

--- a/Libraries/LibDispatch/DispatchCore.cpp
+++ b/Libraries/LibDispatch/DispatchCore.cpp
@@ -45,6 +45,7 @@
 {
     this->checkAcceptsWork();
     auto work = this->resolver.resolve(item, TicketId(this->lastTicket + 1));
+    this->shortenHopeless(work);
     auto entry = work.entry;
     this->checkQueue(entry);
     this->checkBudgets(work, item.isRetry);
@@ -61,7 +62,11 @@
 void DispatchCore::step()
 {
     for (auto ticket : this->queue.expired(this->clock.now())) {
-        this->refuse(ticket, ResultCode::DeadlineExceeded, "no upstream had room before the queue deadline", shortestRetryAfter);
+        if (this->waitingWork.at(ticket).hasNoUpstream) {
+            this->refuse(ticket, ResultCode::NoCapacity, "every upstream that may take the request has failed or left", shortestRetryAfter);
+        } else {
+            this->refuse(ticket, ResultCode::DeadlineExceeded, "no upstream had room before the queue deadline", shortestRetryAfter);
+        }
     }
     for (const auto &resource : this->queue.waitingResources()) {
         if (this->isPassDue(this->resources[resource])) {
@@ -175,6 +180,15 @@
     }
 }
 
+void DispatchCore::shortenHopeless(WaitingWork &work) const
+{
+    // A retry that excludes every upstream can only wait for a new one, and not as long as for room.
+    if (work.entry.isRestricted && this->placer.usableUpstreams(work.placement).empty()) {
+        work.entry.deadline = std::min(work.entry.deadline, this->clock.now() + this->settings.noUpstreamGrace);
+        work.hasNoUpstream = true;
+    }
+}
+
 void DispatchCore::checkQueue(const QueueEntry &entry)
 {
     auto now = this->clock.now();
--- a/Libraries/LibDispatch/DispatchCore.h
+++ b/Libraries/LibDispatch/DispatchCore.h
@@ -100,6 +100,7 @@
     };
 
     void checkAcceptsWork();
+    void shortenHopeless(WaitingWork &work) const;
     void checkQueue(const QueueEntry &entry);
     void checkBudgets(const WaitingWork &work, bool isRetry);
     void enqueue(WaitingWork work);
--- a/Libraries/LibDispatch/WaitingWork.h
+++ b/Libraries/LibDispatch/WaitingWork.h
@@ -19,6 +19,8 @@
     /** Configuration that `placement.pools` comes from. */
     Offset resolvedAt;
     std::uint32_t maximumConcurrent = 0;
+    /** True if on arrival no upstream was left that could take the request; its deadline then comes early. */
+    bool hasNoUpstream = false;
 };
 
 }
--- a/Tests/LibDispatch/TestDispatchCore.cpp
+++ b/Tests/LibDispatch/TestDispatchCore.cpp
@@ -196,6 +196,26 @@
     CHECK(fixture.placed.count(fixture.admit(fixture.item("red", "plan"))) == 1);
 }
 
+TEST_CASE("A retry that excludes every upstream isn't held until its deadline, but gets an upstream that comes soon", "[dispatch]")
+{
+    auto comesNew = GENERATE(false, true);
+    CoreFixture fixture;
+    fixture.addUpstream("u1");
+    auto item = fixture.item("red", "plan", seconds(60));
+    item.excluded = { UpstreamId("u1") };
+    auto retry = fixture.admit(item);
+    fixture.clock.advance(seconds(1));
+    if (comesNew) {
+        fixture.addUpstream("u2");
+    }
+    fixture.step();
+    CHECK(fixture.placed.count(retry) == (comesNew ? 1 : 0));
+    fixture.clock.advance(seconds(1));
+    fixture.step();
+    CHECK(fixture.refused.count(retry) == (comesNew ? 0 : 1));
+    CHECK((comesNew || fixture.refused.at(retry) == ResultCode::NoCapacity));
+}
+
 TEST_CASE("Cold upstreams never get more work than there are credits, and each credit is returned", "[dispatch]")
 {
     CoreFixture fixture;
