LibPolicy: Forecast others' work from arrivals and let aged work in first

Change: other nodes' work develops like the stationary mix of the arrivals of the pool, the upstream with the most room left at its tightest horizon is taken, and work that can wait may fill 92 % of the memory at first and all of it after 60 s, so nodes with old work get in before nodes with young work.

--- a/Benchmarks/policy/Case.cpp
+++ b/Benchmarks/policy/Case.cpp
@@ -58,10 +58,11 @@
     const std::map<std::string, std::function<void(double)>> setters = {
         { "gap", [&settings](double value) { settings.gapDeviations = value; } },
         { "completion", [&settings](double value) { settings.completionDeviations = value; } },
-        { "patient", [&settings](double value) { settings.patientFill = value; } },
+        { "young", [&settings](double value) { settings.youngFill = value; } },
         { "drawn", [&settings](double value) { settings.drawnCandidates = static_cast<std::size_t>(value); } },
         { "affinity", [&settings](double value) { settings.affinityLoad = value; } },
         { "cold", [&settings](double value) { settings.coldChance = value; } },
+        { "aged", [&settings](double value) { settings.agedAfter = Duration(static_cast<std::int64_t>(value * oneSecond)); } },
         { "nodes", [&settings](double value) { settings.nodeCount = static_cast<std::size_t>(value); } },
     };
     std::istringstream stream(text);
--- a/Libraries/LibPolicy/ForecastChooser.cpp
+++ b/Libraries/LibPolicy/ForecastChooser.cpp
@@ -7,23 +7,26 @@
 
 namespace {
 
-/** Work with a completion target above this can wait without missing it. */
-constexpr auto patientTarget = seconds(15);
-/** Waiting for this share of the target makes patient work as urgent as any other, so that it ends in time. */
-constexpr double agedShare = 0.1;
-/** How long one request with a token gap target keeps the pool's stricter bound. */
-constexpr auto gapProtection = seconds(60);
+/** Work that must be complete within this time can't wait for room. */
+constexpr auto shortTarget = seconds(15);
+/** How long one request keeps the bounds that its class asks of the whole pool. */
+constexpr auto classProtection = seconds(60);
 /** Fill that an upstream starts with after it turned warm. */
 constexpr double rampStart = 0.3;
 /** Profiles are computed again after this many tokens, or a share of those produced, which keeps the cost per token low. */
 constexpr std::uint64_t updateTokens = 16;
 constexpr std::uint64_t updateDivisor = 16;
+/** Arrivals that describe the work of a pool. */
+constexpr double arrivalMemory = 300;
+constexpr std::uint32_t usesPerGroupProfile = 16;
+constexpr double blocksPerArrival = 50;
 /** Calls of sample per decision in a pool that is larger than the sample. */
 constexpr int sampleRounds = 2;
 
-bool isPatient(const PlacementRequest &request)
+bool canWait(const PlacementRequest &request)
 {
-    return request.target == TargetKind::Completion && request.targetTime > patientTarget;
+    auto isShort = request.target == TargetKind::FirstToken || (request.target == TargetKind::Completion && request.targetTime <= shortTarget);
+    return !isShort;
 }
 
 }
@@ -61,7 +64,7 @@
 {
     auto &work = this->pools[pool];
     if (request.target == TargetKind::TokenGap) {
-        work.gapProtectedUntil = this->clock.now() + gapProtection;
+        work.gapProtectedUntil = this->clock.now() + classProtection;
     }
     UpstreamSample sample { .pool = pool, .region = this->settings.ownRegion, .isInside = isInside, .limit = this->settings.sampleSize };
     for (int round = 0; round < sampleRounds; ++round) {
@@ -97,7 +100,7 @@
         return;
     }
     auto &site = this->sites[brief.slot];
-    site.forecast.refresh(brief, pool.profile, this->random.unit());
+    site.forecast.refresh(brief, typicalOf(pool), this->random.unit());
     if (brief.phase == UpstreamPhase::Cold) {
         site.wasCold = site.wasCold || brief.hasReport;
         auto outstanding = static_cast<std::uint32_t>(site.forecast.outstanding());
@@ -110,37 +113,36 @@
         site.wasCold = false;
         site.rampEnd = this->clock.now() + this->settings.rampTime;
     }
-    if (!this->admits(request, pool, site, brief, need)) {
+    if (brief.kvBlocksTotal == 0) {
+        // Plain services have no KV memory and queue for themselves.
+        auto pieces = brief.running + brief.waiting + static_cast<std::uint32_t>(site.forecast.outstanding());
+        this->warm.push_back({ .slot = brief.slot, .load = static_cast<double>(pieces) });
         return;
     }
-    auto nodes = static_cast<double>(this->settings.nodeCount);
-    auto pieces = static_cast<double>(brief.running + brief.waiting + static_cast<std::uint32_t>(site.forecast.outstanding()));
-    auto load = brief.kvBlocksTotal > 0 ? site.forecast.load(nodes) : pieces;
-    this->warm.push_back({ .slot = brief.slot, .isAffine = isAffine, .load = load });
+    auto bound = this->boundFor(request, pool, site);
+    auto room = site.forecast.roomAfter(need, bound);
+    if (room) {
+        auto isAffineHere = isAffine && site.forecast.load(bound.nodes) < this->settings.affinityLoad;
+        this->warm.push_back({ .slot = brief.slot, .isAffine = isAffineHere, .load = -*room });
+    }
 }
 
-bool ForecastChooser::admits(const PlacementRequest &request, const PoolWork &pool, Site &site, const UpstreamBrief &brief, const MemoryProfile &need)
+AdmissionBound ForecastChooser::boundFor(const PlacementRequest &request, const PoolWork &pool, const Site &site) const
 {
-    if (brief.kvBlocksTotal == 0) {
-        // Plain services have no KV memory and queue for themselves.
-        return true;
-    }
     auto isGapProtected = this->clock.now() < pool.gapProtectedUntil;
-    AdmissionBound bound { .deviations = isGapProtected ? this->settings.gapDeviations : this->settings.completionDeviations,
-                           .fill = this->fillFor(request, site),
-                           .nodes = static_cast<double>(this->settings.nodeCount) };
-    return site.forecast.admits(need, bound);
+    return { .deviations = isGapProtected ? this->settings.gapDeviations : this->settings.completionDeviations,
+             .fill = this->fillFor(request, site),
+             .nodes = static_cast<double>(this->settings.nodeCount) };
 }
 
 double ForecastChooser::fillFor(const PlacementRequest &request, const Site &site) const
 {
     auto now = this->clock.now();
     double fill = 1;
-    if (isPatient(request)) {
-        auto waited = std::chrono::duration<double>(now - request.arrivedAt).count();
-        auto aged = std::chrono::duration<double>(request.targetTime).count() * agedShare;
-        auto age = std::clamp(waited / aged, 0.0, 1.0);
-        fill = this->settings.patientFill + (1 - this->settings.patientFill) * age;
+    if (canWait(request)) {
+        auto waited = std::chrono::duration<double>(now - request.arrivedAt);
+        auto age = std::clamp(waited / std::chrono::duration<double>(this->settings.agedAfter), 0.0, 1.0);
+        fill = this->settings.youngFill + (1 - this->settings.youngFill) * age;
     }
     if (now < site.rampEnd) {
         auto left = std::chrono::duration<double>(site.rampEnd - now) / std::chrono::duration<double>(this->settings.rampTime);
@@ -156,7 +158,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    if (candidates.front().isAffine && candidates.front().load < this->settings.affinityLoad) {
+    if (candidates.front().isAffine) {
         return this->choiceOf(candidates.front());
     }
     // The least loaded of a few drawn at random: the least loaded of all would be the same on every node.
@@ -184,18 +186,43 @@
     Work work;
     work.slot = this->table.slotOf(upstream).value_or(0);
     work.group = this->lengths.group(request.workClass, request.team);
-    work.pool = request.pools.empty() ? &this->pools[PoolId()] : &this->pools[request.pools.front()];
     work.promptTokens = request.promptTokens;
     this->lengths.started(work.group);
     const auto &curve = this->lengths.curve(work.group);
     work.profile = MemoryProfile::of(curve, static_cast<double>(request.promptTokens.value()), 0, this->settings.tokensPerBlock);
     work.nextUpdate = updateTokens;
-    work.pool->profile += work.profile;
+    this->countArrival(request, work.group);
     this->sites[work.slot].forecast.change({}, work.profile, 1, this->clock.now());
     this->works.emplace(id, work);
     this->pruneSites();
 }
 
+void ForecastChooser::countArrival(const PlacementRequest &request, LengthModel::Group group)
+{
+    if (request.pools.empty()) {
+        return;
+    }
+    auto &cached = this->groupProfiles[group];
+    if (cached.uses++ % usesPerGroupProfile == 0) {
+        const auto &curve = this->lengths.curve(group);
+        cached.profile = MemoryProfile::stationary(curve, static_cast<double>(request.promptTokens.value()), this->settings.tokensPerBlock);
+    }
+    auto &pool = this->pools[request.pools.front()];
+    pool.arrivals *= 1 - 1 / arrivalMemory;
+    pool.arrivals += cached.profile;
+    pool.arrivalCount = pool.arrivalCount * (1 - 1 / arrivalMemory) + 1;
+}
+
+MemoryProfile ForecastChooser::typicalOf(const PoolWork &pool)
+{
+    auto typical = pool.arrivals;
+    if (typical.mean[0] > 0) {
+        // The forecast mixes its assumption for the unknown in with the weight of some ten arrivals.
+        typical *= blocksPerArrival * pool.arrivalCount / typical.mean[0];
+    }
+    return typical;
+}
+
 void ForecastChooser::progressed(PlacementId id, TokenCount produced)
 {
     auto found = this->works.find(id);
@@ -209,8 +236,6 @@
     auto prompt = static_cast<double>(work.promptTokens.value());
     const auto &curve = this->lengths.curve(work.group);
     auto profile = MemoryProfile::of(curve, prompt, static_cast<double>(produced.value()), this->settings.tokensPerBlock);
-    work.pool->profile -= work.profile;
-    work.pool->profile += profile;
     this->sites[work.slot].forecast.change(work.profile, profile, 0, this->clock.now());
     work.profile = profile;
 }
@@ -223,7 +248,6 @@
     }
     auto &work = found->second;
     this->lengths.finished(work.group, work.produced, produced, isComplete);
-    work.pool->profile -= work.profile;
     this->sites[work.slot].forecast.change(work.profile, {}, -1, this->clock.now());
     this->works.erase(found);
 }
--- a/Libraries/LibPolicy/ForecastChooser.h
+++ b/Libraries/LibPolicy/ForecastChooser.h
@@ -42,19 +42,29 @@
         TimePoint rampEnd;
     };
 
-    /** Sums over this node's work in one pool. */
+    /** The work of one pool, learned from what arrives at this node. */
     struct PoolWork
     {
-        MemoryProfile profile;
+        /**
+         * Fading sum of the stationary profiles of arrivals. The work that runs here now would mislead: on a node that gets
+         * no room only the longest work is left, which makes the forecast worse and keeps the node without room.
+         */
+        MemoryProfile arrivals;
+        double arrivalCount = 0;
         /** Time until which the pool counts as having work that protects the gap between tokens. */
         TimePoint gapProtectedUntil;
     };
 
+    struct GroupProfile
+    {
+        MemoryProfile profile;
+        std::uint32_t uses = 0;
+    };
+
     struct Work
     {
         std::uint32_t slot = 0;
         LengthModel::Group group = 0;
-        PoolWork *pool = nullptr;
         TokenCount promptTokens;
         TokenCount produced;
         /** Produced tokens from which on the profile is computed again. */
@@ -66,16 +76,20 @@
     {
         std::uint32_t slot = 0;
         bool isCold = false;
+        /** True if the prompt's beginning is probably cached there and it isn't crowded. */
         bool isAffine = false;
+        /** The lowest is chosen. */
         double load = 0;
     };
 
     void collect(const PlacementRequest &request, const PoolId &pool, bool isInside, const MemoryProfile &need);
     void consider(const PlacementRequest &request, PoolWork &pool, const UpstreamBrief &brief, bool isAffine, const MemoryProfile &need);
-    bool admits(const PlacementRequest &request, const PoolWork &pool, Site &site, const UpstreamBrief &brief, const MemoryProfile &need);
+    AdmissionBound boundFor(const PlacementRequest &request, const PoolWork &pool, const Site &site) const;
     void keepTeamSubset(const PlacementRequest &request);
     std::optional<UpstreamChoice> pick();
     std::optional<UpstreamChoice> choiceOf(const Candidate &candidate) const;
+    void countArrival(const PlacementRequest &request, LengthModel::Group group);
+    static MemoryProfile typicalOf(const PoolWork &pool);
     double fillFor(const PlacementRequest &request, const Site &site) const;
     void pruneSites();
 
@@ -86,6 +100,8 @@
     LengthModel lengths;
     std::unordered_map<std::uint32_t, Site> sites;
     std::unordered_map<PoolId, PoolWork> pools;
+    /** Stationary profile per group, computed anew after some starts. */
+    std::unordered_map<LengthModel::Group, GroupProfile> groupProfiles;
     std::unordered_map<PlacementId, Work> works;
     /** Kept between calls only to save allocations. */
     std::vector<UpstreamBrief> briefs;
--- a/Libraries/LibPolicy/MemoryForecast.cpp
+++ b/Libraries/LibPolicy/MemoryForecast.cpp
@@ -11,6 +11,8 @@
 constexpr auto snapshotSpacing = milliseconds(300);
 /** Blocks of own work below which it says little about the others' work; a flat development is mixed in with this weight. */
 constexpr double typicalWeight = 500;
+/** Standard deviation of others' memory, as a share, while this node has no work to compare with. */
+constexpr double unknownDeviation = 0.05;
 
 }
 
@@ -61,16 +63,22 @@
     auto foreign = std::max(0.0, used - this->ownAtReport.mean[0]);
     // Work that waits at the engine holds no memory yet, but will hold about as much as what runs.
     auto perPiece = used / std::max(1U, brief.running);
-    foreign += perPiece * brief.waiting;
+    this->estimateOthers(foreign + perPiece * brief.waiting, typical);
+}
+
+void MemoryForecast::estimateOthers(double blocks, const MemoryProfile &typical)
+{
+    auto typicalBlocks = typical.mean[0] + typicalWeight;
+    auto unknown = unknownDeviation * blocks * typicalWeight / typicalBlocks;
     for (std::size_t index = 0; index < MemoryProfile::horizonCount; ++index) {
-        auto scale = foreign / (typical.mean[0] + typicalWeight);
-        this->others.mean[index] = scale * (typical.mean[index] + typicalWeight);
-        this->others.variance[index] = scale * typical.variance[index];
+        this->others.mean[index] = blocks * (typical.mean[index] + typicalWeight) / typicalBlocks;
+        this->others.variance[index] = typical.variance[index] * blocks / typicalBlocks + unknown * unknown;
     }
 }
 
-bool MemoryForecast::admits(const MemoryProfile &need, const AdmissionBound &bound) const
+std::optional<double> MemoryForecast::roomAfter(const MemoryProfile &need, const AdmissionBound &bound) const
 {
+    auto smallest = this->totalBlocks;
     for (std::size_t index = 0; index < MemoryProfile::horizonCount; ++index) {
         auto variance = this->own.variance[index] + this->others.variance[index] + need.variance[index];
         auto margin = bound.deviations * std::sqrt(std::max(0.0, variance));
@@ -81,10 +89,11 @@
         // The draw rounds a share of less than one piece of work up or down at random, once per report, so that all nodes
         // together use the room once.
         if (sent + need.mean[index] > share + this->draw * need.mean[index]) {
-            return false;
+            return std::nullopt;
         }
+        smallest = std::min(smallest, room - sent * bound.nodes - need.mean[index]);
     }
-    return true;
+    return smallest / std::max(1.0, this->totalBlocks);
 }
 
 double MemoryForecast::load(double nodes) const
--- a/Libraries/LibPolicy/MemoryForecast.h
+++ b/Libraries/LibPolicy/MemoryForecast.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace Lovageward {
 
@@ -33,13 +34,16 @@
     void change(const MemoryProfile &removed, const MemoryProfile &added, int countChange, TimePoint now);
 
     /**
-     * Takes a report into account if it is new. `typical` is the summed profile of this node's work in the pool; other
-     * nodes' work is assumed to develop like it. `draw` is uniform in [0, 1).
+     * Takes a report into account if it is new. `typical` is the profile of work as it arrives in the pool; other nodes' work
+     * is assumed to develop and vary like it. `draw` is uniform in [0, 1).
      */
     void refresh(const UpstreamBrief &brief, const MemoryProfile &typical, double draw);
 
-    /** True if the work fits at every horizon. */
-    bool admits(const MemoryProfile &need, const AdmissionBound &bound) const;
+    /**
+     * Room that is left for this node after the work was placed, at the horizon where it is smallest, as a share of the
+     * memory. Nothing if the work doesn't fit.
+     */
+    std::optional<double> roomAfter(const MemoryProfile &need, const AdmissionBound &bound) const;
 
     /** Expected share of the memory in use now, with the other nodes' unreported work; 1 is full. */
     double load(double nodes) const;
@@ -55,6 +59,7 @@
         std::array<double, MemoryProfile::horizonCount> mean {};
     };
 
+    void estimateOthers(double blocks, const MemoryProfile &typical);
     void remember(TimePoint now);
     Snapshot ownAt(TimePoint time) const;
 
--- a/Libraries/LibPolicy/MemoryProfile.h
+++ b/Libraries/LibPolicy/MemoryProfile.h
@@ -17,12 +17,18 @@
     static constexpr std::array<double, 8> horizons { 0, 64, 256, 512, 1024, 2048, 4096, 8192 };
     static constexpr std::size_t horizonCount = horizons.size();
 
+    /** Pieces of work that still run. */
+    std::array<double, horizonCount> alive {};
     std::array<double, horizonCount> mean {};
     std::array<double, horizonCount> variance {};
 
     /** Profile of one piece of work with the given prompt and produced tokens. */
     static MemoryProfile of(const LengthCurve &curve, double promptTokens, double produced, double tokensPerBlock);
 
+    /** Summed profile of work of this kind at a random time: each age counts as long as work stays in it. */
+    static MemoryProfile stationary(const LengthCurve &curve, double promptTokens, double tokensPerBlock);
+
+    MemoryProfile &operator*=(double factor);
     MemoryProfile &operator+=(const MemoryProfile &other);
     MemoryProfile &operator-=(const MemoryProfile &other);
 };
--- a/Tests/LibPolicy/TestChoosers.cpp
+++ b/Tests/LibPolicy/TestChoosers.cpp
@@ -164,7 +164,7 @@
 
 TEST_CASE("Equal prompts go to one engine only while it isn't crowded", "[policy]")
 {
-    for (auto used : { 1000U, 9000U }) {
+    for (auto used : { 1000U, 8000U }) {
         Fixture fixture({ { .id = "one", .used = used }, { .id = "two", .used = used }, { .id = "three", .used = used } });
         auto chooser = std::move(fixture.choosers().front());
         std::set<UpstreamId> seen;
@@ -191,7 +191,7 @@
 
 TEST_CASE("Long work that has waited gets the room that is kept from it at first", "[policy]")
 {
-    Fixture fixture({ { .id = "one", .used = 9750 } });
+    Fixture fixture({ { .id = "one", .used = 8870 } });
     auto chooser = std::move(fixture.choosers().front());
     auto wanted = request(fixture.clock.now());
     wanted.targetTime = seconds(600);
--- a/Tests/LibPolicy/TestMemoryForecast.cpp
+++ b/Tests/LibPolicy/TestMemoryForecast.cpp
@@ -33,7 +33,7 @@
 int admitted(MemoryForecast &forecast, const AdmissionBound &bound)
 {
     int count = 0;
-    for (; forecast.admits(flat(50), bound) && count < 100; ++count) {
+    for (; forecast.roomAfter(flat(50), bound) && count < 100; ++count) {
         forecast.change({}, flat(50), 1, start + seconds(1));
     }
     return count;
@@ -95,5 +95,5 @@
         forecast.change({}, young, 1, start);
     }
     forecast.refresh(report(start, 84), {}, 0);
-    CHECK_FALSE(forecast.admits(young, {}));
+    CHECK_FALSE(forecast.roomAfter(young, {}));
 }
