--- a/Benchmarks/policy/Case.h
+++ b/Benchmarks/policy/Case.h
@@ -29,15 +29,6 @@
 /** All disturbances that are compared, without the reference. */
 std::vector<Disturbance> allDisturbances();
 
-struct Case
-{
-    const Deployment *deployment = nullptr;
-    Disturbance disturbance = Disturbance::Calm;
-    /** Share of the capacity. */
-    double load = 1;
-    std::uint64_t seed = 1;
-};
-
 /** Phases of a run. */
 struct Timetable
 {
@@ -50,6 +41,16 @@
     Micros end = 965 * oneSecond;
 };
 
+struct Case
+{
+    const Deployment *deployment = nullptr;
+    Disturbance disturbance = Disturbance::Calm;
+    /** Share of the capacity. */
+    double load = 1;
+    std::uint64_t seed = 1;
+    Timetable timetable = {};
+};
+
 /** Names of the policies; the first ones are baselines. */
 std::vector<std::string> allPolicies();
 bool isBaseline(const std::string &policy);
--- a/Benchmarks/policy/Run.cpp
+++ b/Benchmarks/policy/Run.cpp
@@ -25,7 +25,7 @@
 
 }
 
-Run::Run(const Case &setup, const std::string &policy, double capacity) : setup(setup), deployment(*setup.deployment)
+Run::Run(const Case &setup, const std::string &policy, double capacity) : setup(setup), deployment(*setup.deployment), timetable(setup.timetable)
 {
     Burst burst;
     if (setup.disturbance == Disturbance::TeamBurst) {
--- a/Benchmarks/policy/Run.h
+++ b/Benchmarks/policy/Run.h
@@ -76,7 +76,7 @@
 
     Case setup;
     const Deployment &deployment;
-    Timetable timetable;
+    const Timetable timetable;
     ManualClock clock;
     Micros now = 0;
     std::vector<Arrival> arrivals;
