LibClaims, LibLease: Bound the keys of a node and document the parts

Cause: the bounds per partition allowed 209 MB of keys on a node that owns all partitions, above the budget of 128 MB. Change: 65,536 keys per node and 256 KiB of answers per partition; a lease holder refuses a term that readers don't look back for.

--- a/Libraries/LibClaims/ClaimOwner.cpp
+++ b/Libraries/LibClaims/ClaimOwner.cpp
@@ -90,6 +90,15 @@
     return ReportState::Pending;
 }
 
+void ClaimOwner::setAdmitting(bool admitting)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->isAdmitting = admitting;
+    if (!admitting) {
+        this->table.forget(this->reachedLogTime());
+    }
+}
+
 bool ClaimOwner::hasWork() const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -154,7 +163,7 @@
     if (this->table.size() >= this->settings.maximumKeys) {
         this->table.forget(this->reachedLogTime());
     }
-    if (this->pendings.size() >= this->settings.maximumPending || this->table.size() >= this->settings.maximumKeys) {
+    if (!this->isAdmitting || this->pendings.size() >= this->settings.maximumPending || this->table.size() >= this->settings.maximumKeys) {
         return refusal(ResultCode::ClaimRefused);
     }
     if (request.remaining <= Duration(0)) {
--- a/Libraries/LibClaims/ClaimOwner.h
+++ b/Libraries/LibClaims/ClaimOwner.h
@@ -30,12 +30,14 @@
     /** Bounds per partition. Keys beyond them are refused; answers beyond them are recorded by their status only. */
     std::size_t maximumPending = 512;
     std::size_t maximumKeys = 8192;
-    std::size_t maximumAnswerBytes = 512 * kibibyte;
+    std::size_t maximumAnswerBytes = 256 * kibibyte;
     std::size_t maximumReportBytes = 256 * kibibyte;
     /** Answers above this size are recorded by their status only. */
     std::size_t maximumAnswerSize = 16 * kibibyte;
     std::size_t maximumBatchEntries = 256;
     std::size_t maximumBatchBytes = 128 * kibibyte;
+    /** Keys over all partitions of a node; checked once a second. */
+    std::size_t maximumKeysPerNode = 65536;
     /** Requests that wait in the service at a time; others are answered at once and ask again. */
     unsigned maximumWaiters = 8;
     /** Attempts that were reported on and are remembered to refuse their late requests. */
@@ -83,6 +85,9 @@
     /** Makes one round if one is due. Returns the time at which to call again; TimePoint::max() if nothing waits. */
     TimePoint step();
 
+    /** False refuses new claims, because the node remembers too many keys. */
+    void setAdmitting(bool admitting);
+
     /** True if a claim or report waits for the log. */
     bool hasWork() const;
 
@@ -154,6 +159,7 @@
     TimePoint lastReadAt;
     /** True if the end of the stream must be read before the next append. */
     bool needsRead = true;
+    bool isAdmitting = true;
     /** True if a repeated request waits for news from the log. */
     bool wantsRead = false;
     RecordId ownershipId;
--- a/Libraries/LibClaims/ClaimService.cpp
+++ b/Libraries/LibClaims/ClaimService.cpp
@@ -37,6 +37,7 @@
     , refusedClaims(counters.counter("lovageward_claims_refused_total"))
     , ownerships(counters.counter("lovageward_claim_ownerships_total"))
     , ownedPartitions(counters.counter("lovageward_claim_partitions"))
+    , keys(counters.counter("lovageward_claim_keys"))
 {
 }
 
@@ -206,6 +207,7 @@
             }
         }
     }
+    this->limitKeys();
     for (auto index : held) {
         if (this->isOwned(PartitionId(index))) {
             continue;
@@ -219,6 +221,18 @@
     }
 }
 
+void ClaimService::limitKeys()
+{
+    auto count = this->rememberedKeys();
+    this->keys.set(static_cast<std::int64_t>(count));
+    std::lock_guard<std::mutex> guard(this->mutex);
+    for (auto &slot : this->slots) {
+        if (slot.owner) {
+            slot.owner->setAdmitting(count < this->settings.maximumKeysPerNode);
+        }
+    }
+}
+
 std::optional<ClaimService::DueSlot> ClaimService::takeDue()
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibClaims/ClaimService.h
+++ b/Libraries/LibClaims/ClaimService.h
@@ -69,6 +69,7 @@
     std::shared_ptr<ClaimOwner> ownerFor(const std::string &key);
     void wake(PartitionId partition);
     void dropMovedPartitions();
+    void limitKeys();
     struct DueSlot
     {
         std::size_t index;
@@ -96,6 +97,7 @@
     Counter &refusedClaims;
     Counter &ownerships;
     Counter &ownedPartitions;
+    Counter &keys;
 
     mutable std::mutex mutex;
     std::condition_variable changed;
--- a/Libraries/LibLease/LeaseHolder.cpp
+++ b/Libraries/LibLease/LeaseHolder.cpp
@@ -41,6 +41,9 @@
 LeaseHolder::LeaseHolder(LeaseLog &log, const Clock &clock, RandomSource &random, const LeaseName &name, const LeaseOwner &owner, const LeaseSettings &settings)
     : log(log), clock(clock), random(random), name(name), owner(owner), settings(settings)
 {
+    if (settings.term > maximumLeaseTerm || settings.margin >= settings.term) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "a lease term must be at most 60 s and longer than its margin");
+    }
 }
 
 bool LeaseHolder::acquire(TimePoint deadline)
--- a/Libraries/LibLease/LeaseHolder.h
+++ b/Libraries/LibLease/LeaseHolder.h
@@ -37,6 +37,7 @@
 class LeaseHolder
 {
 public:
+    /** Throws Error(InvalidSettings) if the term is too long or not longer than the margin. */
     LeaseHolder(LeaseLog &log, const Clock &clock, RandomSource &random, const LeaseName &name, const LeaseOwner &owner, const LeaseSettings &settings);
 
     /**
--- a/Libraries/LibLease/OrderScheduler.h
+++ b/Libraries/LibLease/OrderScheduler.h
@@ -41,8 +41,8 @@
 /**
  * Sends the orders of this node to the engines of their pools, under the lease `orders/<pool>`; orders that load weights
  * also need the lease `weights`, whose holder has the weight store's rate. Leases are acquired while orders wait and given
- * back afterwards, so orders submitted on several nodes take turns. step() is driven by one thread; the other functions are
- * safe from any thread. The mutex isn't held while the log or an engine is called.
+ * back afterwards, so orders submitted on several nodes take turns. step() and shutDown() are called by one thread; the
+ * other functions are safe from any thread. The mutex isn't held while the log or an engine is called.
  */
 class OrderScheduler
 {
--- a/Tests/LibClaims/TestClaimOwner.cpp
+++ b/Tests/LibClaims/TestClaimOwner.cpp
@@ -191,6 +191,9 @@
     }
     CHECK(last.state == GrantState::Refused);
     CHECK(last.code == ResultCode::ClaimRefused);
+    ClaimOwner full(PartitionId(1), log, clock, random, HostId("a"), Incarnation(1), settings);
+    full.setAdmitting(false);
+    CHECK(full.submit(request(1, "x")).code == ResultCode::ClaimRefused);
 }
 
 TEST_CASE_METHOD(OwnerFixture, "Answers beyond the bounds are recorded by their status only", "[claims]")
--- a/Tests/LibClaims/TestClaimedCallRunner.cpp
+++ b/Tests/LibClaims/TestClaimedCallRunner.cpp
@@ -104,6 +104,7 @@
     std::atomic<int> correct = 0;
     auto now = std::chrono::duration_cast<seconds>(clock.wallNow().time_since_epoch()).count();
     std::vector<std::thread> threads;
+    threads.reserve(keys * threadsPerKey);
     for (int number = 0; number < keys * threadsPerKey; ++number) {
         threads.emplace_back([&, number] {
             auto key = number % keys;
