--- a/Tests/LibLease/TestOrderScheduler.cpp
+++ b/Tests/LibLease/TestOrderScheduler.cpp
@@ -203,3 +203,19 @@
     CHECK(other.held()->fencingNumber > number);
     CHECK_FALSE(holder.acquire(clock.now()));
 }
+
+TEST_CASE_METHOD(SchedulerFixture, "A late attempt of one order can't undo the next order", "[lease]")
+{
+    pool.warmAt = { { UpstreamId("e0"), TimePoint() } };
+    pool.loadTime = seconds(1);
+    pool.failures = 1;
+    pool.failure = ResultCode::UpstreamSilent;
+    auto single = poolWith(FencingSupport::Honours);
+    single.minimumWarmPercent = 0;
+    scheduler.submit(order("first"), single);
+    scheduler.submit(order("second"), single);
+    runFor(scheduler, minutes(3));
+    REQUIRE(pool.ids == std::vector<std::string> { "first/e0", "first/e0", "second/e0" });
+    CHECK(pool.sentAt[1] < pool.sentAt[0] + seconds(10));
+    CHECK(pool.sentAt[2] >= pool.sentAt[0] + settings.orderTimeout + settings.deliveryDelay);
+}
