--- /dev/null
+++ b/Tests/LibCredits/TestCreditLedger.cpp
@@ -0,0 +1,220 @@
+#include <LibCore/Error.h>
+#include <LibCore/SeededRandom.h>
+#include <LibCredits/CreditLedger.h>
+#include <LibCredits/CreditMessages.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+namespace {
+
+constexpr auto start = TimePoint(seconds(100));
+constexpr auto leaseEnd = start + minutes(10);
+const HostId holder("n1");
+
+LoadReport report(UpstreamPhase phase, std::uint32_t running, TimePoint measuredAt, const std::string &boot = "b1")
+{
+    LoadReport result;
+    result.bootId = BootId(boot);
+    result.phase = phase;
+    result.running = running;
+    result.kvBlocksTotal = BlockCount(100);
+    result.coldLimit = 4;
+    result.measuredAt = measuredAt;
+    return result;
+}
+
+/** Ledger of an upstream that has been cold for long, under a lease held for long, with running work. */
+CreditLedger readyLedger(std::uint32_t running)
+{
+    CreditLedger ledger({});
+    ledger.takeOver(start - minutes(1));
+    for (auto at = start - minutes(1); at <= start; at += seconds(1)) {
+        ledger.applyReport(report(UpstreamPhase::Cold, running, at), at);
+    }
+    return ledger;
+}
+
+std::size_t granted(CreditLedger &ledger, TimePoint now, std::uint32_t count = 100)
+{
+    SeededRandom random(7);
+    return ledger.grant(holder, count, now, leaseEnd, random).size();
+}
+
+}
+
+TEST_CASE("A cold upstream gets at most its limit less what already runs, and nothing in any doubtful state", "[credits]")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(CreditLedger &)> change;
+        Duration after;
+        std::size_t expected;
+    };
+    auto cold = [](std::uint32_t running, Duration at) { return report(UpstreamPhase::Cold, running, start + at); };
+    std::vector<Case> cases = {
+        { "one request runs", [](auto &) {}, seconds(0), 3 },
+        { "more runs than the limit", [&](auto &ledger) { ledger.applyReport(cold(9, seconds(1)), start + seconds(1)); }, seconds(1), 0 },
+        { "work waits in the engine",
+          [&](auto &ledger) {
+              auto waiting = cold(1, seconds(1));
+              waiting.waiting = 2;
+              ledger.applyReport(waiting, start + seconds(1));
+          },
+          seconds(1),
+          1 },
+        { "the last report is too old", [](auto &) {}, milliseconds(5001), 0 },
+        { "an older report comes late", [&](auto &ledger) { ledger.applyReport(cold(0, -seconds(2)), start); }, seconds(0), 3 },
+        { "the upstream is unreachable", [](auto &ledger) { ledger.markUnreachable(start); }, seconds(0), 0 },
+        { "the upstream is warm",
+          [](auto &ledger) { ledger.applyReport(report(UpstreamPhase::Warm, 0, start + seconds(1)), start + seconds(1)); },
+          seconds(1),
+          0 },
+        { "another node polls it", [](auto &ledger) { ledger.abandon(); }, seconds(0), 0 },
+        { "the lease was taken over", [](auto &ledger) { ledger.takeOver(start); }, seconds(0), 0 },
+        { "the take-over wait has passed without a report", [](auto &ledger) { ledger.takeOver(start); }, seconds(4), 0 },
+        { "a report came too early after the take-over",
+          [&](auto &ledger) {
+              ledger.takeOver(start);
+              ledger.applyReport(cold(1, milliseconds(2999)), start + seconds(3));
+          },
+          seconds(3),
+          0 },
+        { "a report shows the predecessor's work",
+          [&](auto &ledger) {
+              ledger.takeOver(start);
+              ledger.applyReport(cold(2, seconds(3)), start + seconds(3));
+          },
+          seconds(3),
+          2 },
+        { "it was warm and turned cold a moment ago",
+          [&](auto &ledger) {
+              ledger.applyReport(report(UpstreamPhase::Warm, 0, start + seconds(1)), start + seconds(1));
+              ledger.applyReport(cold(0, seconds(2)), start + seconds(2));
+          },
+          seconds(2),
+          0 },
+        { "it turned cold long enough ago",
+          [&](auto &ledger) {
+              ledger.applyReport(report(UpstreamPhase::Warm, 0, start + seconds(1)), start + seconds(1));
+              ledger.applyReport(cold(0, seconds(2)), start + seconds(2));
+              ledger.applyReport(cold(0, seconds(8)), start + seconds(8));
+          },
+          seconds(8),
+          4 },
+        { "this node was paused and knows nothing of the time between",
+          [&](auto &ledger) { ledger.applyReport(cold(0, seconds(9)), start + seconds(9)); },
+          seconds(9),
+          0 },
+    };
+    for (const auto &test : cases) {
+        auto ledger = readyLedger(1);
+        test.change(ledger);
+        INFO(test.name);
+        CHECK(granted(ledger, start + test.after) == test.expected);
+    }
+}
+
+TEST_CASE("Credits never outlive the lease, or else two owners' credits would add up", "[credits]")
+{
+    auto ledger = readyLedger(0);
+    SeededRandom random(1);
+    CHECK(ledger.grant(holder, 1, start, start + milliseconds(1999), random).empty());
+    CHECK(ledger.grant(holder, 1, start, start + milliseconds(2000), random).size() == 1);
+}
+
+TEST_CASE("A credit counts until its work is known to have ended, to be unused, or to be in a report", "[credits]")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(CreditLedger &, const std::vector<CreditId> &)> act;
+        std::uint64_t used;
+    };
+    std::vector<Case> cases = {
+        { "nothing is heard", [](auto &, auto &) {}, 4 },
+        { "a report that may be older than the work",
+          [](auto &ledger, auto &) { ledger.applyReport(report(UpstreamPhase::Cold, 0, start + milliseconds(2999)), start + seconds(3)); },
+          4 },
+        { "a report that must show the work, which is gone",
+          [](auto &ledger, auto &) { ledger.applyReport(report(UpstreamPhase::Cold, 0, start + seconds(3)), start + seconds(3)); },
+          0 },
+        { "a report that must show the work, which runs",
+          [](auto &ledger, auto &) { ledger.applyReport(report(UpstreamPhase::Cold, 3, start + seconds(3)), start + seconds(3)); },
+          3 },
+        { "an earlier report suffices once the start is known",
+          [](auto &ledger, auto &ids) {
+              ledger.started(holder, ids, start + milliseconds(200));
+              ledger.applyReport(report(UpstreamPhase::Cold, 4, start + milliseconds(1200)), start + seconds(2));
+          },
+          4 },
+        { "the work has ended", [](auto &ledger, auto &ids) { ledger.ended(holder, ids); }, 0 },
+        { "the credits came back", [](auto &ledger, auto &ids) { ledger.returned(holder, ids); }, 0 },
+        { "another host speaks of them",
+          [](auto &ledger, auto &ids) {
+              ledger.ended(HostId("n2"), ids);
+              ledger.returned(HostId("n2"), ids);
+          },
+          4 },
+        { "the end is told twice",
+          [](auto &ledger, auto &ids) {
+              ledger.ended(holder, { ids[0] });
+              ledger.ended(holder, { ids[0] });
+          },
+          3 },
+        { "the upstream restarted",
+          [](auto &ledger, auto &) { ledger.applyReport(report(UpstreamPhase::Cold, 0, start + seconds(1), "b2"), start + seconds(1)); },
+          4 },
+    };
+    for (const auto &test : cases) {
+        auto ledger = readyLedger(0);
+        SeededRandom random(3);
+        auto ids = ledger.grant(holder, 100, start, leaseEnd, random);
+        REQUIRE(ids.size() == 4);
+        test.act(ledger, ids);
+        INFO(test.name);
+        CHECK(ledger.used() == test.used);
+    }
+}
+
+TEST_CASE("The limit grows with completed work only, and starts anew with a new process", "[credits]")
+{
+    struct Case
+    {
+        const char *name;
+        std::uint32_t waiting;
+        std::uint64_t blocks;
+        std::string boot;
+        std::uint32_t expected;
+    };
+    std::vector<Case> cases
+        = { { "sound", 0, 90, "b1", 8 }, { "work waits", 1, 0, "b1", 4 }, { "memory nearly full", 0, 91, "b1", 4 }, { "new process", 0, 0, "b2", 4 } };
+    for (const auto &test : cases) {
+        auto ledger = readyLedger(0);
+        SeededRandom random(5);
+        auto ids = ledger.grant(holder, 100, start, leaseEnd, random);
+        ledger.ended(holder, { ids[0], ids[1], ids[2] });
+        CHECK(ledger.limit() == 4);
+        auto next = report(UpstreamPhase::Cold, 0, start + seconds(1), test.boot);
+        next.waiting = test.waiting;
+        next.kvBlocksUsed = BlockCount(test.blocks);
+        ledger.applyReport(next, start + seconds(1));
+        ledger.ended(holder, { ids[3] });
+        INFO(test.name);
+        CHECK(ledger.limit() == test.expected);
+    }
+}
+
+TEST_CASE("Malformed credit messages are refused", "[credits]")
+{
+    auto request = encodeCreditRequest({ UpstreamId("u"), 3 });
+    CHECK(decodeCreditRequest(request).count == 3);
+    CHECK_THROWS_AS(decodeCreditRequest(encodeCreditRequest({ UpstreamId("u"), 300 })), Error);
+    auto returned = encodeCreditReturn({ UpstreamId("u"), { CreditId(1) }, {}, { CreditId(2) } });
+    CHECK(decodeCreditReturn(returned).unused == std::vector<CreditId> { CreditId(2) });
+    for (std::size_t size = 0; size < returned.size(); ++size) {
+        CHECK_THROWS_AS(decodeCreditReturn(returned.substr(0, size)), Error);
+    }
+}
