LibMembership: Probe every member once per round

Change: each round of wall time puts the members into a pseudo-random circle in which every node probes its successor. A tenth of the nodes in the tests have a wrong wall clock. Credits ask less often: reports every 250 ms, requests after 1 s.

--- a/Libraries/LibCredits/CreditClient.h
+++ b/Libraries/LibCredits/CreditClient.h
@@ -23,7 +23,7 @@
 struct CreditClientOptions
 {
     /** Time between steps while there is something to send; bounds how long ended work blocks a place. */
-    Duration period = milliseconds(100);
+    Duration period = milliseconds(250);
     Duration requestTimeout = milliseconds(500);
     /** Credits that one request asks for at most; a small number leaves room for other nodes. */
     std::uint32_t maximumPerRequest = 4;
--- a/Libraries/LibCredits/CreditOwner.h
+++ b/Libraries/LibCredits/CreditOwner.h
@@ -27,7 +27,7 @@
     /** Time between attempts to get a lease that another node holds; each may append a record to the log. */
     Duration leaseRetry = seconds(1);
     /** Advice to nodes that got fewer credits than they asked for. */
-    Duration retryAfter = milliseconds(500);
+    Duration retryAfter = seconds(1);
 };
 
 /**
--- a/Libraries/LibMembership/GossipAgent.cpp
+++ b/Libraries/LibMembership/GossipAgent.cpp
@@ -79,7 +79,8 @@
     this->lastStepAt = now;
     this->table.advance(now);
     std::vector<Attempt> attempts;
-    for (const auto &target : this->table.probeTargets(this->random, now)) {
+    auto round = static_cast<std::uint64_t>(this->clock.wallNow().time_since_epoch() / this->options.probePeriod);
+    for (const auto &target : this->table.probeTargets(round, this->random, now)) {
         attempts.push_back({ target, false });
     }
     return attempts;
--- a/Libraries/LibMembership/MembershipTable.cpp
+++ b/Libraries/LibMembership/MembershipTable.cpp
@@ -1,8 +1,10 @@
 #include <LibMembership/AppliedOffsets.h>
 #include <LibMembership/MembershipTable.h>
+#include <LibMembership/RendezvousHash.h>
 
 #include <algorithm>
 #include <bit>
+#include <string>
 
 namespace Lovageward {
 
@@ -153,7 +155,6 @@
     if (isConfirmed && update.incarnation != Incarnation(0)) {
         this->queueUpdate(entry);
     }
-    this->probeOrder.add(update.host);
     this->rememberHosts();
     ++this->changes;
     return entry;
@@ -261,7 +262,7 @@
     }
 }
 
-std::vector<ProbeTarget> MembershipTable::probeTargets(RandomSource &random, TimePoint now)
+std::vector<ProbeTarget> MembershipTable::probeTargets(std::uint64_t round, RandomSource &random, TimePoint now) const
 {
     std::vector<ProbeTarget> extra;
     for (const auto &[host, entry] : this->entries) {
@@ -271,7 +272,7 @@
     }
     // When many members are lost at once, the nodes share the probes by chance.
     keepSome(extra, extraProbesPerStep, random);
-    auto next = this->nextInOrder(random);
+    auto next = this->successor(round);
     auto isNext = [&next](const auto &target) { return next && target.host == next->host; };
     if (next && std::none_of(extra.begin(), extra.end(), isNext)) {
         extra.push_back(*next);
@@ -290,24 +291,23 @@
     return (isSuspect && isDue) || (!entry.isConfirmed && entry.state != MemberState::Dead);
 }
 
-std::optional<ProbeTarget> MembershipTable::nextInOrder(RandomSource &random)
+std::optional<ProbeTarget> MembershipTable::successor(std::uint64_t round) const
 {
-    if (this->probeOrder.isExhausted()) {
-        std::vector<HostId> hosts;
-        for (const auto &[host, entry] : this->entries) {
-            if (this->isOther(host) && entry.state != MemberState::Dead) {
-                hosts.push_back(host);
-            }
+    auto ownPlace = RendezvousHash::score(this->selfId, std::to_string(round));
+    std::optional<ProbeTarget> next;
+    std::uint64_t leastDistance = 0;
+    for (const auto &[host, entry] : this->entries) {
+        if (!this->isOther(host) || entry.state == MemberState::Dead || !entry.isConfirmed) {
+            continue;
         }
-        this->probeOrder.restart(std::move(hosts));
-    }
-    while (auto host = this->probeOrder.next(random)) {
-        auto found = this->entries.find(*host);
-        if (found != this->entries.end() && found->second.state != MemberState::Dead) {
-            return found->second.toTarget();
+        // Unsigned differences wrap around, which closes the circle.
+        auto distance = RendezvousHash::score(host, std::to_string(round)) - ownPlace;
+        if (!next || distance < leastDistance) {
+            next = entry.toTarget();
+            leastDistance = distance;
         }
     }
-    return std::nullopt;
+    return next;
 }
 
 std::optional<ProbeTarget> MembershipTable::deadListed(RandomSource &random) const
--- a/Libraries/LibMembership/MembershipTable.h
+++ b/Libraries/LibMembership/MembershipTable.h
@@ -6,7 +6,6 @@
 #include <LibMembership/HostList.h>
 #include <LibMembership/MemberEntry.h>
 #include <LibMembership/Membership.h>
-#include <LibMembership/ProbeOrder.h>
 
 #include <cstddef>
 #include <map>
@@ -61,8 +60,14 @@
     /** Forgets dead members after the retention time. Call it once per step, before probeTargets(). */
     void advance(TimePoint now);
 
-    /** Members to be probed in this step: the next one in random order, suspects, unconfirmed ones, and at times a dead one. */
-    std::vector<ProbeTarget> probeTargets(RandomSource &random, TimePoint now);
+    /**
+     * Members to be probed in this step: the regular one, suspects, unconfirmed ones, and at times a dead one.
+     *
+     * `round` is the wall time in probe periods. Each round puts the members into another pseudo-random circle, in which
+     * every node probes its successor. Nodes whose clocks agree thereby probe every member once per round, whereas members
+     * chosen independently stay unprobed for 6 s once in 400 cases. A wrong clock makes the choice independent.
+     */
+    std::vector<ProbeTarget> probeTargets(std::uint64_t round, RandomSource &random, TimePoint now) const;
 
     /** Live members that can probe the target on behalf of this node. */
     std::vector<ProbeTarget> helpersFor(const HostId &target, std::size_t count, RandomSource &random) const;
@@ -116,7 +121,7 @@
     {
         return host != this->selfId;
     }
-    std::optional<ProbeTarget> nextInOrder(RandomSource &random);
+    std::optional<ProbeTarget> successor(std::uint64_t round) const;
     std::optional<ProbeTarget> deadListed(RandomSource &random) const;
     bool needsExtraProbe(const MemberEntry &entry, TimePoint now) const;
     void rememberHosts();
@@ -126,7 +131,6 @@
     HostId selfId;
     MembershipOptions options;
     std::map<HostId, MemberEntry> entries;
-    ProbeOrder probeOrder;
     std::uint64_t steps = 0;
     std::uint64_t changes = 0;
     /** Hash over the known host ids; see AppliedOffsets. */
--- a/Tests/LibCredits/TestCreditLedger.cpp
+++ b/Tests/LibCredits/TestCreditLedger.cpp
@@ -99,8 +99,9 @@
         { "it turned cold long enough ago",
           [&](auto &ledger) {
               ledger.applyReport(report(UpstreamPhase::Warm, 0, start + seconds(1)), start + seconds(1));
-              ledger.applyReport(cold(0, seconds(2)), start + seconds(2));
-              ledger.applyReport(cold(0, seconds(8)), start + seconds(8));
+              for (auto at = seconds(2); at <= seconds(8); at += seconds(1)) {
+                  ledger.applyReport(cold(0, at), start + at);
+              }
           },
           seconds(8),
           4 },
--- a/Tests/LibMembership/GossipCluster.h
+++ b/Tests/LibMembership/GossipCluster.h
@@ -22,6 +22,29 @@
     }
 };
 
+/** The common clock with a wall time of the node's own. */
+class SkewedClock final : public Clock
+{
+public:
+    SkewedClock(const Clock &base, Duration skew) : base(base), skew(skew)
+    {
+    }
+
+    TimePoint now() const override
+    {
+        return this->base.now();
+    }
+
+    WallTime wallNow() const override
+    {
+        return this->base.wallNow() + this->skew;
+    }
+
+private:
+    const Clock &base;
+    Duration skew;
+};
+
 /**
  * Gossip agents in one thread over an in-memory transport with seeded loss. One step is one second: every running node
  * probes once, in random order. Deterministic for a seed.
@@ -66,7 +89,7 @@
         auto &node = *this->nodes[index];
         Member self { hostOf(index), Incarnation(++this->starts), regionOf(index), FailureDomainId("domain-" + std::to_string(index % 3)), addressOf(index),
                       Offset(0) };
-        node.agent = std::make_unique<GossipAgent>(this->clock, this->random, node, this->runner, this->sink, this->counters, self);
+        node.agent = std::make_unique<GossipAgent>(node.clock, this->random, node, this->runner, this->sink, this->counters, self);
         node.agent->hostListFetched(this->hostList());
         node.isPaused = false;
     }
@@ -166,7 +189,9 @@
 
     struct Node final : public PeerTransport
     {
-        Node(GossipCluster &cluster, std::size_t index) : cluster(cluster), index(index)
+        // Every tenth node's wall clock is wrong by up to a minute.
+        Node(GossipCluster &cluster, std::size_t index)
+            : cluster(cluster), index(index), clock(cluster.clock, index % 10 == 9 ? seconds(cluster.random.below(60)) : seconds(0))
         {
         }
 
@@ -177,6 +202,7 @@
 
         GossipCluster &cluster;
         std::size_t index;
+        SkewedClock clock;
         std::unique_ptr<GossipAgent> agent;
         bool isPaused = false;
         bool isListed = true;
--- a/Tests/LibMembership/TestMembershipTable.cpp
+++ b/Tests/LibMembership/TestMembershipTable.cpp
@@ -117,7 +117,7 @@
     }
     // The hearsay is checked by a probe and dropped when that fails.
     SeededRandom random(1);
-    auto targets = table.probeTargets(random, later);
+    auto targets = table.probeTargets(1, random, later);
     CHECK(std::any_of(targets.begin(), targets.end(), [](const auto &target) { return target.host == HostId("b"); }));
     table.probeFailed(HostId("b"), later);
     CHECK_FALSE(table.stateOf(HostId("b")));
