--- a/Tests/LibCredits/CreditCluster.h
+++ b/Tests/LibCredits/CreditCluster.h
@@ -1,15 +1,9 @@
 #pragma once
 
 #include <LibCore/Error.h>
-#include <LibCore/ManualClock.h>
-#include <LibCore/SeededRandom.h>
-#include <LibCredits/CreditClient.h>
-#include <LibCredits/CreditOwner.h>
-#include <LibCredits/LoadDigestReceiver.h>
-#include <LibCredits/LoadPoller.h>
-#include <LibCredits/UpstreamDirectory.h>
 #include <LibPeer/PeerEnvelope.h>
 
+#include <LibCredits/CreditNode.h>
 #include <LibCredits/FakeEngine.h>
 #include <LibCredits/TestDoubles.h>
 #include <LibCredits/ViewChanges.h>
@@ -25,15 +19,15 @@
 namespace Lovageward {
 
 /** One cold upstream and several nodes in one thread, over an in-memory transport and a lease without a log. Deterministic for a seed. */
-class CreditCluster
+class CreditCluster final : public CreditWorld
 {
 public:
     static constexpr auto tick = milliseconds(50);
 
-    CreditCluster(std::size_t size, std::uint64_t seed) : random(seed)
+    CreditCluster(std::size_t size, std::uint64_t seed) : CreditWorld(seed)
     {
         for (std::size_t index = 0; index < size; ++index) {
-            this->nodes.push_back(std::make_unique<Node>(*this, index));
+            this->nodes.push_back(std::make_unique<CreditNode>(*this, index));
         }
         for (auto &node : this->nodes) {
             node->see(size);
@@ -109,10 +103,7 @@
         this->engine.turnCold(true, this->clock.now());
     }
 
-    ManualClock clock;
-    SeededRandom random;
     FakeEngine engine;
-    DrainConfiguration configuration;
     double messageLoss = 0;
     double placementRate = 0.3;
     bool isLeaseAvailable = true;
@@ -132,156 +123,11 @@
         return this->nodes[index]->isRunning();
     }
 
-    static UpstreamId upstreamId()
-    {
-        return UpstreamId("tailor-llm-01");
-    }
-
 private:
     // Within CreditOptions::reportLag of 1 s: the way to the engine and the unknown lag of its report.
     static constexpr auto longestWay = milliseconds(300);
     static constexpr auto reportLag = milliseconds(500);
 
-    struct Node final : public PeerTransport, public Membership, public LoadProbe, public ColdStartLease
-    {
-        Node(CreditCluster &cluster, std::size_t index)
-            : cluster(cluster)
-            , index(index)
-            , clock(cluster.clock, seconds(1000 * static_cast<std::int64_t>(index)))
-            , table(clock, seconds(5))
-            , ownership(*this)
-            , receiver(clock, *this, table, index + 1)
-            , sender(clock, *this, runner, sink, counters, host(index))
-            , owner(clock, cluster.random, *this, sink, counters)
-            , client(clock, *this, runner, table, ownership, host(index), sink, counters, [this] { this->clientDue = TimePoint(); })
-            , poller(clock, runner, *this, table, ownership, cluster.configuration, sender, { &this->owner }, sink, counters)
-            , directory(clock, table, cluster.configuration, ownership, sink)
-        {
-        }
-
-        bool isRunning() const
-        {
-            return !this->isDead && !this->isPaused;
-        }
-
-        void see(std::size_t size)
-        {
-            for (std::size_t other = 0; other < size; ++other) {
-                this->seen.insert(other);
-            }
-            this->directory.hostListFetched({ { upstreamId().value(),
-                                                HostKind::Upstream,
-                                                PoolId("tailor-llm"),
-                                                RegionId("guj-west"),
-                                                FailureDomainId("surat-a"),
-                                                "127.0.0.1:1",
-                                                PeerAddress(),
-                                                false } });
-        }
-
-        void runDueTasks()
-        {
-            auto now = this->clock.now();
-            this->directoryDue = now >= this->directoryDue ? this->directory.step() : this->directoryDue;
-            this->pollerDue = now >= this->pollerDue ? this->poller.step() : this->pollerDue;
-            this->ownerDue = now >= this->ownerDue ? this->owner.step() : this->ownerDue;
-            this->clientDue = now >= this->clientDue ? this->client.step() : this->clientDue;
-        }
-
-        static HostId host(std::size_t index)
-        {
-            return HostId("n" + std::to_string(index));
-        }
-
-        static Member member(std::size_t index)
-        {
-            return {
-                host(index), Incarnation(1), RegionId("guj-west"), FailureDomainId("surat-a"), PeerAddress("tcp://x:" + std::to_string(index)), Offset(1)
-            };
-        }
-
-        std::string request(const PeerAddress &address, const PeerMessage &message, TimePoint) override
-        {
-            return this->cluster.deliver(std::stoul(address.value().substr(8)), message);
-        }
-
-        Member self() const override
-        {
-            return member(this->index);
-        }
-
-        std::vector<Member> liveMembers() const override
-        {
-            std::vector<Member> members;
-            for (auto other : this->seen) {
-                members.push_back(member(other));
-            }
-            return members;
-        }
-
-        Member ownerOf(std::string_view) const override
-        {
-            return this->self();
-        }
-
-        bool canReachAnyPeer() const override
-        {
-            return true;
-        }
-
-        LoadReport probe(const std::string &, TimePoint) override
-        {
-            return this->cluster.probeEngine(this->clock.now());
-        }
-
-        bool tryAcquire(const UpstreamId &) override
-        {
-            return this->cluster.acquireLease(this->index);
-        }
-
-        bool isHeldNow(const UpstreamId &upstream) const override
-        {
-            return this->clock.now() < this->heldUntil(upstream);
-        }
-
-        TimePoint heldUntil(const UpstreamId &) const override
-        {
-            return this->leaseUntil;
-        }
-
-        std::string handle(const PeerMessage &message)
-        {
-            if (message.kind == PeerMessageKind::LoadDigest) {
-                return this->receiver.handle(message);
-            }
-            return this->owner.handle(message);
-        }
-
-        CreditCluster &cluster;
-        std::size_t index;
-        ShiftedClock clock;
-        SequentialRunner runner;
-        MuteSink sink;
-        Counters counters;
-        UpstreamTable table;
-        UpstreamOwnership ownership;
-        LoadDigestReceiver receiver;
-        LoadDigestSender sender;
-        CreditOwner owner;
-        CreditClient client;
-        LoadPoller poller;
-        UpstreamDirectory directory;
-        std::set<std::size_t> seen;
-        TimePoint directoryDue;
-        TimePoint pollerDue;
-        TimePoint ownerDue;
-        TimePoint clientDue;
-        TimePoint leaseUntil;
-        bool isDead = false;
-        bool isPaused = false;
-        std::vector<PeerMessage> buffered;
-    };
-
     struct Arrival
     {
         TimePoint at;
@@ -295,7 +141,7 @@
         TimePoint until;
     };
 
-    std::string deliver(std::size_t to, const PeerMessage &message)
+    std::string deliver(std::size_t to, const PeerMessage &message) override
     {
         auto &receiver = *this->nodes[to];
         auto isCredit = message.kind == PeerMessageKind::CreditRequest || message.kind == PeerMessageKind::CreditReturn;
@@ -342,7 +188,7 @@
     }
 
     /** A report that shows a state up to `reportLag` older than it says. */
-    LoadReport probeEngine(TimePoint nodeNow)
+    LoadReport probeEngine(TimePoint nodeNow) override
     {
         if (!this->engine.isUp || this->engine.history.empty()) {
             throw Error(ResultCode::UpstreamUnavailable, RunState::NotRun, "refused");
@@ -352,7 +198,7 @@
         return report;
     }
 
-    bool acquireLease(std::size_t index)
+    bool acquireLease(std::size_t index) override
     {
         constexpr auto term = seconds(10);
         auto now = this->clock.now();
@@ -365,7 +211,7 @@
         return true;
     }
 
-    void tryPlacements(Node &node)
+    void tryPlacements(CreditNode &node)
     {
         if (this->random.unit() >= this->placementRate) {
             return;
@@ -469,7 +315,7 @@
         });
     }
 
-    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::unique_ptr<CreditNode>> nodes;
     std::vector<Arrival> arrivals;
     ViewChanges views;
     Lease lease;
--- /dev/null
+++ b/Tests/LibCredits/CreditNode.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <LibCore/ManualClock.h>
+#include <LibCore/SeededRandom.h>
+#include <LibCredits/CreditClient.h>
+#include <LibCredits/CreditOwner.h>
+#include <LibCredits/LoadDigestReceiver.h>
+#include <LibCredits/LoadPoller.h>
+#include <LibCredits/UpstreamDirectory.h>
+
+#include <LibCredits/TestDoubles.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** What the nodes of a CreditCluster share. */
+class CreditWorld
+{
+public:
+    explicit CreditWorld(std::uint64_t seed) : random(seed)
+    {
+    }
+
+    virtual ~CreditWorld() = default;
+    virtual std::string deliver(std::size_t to, const PeerMessage &message) = 0;
+    virtual LoadReport probeEngine(TimePoint nodeNow) = 0;
+    virtual bool acquireLease(std::size_t index) = 0;
+
+    static UpstreamId upstreamId()
+    {
+        return UpstreamId("tailor-llm-01");
+    }
+
+    ManualClock clock;
+    SeededRandom random;
+    DrainConfiguration configuration;
+};
+
+/** One node: the classes under test, wired as the service wires them, with the node itself as their surroundings. */
+class CreditNode final : public PeerTransport, public Membership, public LoadProbe, public ColdStartLease
+{
+public:
+    CreditNode(CreditWorld &world, std::size_t index)
+        : world(world)
+        , index(index)
+        , clock(world.clock, seconds(1000 * static_cast<std::int64_t>(index)))
+        , table(clock, seconds(5))
+        , ownership(*this)
+        , receiver(clock, *this, table, index + 1)
+        , sender(clock, *this, runner, sink, counters, host(index))
+        , owner(clock, world.random, *this, sink, counters)
+        , client(clock, *this, runner, table, ownership, host(index), sink, counters, [this] { this->clientDue = TimePoint(); })
+        , poller(clock, runner, *this, table, ownership, world.configuration, sender, { &this->owner }, sink, counters)
+        , directory(clock, table, world.configuration, ownership, sink)
+    {
+    }
+
+    bool isRunning() const
+    {
+        return !this->isDead && !this->isPaused;
+    }
+
+    void see(std::size_t size)
+    {
+        for (std::size_t other = 0; other < size; ++other) {
+            this->seen.insert(other);
+        }
+        this->directory.hostListFetched({ { CreditWorld::upstreamId().value(),
+                                            HostKind::Upstream,
+                                            PoolId("tailor-llm"),
+                                            RegionId("guj-west"),
+                                            FailureDomainId("surat-a"),
+                                            "127.0.0.1:1",
+                                            PeerAddress(),
+                                            false } });
+    }
+
+    void runDueTasks()
+    {
+        auto now = this->clock.now();
+        this->directoryDue = now >= this->directoryDue ? this->directory.step() : this->directoryDue;
+        this->pollerDue = now >= this->pollerDue ? this->poller.step() : this->pollerDue;
+        this->ownerDue = now >= this->ownerDue ? this->owner.step() : this->ownerDue;
+        this->clientDue = now >= this->clientDue ? this->client.step() : this->clientDue;
+    }
+
+    static HostId host(std::size_t index)
+    {
+        return HostId("n" + std::to_string(index));
+    }
+
+    static Member member(std::size_t index)
+    {
+        return { host(index), Incarnation(1), RegionId("guj-west"), FailureDomainId("surat-a"), PeerAddress("tcp://x:" + std::to_string(index)), Offset(1) };
+    }
+
+    std::string request(const PeerAddress &address, const PeerMessage &message, TimePoint) override
+    {
+        return this->world.deliver(std::stoul(address.value().substr(8)), message);
+    }
+
+    Member self() const override
+    {
+        return member(this->index);
+    }
+
+    std::vector<Member> liveMembers() const override
+    {
+        std::vector<Member> members;
+        for (auto other : this->seen) {
+            members.push_back(member(other));
+        }
+        return members;
+    }
+
+    Member ownerOf(std::string_view) const override
+    {
+        return this->self();
+    }
+
+    bool canReachAnyPeer() const override
+    {
+        return true;
+    }
+
+    LoadReport probe(const std::string &, TimePoint) override
+    {
+        return this->world.probeEngine(this->clock.now());
+    }
+
+    bool tryAcquire(const UpstreamId &) override
+    {
+        return this->world.acquireLease(this->index);
+    }
+
+    bool isHeldNow(const UpstreamId &upstream) const override
+    {
+        return this->clock.now() < this->heldUntil(upstream);
+    }
+
+    TimePoint heldUntil(const UpstreamId &) const override
+    {
+        return this->leaseUntil;
+    }
+
+    std::string handle(const PeerMessage &message)
+    {
+        if (message.kind == PeerMessageKind::LoadDigest) {
+            return this->receiver.handle(message);
+        }
+        return this->owner.handle(message);
+    }
+
+    CreditWorld &world;
+    std::size_t index;
+    ShiftedClock clock;
+    SequentialRunner runner;
+    MuteSink sink;
+    Counters counters;
+    UpstreamTable table;
+    UpstreamOwnership ownership;
+    LoadDigestReceiver receiver;
+    LoadDigestSender sender;
+    CreditOwner owner;
+    CreditClient client;
+    LoadPoller poller;
+    UpstreamDirectory directory;
+    std::set<std::size_t> seen;
+    TimePoint directoryDue;
+    TimePoint pollerDue;
+    TimePoint ownerDue;
+    TimePoint clientDue;
+    TimePoint leaseUntil;
+    bool isDead = false;
+    bool isPaused = false;
+    std::vector<PeerMessage> buffered;
+};
+
+}
