--- a/Tests/LibCredits/CreditCluster.h
+++ b/Tests/LibCredits/CreditCluster.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include <LibCore/Error.h>
-#include <LibCore/ManualClock.h>
-#include <LibCore/SeededRandom.h>
-#include <LibCredits/CreditClient.h>
-#include <LibCredits/CreditOwner.h>
-#include <LibCredits/LoadDigestReceiver.h>
-#include <LibCredits/LoadPoller.h>
-#include <LibCredits/UpstreamDirectory.h>
 #include <LibPeer/PeerEnvelope.h>
 
+#include <LibCredits/CreditNode.h>
+#include <LibCredits/FakeEngine.h>
+#include <LibCredits/TestDoubles.h>
+#include <LibCredits/ViewChanges.h>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -20,123 +18,16 @@
 
 namespace Lovageward {
 
-class MuteSink final : public LogSink
-{
-public:
-    void write(LogLevel, const std::string &) override
-    {
-    }
-};
-
-/** Configuration with nothing but drains. */
-class DrainConfiguration final : public Configuration
-{
-public:
-    // clang-format off
-    Offset appliedOffset() const override { return Offset(1); }
-    std::optional<Team> teamByKey(std::string_view) const override { return std::nullopt; }
-    std::optional<Team> team(const TeamId &) const override { return std::nullopt; }
-    std::optional<WorkClass> workClass(const WorkClassId &) const override { return std::nullopt; }
-    std::vector<WorkClass> workClasses() const override { return {}; }
-    std::vector<Model> models() const override { return {}; }
-    std::optional<Pool> pool(const PoolId &) const override { return std::nullopt; }
-    std::vector<Pool> pools() const override { return {}; }
-    bool isDrained(const FailureDomainId &failureDomain) const override { return this->drained.contains(failureDomain); }
-    // clang-format on
-
-    std::set<FailureDomainId> drained;
-};
-
-/** The clock of one node: the common one plus a difference, as clocks of different hosts differ. */
-class ShiftedClock final : public Clock
-{
-public:
-    ShiftedClock(const Clock &base, Duration shift) : base(base), shift(shift)
-    {
-    }
-
-    TimePoint now() const override
-    {
-        return this->base.now() + this->shift;
-    }
-
-    WallTime wallNow() const override
-    {
-        return this->base.wallNow() + this->shift;
-    }
-
-private:
-    const Clock &base;
-    Duration shift;
-};
-
-/** An engine that counts its work and knows its true limit while cold. */
-struct FakeEngine
-{
-    struct Work
-    {
-        std::size_t node = 0;
-        bool hasCredit = false;
-        TimePoint endsAt;
-    };
-
-    std::uint64_t boot = 1;
-    UpstreamPhase phase = UpstreamPhase::Cold;
-    std::uint32_t coldLimit = 4;
-    std::uint32_t trueLimit = 4;
-    std::uint32_t completions = 0;
-    bool isUp = true;
-    TimePoint warmSince;
-    std::vector<Work> running;
-    std::deque<std::pair<TimePoint, LoadReport>> history;
-
-    void turnCold(bool isRestart)
-    {
-        this->phase = UpstreamPhase::Cold;
-        this->trueLimit = this->coldLimit;
-        this->completions = 0;
-        if (isRestart) {
-            ++this->boot;
-            this->running.clear();
-            this->history.clear();
-        }
-    }
-
-    void turnWarm(TimePoint now)
-    {
-        if (this->phase != UpstreamPhase::Warm) {
-            this->phase = UpstreamPhase::Warm;
-            this->warmSince = now;
-        }
-    }
-
-    /** Turns cold again in the same process. A warm phase that no poll could see is not a phase that anybody can know of. */
-    void turnColdAgain(TimePoint now)
-    {
-        if (this->phase == UpstreamPhase::Warm && this->warmSince + seconds(3) <= now) {
-            this->turnCold(false);
-        }
-    }
-
-    void complete()
-    {
-        if (++this->completions >= this->trueLimit) {
-            this->completions = 0;
-            this->trueLimit *= 2;
-        }
-    }
-};
-
 /** One cold upstream and several nodes in one thread, over an in-memory transport and a lease without a log. Deterministic for a seed. */
-class CreditCluster
+class CreditCluster final : public CreditWorld
 {
 public:
     static constexpr auto tick = milliseconds(50);
 
-    CreditCluster(std::size_t size, std::uint64_t seed) : random(seed)
+    CreditCluster(std::size_t size, std::uint64_t seed) : CreditWorld(seed)
     {
         for (std::size_t index = 0; index < size; ++index) {
-            this->nodes.push_back(std::make_unique<Node>(*this, index));
+            this->nodes.push_back(std::make_unique<CreditNode>(*this, index));
         }
         for (auto &node : this->nodes) {
             node->see(size);
@@ -150,10 +41,18 @@
         this->endWork();
         this->arrive();
         this->deliverLate();
+        this->updateViews();
         for (auto &node : this->nodes) {
             if (node->isRunning()) {
-                node->runDueTasks();
+                // A node that goes on after a pause may place work before its tasks run.
+                auto isTaskFirst = this->random.below(2) == 0;
+                if (isTaskFirst) {
+                    node->runDueTasks();
+                }
                 this->tryPlacements(*node);
+                if (!isTaskFirst) {
+                    node->runDueTasks();
+                }
             }
         }
         auto report = this->currentReport();
@@ -201,17 +100,15 @@
     void loseEngine()
     {
         this->failAll();
-        this->engine.turnCold(true);
+        this->engine.turnCold(true, this->clock.now());
     }
 
-    ManualClock clock;
-    SeededRandom random;
     FakeEngine engine;
-    DrainConfiguration configuration;
     double messageLoss = 0;
     double placementRate = 0.3;
     bool isLeaseAvailable = true;
     std::uint64_t violations = 0;
+    std::uint64_t uncreditedLate = 0;
     std::uint64_t creditedArrivals = 0;
     std::uint64_t creditMessages = 0;
     std::uint32_t greatestRunning = 0;
@@ -226,156 +123,11 @@
         return this->nodes[index]->isRunning();
     }
 
-    static UpstreamId upstreamId()
-    {
-        return UpstreamId("tailor-llm-01");
-    }
-
 private:
     // Within CreditOptions::reportLag of 1 s: the way to the engine and the unknown lag of its report.
     static constexpr auto longestWay = milliseconds(300);
     static constexpr auto reportLag = milliseconds(500);
 
-    struct Node final : public PeerTransport, public Membership, public LoadProbe, public ColdStartLease
-    {
-        Node(CreditCluster &cluster, std::size_t index)
-            : cluster(cluster)
-            , index(index)
-            , clock(cluster.clock, seconds(1000 * static_cast<std::int64_t>(index)))
-            , table(clock, seconds(5))
-            , ownership(*this)
-            , receiver(clock, *this, table)
-            , sender(clock, *this, runner, sink, counters, host(index), index + 1)
-            , owner(clock, cluster.random, *this, sink, counters)
-            , client(clock, *this, runner, table, ownership, host(index), sink, counters, [this] { this->clientDue = TimePoint(); })
-            , poller(clock, runner, *this, table, ownership, cluster.configuration, sender, { &this->owner }, sink, counters)
-            , directory(clock, table, cluster.configuration, ownership, sink)
-        {
-        }
-
-        bool isRunning() const
-        {
-            return !this->isDead && !this->isPaused;
-        }
-
-        void see(std::size_t size)
-        {
-            for (std::size_t other = 0; other < size; ++other) {
-                this->seen.insert(other);
-            }
-            this->directory.hostListFetched({ { upstreamId().value(),
-                                                HostKind::Upstream,
-                                                PoolId("tailor-llm"),
-                                                RegionId("guj-west"),
-                                                FailureDomainId("surat-a"),
-                                                "127.0.0.1:1",
-                                                PeerAddress(),
-                                                false } });
-        }
-
-        void runDueTasks()
-        {
-            auto now = this->clock.now();
-            this->directoryDue = now >= this->directoryDue ? this->directory.step() : this->directoryDue;
-            this->pollerDue = now >= this->pollerDue ? this->poller.step() : this->pollerDue;
-            this->ownerDue = now >= this->ownerDue ? this->owner.step() : this->ownerDue;
-            this->clientDue = now >= this->clientDue ? this->client.step() : this->clientDue;
-        }
-
-        static HostId host(std::size_t index)
-        {
-            return HostId("n" + std::to_string(index));
-        }
-
-        static Member member(std::size_t index)
-        {
-            return {
-                host(index), Incarnation(1), RegionId("guj-west"), FailureDomainId("surat-a"), PeerAddress("tcp://x:" + std::to_string(index)), Offset(1)
-            };
-        }
-
-        std::string request(const PeerAddress &address, const PeerMessage &message, TimePoint) override
-        {
-            return this->cluster.deliver(std::stoul(address.value().substr(8)), message);
-        }
-
-        Member self() const override
-        {
-            return member(this->index);
-        }
-
-        std::vector<Member> liveMembers() const override
-        {
-            std::vector<Member> members;
-            for (auto other : this->seen) {
-                members.push_back(member(other));
-            }
-            return members;
-        }
-
-        Member ownerOf(std::string_view) const override
-        {
-            return this->self();
-        }
-
-        bool canReachAnyPeer() const override
-        {
-            return true;
-        }
-
-        LoadReport probe(const std::string &, TimePoint) override
-        {
-            return this->cluster.probeEngine(this->clock.now());
-        }
-
-        bool tryAcquire(const UpstreamId &) override
-        {
-            return this->cluster.acquireLease(this->index);
-        }
-
-        bool isHeldNow(const UpstreamId &upstream) const override
-        {
-            return this->clock.now() < this->heldUntil(upstream);
-        }
-
-        TimePoint heldUntil(const UpstreamId &) const override
-        {
-            return this->leaseUntil;
-        }
-
-        std::string handle(const PeerMessage &message)
-        {
-            if (message.kind == PeerMessageKind::LoadDigest) {
-                return this->receiver.handle(message);
-            }
-            return this->owner.handle(message);
-        }
-
-        CreditCluster &cluster;
-        std::size_t index;
-        ShiftedClock clock;
-        SequentialRunner runner;
-        MuteSink sink;
-        Counters counters;
-        UpstreamTable table;
-        UpstreamOwnership ownership;
-        LoadDigestReceiver receiver;
-        LoadDigestSender sender;
-        CreditOwner owner;
-        CreditClient client;
-        LoadPoller poller;
-        UpstreamDirectory directory;
-        std::set<std::size_t> seen;
-        TimePoint directoryDue;
-        TimePoint pollerDue;
-        TimePoint ownerDue;
-        TimePoint clientDue;
-        TimePoint leaseUntil;
-        bool isDead = false;
-        bool isPaused = false;
-        std::vector<PeerMessage> buffered;
-    };
-
     struct Arrival
     {
         TimePoint at;
@@ -389,7 +141,7 @@
         TimePoint until;
     };
 
-    std::string deliver(std::size_t to, const PeerMessage &message)
+    std::string deliver(std::size_t to, const PeerMessage &message) override
     {
         auto &receiver = *this->nodes[to];
         auto isCredit = message.kind == PeerMessageKind::CreditRequest || message.kind == PeerMessageKind::CreditReturn;
@@ -436,7 +188,7 @@
     }
 
     /** A report that shows a state up to `reportLag` older than it says. */
-    LoadReport probeEngine(TimePoint nodeNow)
+    LoadReport probeEngine(TimePoint nodeNow) override
     {
         if (!this->engine.isUp || this->engine.history.empty()) {
             throw Error(ResultCode::UpstreamUnavailable, RunState::NotRun, "refused");
@@ -446,20 +198,20 @@
         return report;
     }
 
-    bool acquireLease(std::size_t index)
+    bool acquireLease(std::size_t index) override
     {
         constexpr auto term = seconds(10);
-        constexpr auto margin = seconds(1);
         auto now = this->clock.now();
         if (!this->isLeaseAvailable || (this->lease.holder != index && now < this->lease.until)) {
             return false;
         }
         this->lease = { index, now + term };
-        this->nodes[index]->leaseUntil = this->nodes[index]->clock.now() + term - margin;
+        // No margin is taken off: the take-over wait alone must keep the credits of two holders apart.
+        this->nodes[index]->leaseUntil = this->nodes[index]->clock.now() + term;
         return true;
     }
 
-    void tryPlacements(Node &node)
+    void tryPlacements(CreditNode &node)
     {
         if (this->random.unit() >= this->placementRate) {
             return;
@@ -493,10 +245,19 @@
         }
     }
 
-    /** The invariant: whenever work with a credit starts on a cold upstream, all of its work is within the limit. */
+    /**
+     * The invariants: whenever work with a credit starts on a cold upstream, all of its work is within the limit, and once
+     * no node can have a valid report of the warm upstream any more, all work has a credit.
+     */
     void checkLimit(const FakeEngine::Work &work)
     {
-        if (this->engine.phase != UpstreamPhase::Cold || !work.hasCredit) {
+        if (this->engine.phase != UpstreamPhase::Cold) {
+            return;
+        }
+        if (!work.hasCredit) {
+            constexpr auto maximumReportAge = seconds(5);
+            auto isLate = this->clock.now() > this->engine.coldSince + maximumReportAge + reportLag + longestWay + tick;
+            this->uncreditedLate += isLate ? 1 : 0;
             return;
         }
         ++this->creditedArrivals;
@@ -536,44 +297,27 @@
 
     void setSeen(std::size_t index, bool isSeen, Duration spread)
     {
-        for (auto &node : this->nodes) {
-            auto delay = Duration(static_cast<std::int64_t>(this->random.below(static_cast<std::uint64_t>(spread.count()) + 1)));
-            this->sightings.push_back({ this->clock.now() + (isSeen ? delay : spread - delay / 4), node->index, index, isSeen });
-        }
+        this->views.add(index, isSeen, this->nodes.size(), spread, this->clock.now(), this->random);
     }
 
-    struct Sighting
-    {
-        TimePoint at;
-        std::size_t observer;
-        std::size_t subject;
-        bool isSeen;
-    };
-
-public:
-    /** Lets the membership views of the nodes change when it is time. */
     void updateViews()
     {
-        auto now = this->clock.now();
-        for (const auto &sighting : this->sightings) {
-            auto isStale = sighting.isSeen != this->nodes[sighting.subject]->isRunning();
-            if (sighting.at > now || isStale || sighting.observer == sighting.subject) {
-                continue;
+        this->views.applyDue(this->clock.now(), [this](auto observer, auto subject, bool isSeen) {
+            auto &seen = this->nodes[observer]->seen;
+            if (isSeen != this->nodes[subject]->isRunning()) {
+                return;
             }
-            auto &seen = this->nodes[sighting.observer]->seen;
-            if (sighting.isSeen) {
-                seen.insert(sighting.subject);
+            if (isSeen) {
+                seen.insert(subject);
             } else {
-                seen.erase(sighting.subject);
+                seen.erase(subject);
             }
-        }
-        std::erase_if(this->sightings, [now](const auto &sighting) { return sighting.at <= now; });
+        });
     }
 
-private:
-    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::unique_ptr<CreditNode>> nodes;
     std::vector<Arrival> arrivals;
-    std::vector<Sighting> sightings;
+    ViewChanges views;
     Lease lease;
 };
 
