LibConfig: Decide after each read whether to ask peers or write a checkpoint

The wiring of tailer, puller and checkpoint writer decides how fast a node that lost the log learns of a drain, so it belongs to a tested class and not to the main program.

--- a/Tests/LibConfig/TestConfigStore.cpp
+++ b/Tests/LibConfig/TestConfigStore.cpp
@@ -1,3 +1,4 @@
+#include <LibConfig/ConfigMaintenance.h>
 #include <LibConfig/InForce.h>
 #include <LibCore/Error.h>
 #include <LibCore/SystemClock.h>
@@ -292,6 +293,43 @@
     CHECK_FALSE(this->two.puller.step());
 }
 
+TEST_CASE_METHOD(StoreFixture, "Peers are asked only when the log gives no complete configuration", "[config]")
+{
+    ConfigMaintenance maintenance(this->two.store, this->two.puller, this->two.writer);
+    this->one.publish("model/m", Offset(0), "{}");
+    this->one.readAll();
+    this->showOffsets(this->two);
+    auto step = [this, &maintenance] { maintenance.afterStep(this->two.read()); };
+    SECTION("the log answers")
+    {
+        step();
+        CHECK(this->peers.requestCount == 0);
+    }
+    SECTION("the log is down")
+    {
+        this->log.setOutage(true);
+        step();
+        CHECK(this->peers.requestCount == 1);
+    }
+    SECTION("records have expired and no checkpoint is left")
+    {
+        this->clock.advance(minutes(31));
+        this->inner.append(configStream, "not a checkpoint", this->clock.now());
+        this->one.readAll();
+        this->showOffsets(this->two);
+        step();
+        CHECK(this->peers.requestCount == 1);
+        CHECK_FALSE(this->two.store.needsCheckpoint());
+        // The node that has the whole state now also saves it for the next start.
+        this->two.membership.first = HostId("two");
+        this->clock.advance(minutes(16));
+        step();
+        CHECK(this->two.counters.counter("lovageward_config_checkpoints_written_total").value() == 1);
+    }
+    CHECK(this->two.store.isReady());
+    CHECK(this->two.versionOf("model/m") == Offset(1));
+}
+
 TEST_CASE_METHOD(StoreFixture, "A node that starts while the log is down gets the whole state in parts that fit a message", "[config]")
 {
     for (int count = 0; count < 1200; ++count) {
