LibRelay: Bound the time to the first token from the start of a generation

Cause: a start had 5 s for the response head, but engines queue work and some send the head only with the first token, so a long queue looked like a silent connection. A silent engine in turn had two full limits before a restart.

Change: one deadline from the start of the generation covers the head, the first token and an early resume, which gets at least one gap limit. A TCP handshake is given up after 3 s.

Figures: with the default limits a silent engine is left after 25 s (manual clock, test in TestGenerationRelay).

--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -15,6 +15,8 @@
 
 // Looking through all addresses for expired connections takes time that each single request shouldn't pay.
 constexpr Duration collectionInterval = seconds(1);
+// Paths take some 20 ms between regions, so a handshake that takes this long has failed, whatever time the call itself has.
+constexpr Duration connectLimit = seconds(3);
 
 }
 
@@ -43,7 +45,7 @@
 std::unique_ptr<HttpConnection> ConnectionPool::connect(const std::string &address, TimePoint deadline) const
 {
     try {
-        auto remaining = std::max(deadline - this->clock.now(), Duration(1));
+        auto remaining = std::clamp(deadline - this->clock.now(), Duration(1), connectLimit);
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(remaining.count()));
         return std::make_unique<HttpConnection>(std::make_unique<SocketChannel>(this->clock, socket));
--- a/Libraries/LibRelay/GenerationFollower.cpp
+++ b/Libraries/LibRelay/GenerationFollower.cpp
@@ -25,13 +25,14 @@
     , startsAtBeginning(from.value() == 0)
     , backoff(parts.random, limits.backoffBase, limits.backoffCap)
     , logger(parts.logSink, "relay")
+    , firstTokenDeadline(parts.clock.now() + limits.firstTokenLimit)
 {
 }
 
 FollowResult GenerationFollower::follow(std::unique_ptr<EngineStream> opened)
 {
     this->stream = std::move(opened);
-    this->eventDeadline = this->parts.clock.now() + this->limits.firstTokenLimit;
+    this->eventDeadline = this->firstTokenDeadline;
     this->nextCheck = this->parts.clock.now();
     while (true) {
         auto result = this->stream ? this->step() : this->reconnect();
@@ -155,11 +156,14 @@
     }
 }
 
+bool GenerationFollower::awaitsFirstToken() const
+{
+    return this->startsAtBeginning && this->receivedCount == 0;
+}
+
 unsigned GenerationFollower::allowedResumes() const
 {
-    // While nothing has arrived, a new generation elsewhere costs nothing, so a single resume has to do.
-    bool hasNothing = this->startsAtBeginning && this->receivedCount == 0;
-    return hasNothing ? 1 : std::max(1U, this->limits.maximumResumes);
+    return this->awaitsFirstToken() ? 1 : std::max(1U, this->limits.maximumResumes);
 }
 
 std::optional<FollowResult> GenerationFollower::reconnect()
@@ -183,11 +187,13 @@
 {
     this->parts.counters.resumes.add();
     auto now = this->parts.clock.now();
+    bool isFirst = this->awaitsFirstToken();
+    // A generation whose connection broke early may still be queued, so it keeps its time to the first token.
+    auto firstDeadline = std::max(this->firstTokenDeadline, now + this->limits.gapLimit);
     try {
-        auto deadline = std::min(now + this->limits.connectLimit, this->parts.drain.deadline());
+        auto deadline = std::min(isFirst ? firstDeadline : now + this->limits.connectLimit, this->parts.drain.deadline());
         this->stream = this->parts.engines.resume(this->target.address, this->target.generation, TokenOffset(this->nextOffset), deadline);
-        bool hasNothing = this->startsAtBeginning && this->receivedCount == 0;
-        this->eventDeadline = this->parts.clock.now() + (hasNothing ? this->limits.firstTokenLimit : this->limits.gapLimit);
+        this->eventDeadline = isFirst ? firstDeadline : this->parts.clock.now() + this->limits.gapLimit;
         return std::nullopt;
     } catch (const Error &error) {
         this->noteFailure(error);
--- a/Libraries/LibRelay/GenerationFollower.h
+++ b/Libraries/LibRelay/GenerationFollower.h
@@ -127,6 +127,8 @@
     std::optional<FollowResult> openConnection();
     void noteFailure(const Error &error);
     unsigned allowedResumes() const;
+    /** True if no token has arrived, so that a new generation elsewhere costs nothing. */
+    bool awaitsFirstToken() const;
 
     RelayParts parts;
     RelayLimits limits;
@@ -140,6 +142,7 @@
     Backoff backoff;
     Logger logger;
     std::unique_ptr<EngineStream> stream;
+    TimePoint firstTokenDeadline;
     TimePoint eventDeadline;
     TimePoint nextCheck;
     unsigned fruitlessResumes = 0;
--- a/Libraries/LibRelay/GenerationRelay.cpp
+++ b/Libraries/LibRelay/GenerationRelay.cpp
@@ -114,7 +114,7 @@
 std::unique_ptr<EngineStream> GenerationRelay::startStream(const RelayTask &task, const GenerationTarget &target, const Placement &placement)
 {
     GenerationRequest request { target.request, target.generation, task.path, task.body, task.priority };
-    auto deadline = std::min(this->parts.clock.now() + this->limits.connectLimit, this->parts.drain.deadline());
+    auto deadline = std::min(this->parts.clock.now() + this->limits.firstTokenLimit, this->parts.drain.deadline());
     try {
         return this->parts.engines.start(placement.address, request, deadline);
     } catch (const Error &error) {
--- a/Libraries/LibRelay/RelayLimits.h
+++ b/Libraries/LibRelay/RelayLimits.h
@@ -9,9 +9,12 @@
 /** Time limits and bounds of one relayed generation. */
 struct RelayLimits
 {
-    /** Until an engine has answered the head of a start or resume. */
+    /** Until an engine has answered the head of a resume after the first token. */
     Duration connectLimit = seconds(5);
-    /** Until the first event of a started generation. Engines queue work, so this is longer than the gap limit. */
+    /**
+     * From the start of a generation to its first event. Engines queue work, and some send the response head only with the first token, so
+     * this is longer than the other limits and bounds the head of a start as well.
+     */
     Duration firstTokenLimit = seconds(20);
     /** Between two events. A connection silent for longer is replaced by a new one. */
     Duration gapLimit = seconds(5);
--- a/Tests/LibRelay/ScriptedEngine.h
+++ b/Tests/LibRelay/ScriptedEngine.h
@@ -131,10 +131,11 @@
     {
     }
 
-    std::unique_ptr<EngineStream> start(const std::string &address, const GenerationRequest &request, TimePoint /*deadline*/) override
+    std::unique_ptr<EngineStream> start(const std::string &address, const GenerationRequest &request, TimePoint deadline) override
     {
         this->scene.trace.push_back("start:" + address);
         this->generations.push_back(request.generation);
+        this->startTime = deadline - this->scene.clock.now();
         return this->open(request.generation);
     }
 
@@ -155,6 +156,8 @@
     }
 
     std::vector<GenerationId> generations;
+    /** Time that the last start was given. */
+    Duration startTime = Duration(0);
 
 private:
     std::unique_ptr<EngineStream> open(const GenerationId &generation)
--- a/Tests/LibRelay/TestGenerationRelay.cpp
+++ b/Tests/LibRelay/TestGenerationRelay.cpp
@@ -237,6 +237,23 @@
     CHECK(fixture.counters.silences.value() == 1);
 }
 
+TEST_CASE("An engine that sends its response head with the first token has the whole time for it", "[relay]")
+{
+    RelayFixture fixture({ "silent", "wait:4900 0 end" });
+    fixture.relay().run(fixture.task);
+    CHECK(fixture.engine.startTime == fixture.limits.firstTokenLimit);
+    CHECK(fixture.sink.transcript == "0 done");
+    CHECK(fixture.scene.clock.now() - TimePoint() == fixture.limits.firstTokenLimit + milliseconds(4900));
+}
+
+TEST_CASE("A silent engine is left before the first token after one more gap, not after a second full limit", "[relay]")
+{
+    RelayFixture fixture({ "silent", "silent", "0 end" });
+    fixture.limits.backoffCap = Duration(0);
+    fixture.relay().run(fixture.task);
+    CHECK(fixture.scene.clock.now() - TimePoint() == fixture.limits.firstTokenLimit + fixture.limits.gapLimit);
+}
+
 TEST_CASE("Every anomaly is counted", "[relay]")
 {
     RelayFixture fixture({ "0 x1", "0 3", "1 end" });
