--- a/Benchmarks/fleet/CallerLoad.cpp
+++ b/Benchmarks/fleet/CallerLoad.cpp
@@ -36,7 +36,7 @@
 }
 
 CallerLoad::CallerLoad(const Fleet &fleet, std::size_t generationThreads, std::size_t bookingThreads, std::uint32_t tokensPerAnswer, std::uint64_t cutEvery)
- : fleet(fleet), tokensPerAnswer(tokensPerAnswer), cutEvery(cutEvery)
+    : fleet(fleet), tokensPerAnswer(tokensPerAnswer), cutEvery(cutEvery)
 {
     for (std::size_t index = 0; index < generationThreads; ++index) {
         this->threads.emplace_back([this, index] { this->runGenerations(index); });
--- a/Libraries/LibNode/Routing.cpp
+++ b/Libraries/LibNode/Routing.cpp
@@ -11,6 +11,11 @@
 constexpr std::size_t digestHandlers = 4;
 constexpr std::size_t creditHandlers = 4;
 
+std::uint64_t nonZero(std::uint64_t number)
+{
+    return number == 0 ? 1 : number;
+}
+
 FanoutOptions fanoutOf(const NodeSettings &settings)
 {
     FanoutOptions options;
@@ -47,9 +52,8 @@
                    sharedState.runner,
                    sharedState.basis.sink,
                    sharedState.basis.counters,
-                   sharedState.basis.settings.host,
-                   sharedState.basis.random.next())
-    , digestReceiver(sharedState.basis.clock, sharedState.gossip, this->table)
+                   sharedState.basis.settings.host)
+    , digestReceiver(sharedState.basis.clock, sharedState.gossip, this->table, nonZero(sharedState.basis.random.next()))
     , coldStartLease(sharedState.leaseLog, sharedState.basis.clock, sharedState.basis.random, sharedState.leaseOwner, LeaseSettings())
     , creditOwner(sharedState.basis.clock, sharedState.basis.random, this->coldStartLease, sharedState.basis.sink, sharedState.basis.counters)
     , creditClient(sharedState.basis.clock,
--- a/Libraries/LibNode/SharedState.cpp
+++ b/Libraries/LibNode/SharedState.cpp
@@ -26,6 +26,7 @@
     , pullHandler(this->config)
     , puller(nodeBasis.clock, nodeBasis.random, nodeBasis.sink, nodeBasis.counters, this->transport, this->gossip, this->config)
     , checkpointWriter(nodeBasis.clock, nodeBasis.sink, nodeBasis.counters, *nodeBasis.log, this->gossip, this->config, logRetention)
+    , maintenance(this->config, this->puller, this->checkpointWriter)
     , leaseLog(*nodeBasis.log, nodeBasis.clock)
     , leaseOwner { nodeBasis.settings.host, nodeBasis.incarnation }
 {
@@ -61,12 +62,7 @@
 void SharedState::afterTailerStep(LogTailer::Step step)
 {
     this->gossip.setConfigOffset(this->config.appliedOffset());
-    if (step == LogTailer::Step::Unavailable || this->config.needsCheckpoint()) {
-        this->puller.step();
-    }
-    if (step == LogTailer::Step::AtEnd) {
-        this->checkpointWriter.step();
-    }
+    this->maintenance.afterStep(step);
 }
 
 }
--- a/Libraries/LibNode/SharedState.h
+++ b/Libraries/LibNode/SharedState.h
@@ -2,6 +2,7 @@
 
 #include <LibConfig/AuditTrail.h>
 #include <LibConfig/CheckpointWriter.h>
+#include <LibConfig/ConfigMaintenance.h>
 #include <LibConfig/ConfigPullHandler.h>
 #include <LibConfig/ConfigPuller.h>
 #include <LibConfig/ConfigStore.h>
@@ -41,6 +42,7 @@
     ConfigPullHandler pullHandler;
     ConfigPuller puller;
     CheckpointWriter checkpointWriter;
+    ConfigMaintenance maintenance;
     LeaseLog leaseLog;
     LeaseOwner leaseOwner;
 
