LibPolicy: Recognise reports that lag more than their age says

Change: ReportLag compares changes of the used memory with changes of own work at several distances in time and takes the distance that explains them best.

--- a/Libraries/LibPolicy/ForecastChooser.cpp
+++ b/Libraries/LibPolicy/ForecastChooser.cpp
@@ -100,7 +100,7 @@
         return;
     }
     auto &site = this->sites[brief.slot];
-    site.forecast.refresh(brief, typicalOf(pool), this->random.unit());
+    site.forecast.refresh(brief, typicalOf(pool), pool.reportLag, this->random.unit());
     if (brief.phase == UpstreamPhase::Cold) {
         site.wasCold = site.wasCold || brief.hasReport;
         auto outstanding = static_cast<std::uint32_t>(site.forecast.outstanding());
--- a/Libraries/LibPolicy/ForecastChooser.h
+++ b/Libraries/LibPolicy/ForecastChooser.h
@@ -51,6 +51,7 @@
          */
         MemoryProfile arrivals;
         double arrivalCount = 0;
+        ReportLag reportLag;
         /** Time until which the pool counts as having work that protects the gap between tokens. */
         TimePoint gapProtectedUntil;
     };
--- a/Libraries/LibPolicy/MemoryForecast.cpp
+++ b/Libraries/LibPolicy/MemoryForecast.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Sixteen snapshots at this distance cover a report that is four seconds late. */
-constexpr auto snapshotSpacing = milliseconds(300);
+/** Sixteen snapshots at this distance cover the longest lag that is recognised. */
+constexpr auto snapshotSpacing = milliseconds(500);
 /** Blocks of own work below which it says little about the others' work; a flat development is mixed in with this weight. */
 constexpr double typicalWeight = 500;
 /** Standard deviation of others' memory, as a share, while this node has no work to compare with. */
@@ -49,16 +49,17 @@
     return this->snapshots[(this->newest + 1) % snapshotCount];
 }
 
-void MemoryForecast::refresh(const UpstreamBrief &brief, const MemoryProfile &typical, double newDraw)
+void MemoryForecast::refresh(const UpstreamBrief &brief, const MemoryProfile &typical, ReportLag &lag, double newDraw)
 {
     if (!brief.hasReport || (this->hasReport && brief.measuredAt == this->reportedAt)) {
         return;
     }
+    this->learnLag(brief, lag);
     this->hasReport = true;
     this->reportedAt = brief.measuredAt;
     this->draw = newDraw;
     this->totalBlocks = static_cast<double>(brief.kvBlocksTotal);
-    this->ownAtReport = this->ownAt(brief.measuredAt);
+    this->ownAtReport = this->ownAt(brief.measuredAt - lag.lag());
     auto used = static_cast<double>(brief.kvBlocksUsed);
     auto foreign = std::max(0.0, used - this->ownAtReport.mean[0]);
     // Work that waits at the engine holds no memory yet, but will hold about as much as what runs.
@@ -66,6 +67,22 @@
     this->estimateOthers(foreign + perPiece * brief.waiting, typical);
 }
 
+void MemoryForecast::learnLag(const UpstreamBrief &brief, ReportLag &lag)
+{
+    auto used = static_cast<double>(brief.kvBlocksUsed);
+    ReportLag::OwnBlocks own {};
+    ReportLag::OwnBlocks changes {};
+    for (std::size_t index = 0; index < ReportLag::candidateCount; ++index) {
+        own[index] = this->ownAt(brief.measuredAt - ReportLag::step * index).mean[0];
+        changes[index] = own[index] - this->ownAtLags[index];
+    }
+    if (this->hasReport) {
+        lag.observe(used - this->usedBlocks, changes);
+    }
+    this->usedBlocks = used;
+    this->ownAtLags = own;
+}
+
 void MemoryForecast::estimateOthers(double blocks, const MemoryProfile &typical)
 {
     auto typicalBlocks = typical.mean[0] + typicalWeight;
--- a/Libraries/LibPolicy/MemoryForecast.h
+++ b/Libraries/LibPolicy/MemoryForecast.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibPolicy/MemoryProfile.h>
+#include <LibPolicy/ReportLag.h>
 #include <LibPolicy/UpstreamBrief.h>
 
 #include <array>
@@ -35,9 +36,10 @@
 
     /**
      * Takes a report into account if it is new. `typical` is the profile of work as it arrives in the pool; other nodes' work
-     * is assumed to develop and vary like it. `draw` is uniform in [0, 1).
+     * is assumed to develop and vary like it. `lag` learns from the report
+     * and says how old it really is. `draw` is uniform in [0, 1).
      */
-    void refresh(const UpstreamBrief &brief, const MemoryProfile &typical, double draw);
+    void refresh(const UpstreamBrief &brief, const MemoryProfile &typical, ReportLag &lag, double draw);
 
     /**
      * Room that is left for this node after the work was placed, at the horizon where it is smallest, as a share of the
@@ -60,6 +62,7 @@
     };
 
     void estimateOthers(double blocks, const MemoryProfile &typical);
+    void learnLag(const UpstreamBrief &brief, ReportLag &lag);
     void remember(TimePoint now);
     Snapshot ownAt(TimePoint time) const;
 
@@ -75,6 +78,8 @@
     bool hasReport = false;
     double totalBlocks = 0;
     double draw = 0;
+    double usedBlocks = 0;
+    ReportLag::OwnBlocks ownAtLags {};
     Snapshot ownAtReport;
     MemoryProfile others;
 };
--- a/Tests/LibPolicy/TestMemoryForecast.cpp
+++ b/Tests/LibPolicy/TestMemoryForecast.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/SeededRandom.h>
 #include <LibPolicy/LengthModel.h>
 #include <LibPolicy/MemoryForecast.h>
 
@@ -44,9 +45,10 @@
 TEST_CASE("Own work that was sent since a report counts, so that a late report doesn't overfill an engine", "[policy]")
 {
     MemoryForecast forecast;
-    forecast.refresh(report(start, 500), {}, 0);
+    ReportLag lag;
+    forecast.refresh(report(start, 500), {}, lag, 0);
     CHECK(admitted(forecast, { .deviations = 0 }) == 10);
-    forecast.refresh(report(start + seconds(2), 1000), {}, 0);
+    forecast.refresh(report(start + seconds(2), 1000), {}, lag, 0);
     CHECK(admitted(forecast, { .deviations = 0 }) == 0);
 }
 
@@ -55,7 +57,8 @@
     int total = 0;
     for (int node = 0; node < 8; ++node) {
         MemoryForecast forecast;
-        forecast.refresh(report(start, 400), {}, (node + 0.5) / 8);
+        ReportLag lag;
+        forecast.refresh(report(start, 400), {}, lag, (node + 0.5) / 8);
         total += admitted(forecast, { .deviations = 0, .nodes = 8 });
     }
     CHECK(total >= 10);
@@ -65,8 +68,9 @@
 TEST_CASE("Own work before a report isn't counted twice", "[policy]")
 {
     MemoryForecast forecast;
+    ReportLag lag;
     forecast.change({}, flat(300), 1, start);
-    forecast.refresh(report(start + seconds(1), 300), {}, 0);
+    forecast.refresh(report(start + seconds(1), 300), {}, lag, 0);
     CHECK(forecast.load(1) == Approx(0.3));
     forecast.change(flat(300), {}, -1, start + seconds(2));
     CHECK(forecast.load(1) == Approx(0).margin(1e-9));
@@ -75,7 +79,8 @@
 TEST_CASE("Work that waits at the engine takes room before it holds memory", "[policy]")
 {
     MemoryForecast forecast;
-    forecast.refresh(report(start, 500, 10), {}, 0);
+    ReportLag lag;
+    forecast.refresh(report(start, 500, 10), {}, lag, 0);
     CHECK(admitted(forecast, { .deviations = 0 }) == 0);
 }
 
@@ -91,9 +96,35 @@
     CHECK(young.mean[0] == Approx(10.5));
     CHECK(young.mean[4] > 60);
     MemoryForecast forecast;
+    ReportLag lag;
     for (int count = 0; count < 8; ++count) {
         forecast.change({}, young, 1, start);
     }
-    forecast.refresh(report(start, 84), {}, 0);
+    forecast.refresh(report(start, 84), {}, lag, 0);
     CHECK_FALSE(forecast.roomAfter(young, {}));
 }
+
+TEST_CASE("A lag that reports don't admit is recognised, so that work sent meanwhile isn't forgotten", "[policy]")
+{
+    for (auto lagSteps : { 0, 2, 5 }) {
+        SeededRandom random(3);
+        ReportLag lag;
+        std::vector<double> own(2000);
+        for (auto &change : own) {
+            change = random.unit() * 100 - 50;
+        }
+        for (std::size_t time = 10; time < own.size(); ++time) {
+            // Seven other nodes change as much as this one each.
+            double used = own[time - static_cast<std::size_t>(lagSteps)];
+            for (int node = 0; node < 7; ++node) {
+                used += random.unit() * 100 - 50;
+            }
+            ReportLag::OwnBlocks changes {};
+            for (std::size_t index = 0; index < changes.size(); ++index) {
+                changes[index] = own[time - index];
+            }
+            lag.observe(used, changes);
+        }
+        CHECK(lag.lag() == seconds(lagSteps));
+    }
+}
