LibDispatch: Keep one upstream free for an aged request, not all

An aged request without room kept every upstream of its pool from others until it fitted, so a whole pool of engines would have drained for one long plan. It now keeps only the least loaded upstream that it may use.

A release or an arrival between a deadline and the next background pass could still place the expired request; expired requests are now refused before anything is placed.

--- a/Libraries/LibDispatch/DispatchCore.cpp
+++ b/Libraries/LibDispatch/DispatchCore.cpp
@@ -44,6 +44,7 @@
 TicketId DispatchCore::submit(const WorkItem &item)
 {
     this->checkAcceptsWork();
+    this->refuseExpired();
     auto work = this->resolver.resolve(item, TicketId(this->lastTicket + 1));
     this->shortenHopeless(work);
     auto entry = work.entry;
@@ -61,13 +62,7 @@
 
 void DispatchCore::step()
 {
-    for (auto ticket : this->queue.expired(this->clock.now())) {
-        if (this->waitingWork.at(ticket).hasNoUpstream) {
-            this->refuse(ticket, ResultCode::NoCapacity, "every upstream that may take the request has failed or left", shortestRetryAfter);
-        } else {
-            this->refuse(ticket, ResultCode::DeadlineExceeded, "no upstream had room before the queue deadline", shortestRetryAfter);
-        }
-    }
+    this->refuseExpired();
     for (const auto &resource : this->queue.waitingResources()) {
         if (this->isPassDue(this->resources[resource])) {
             this->pass(resource);
@@ -116,6 +111,7 @@
 
 void DispatchCore::release(PlacementId id, PlacementOutcome outcome)
 {
+    this->refuseExpired();
     auto found = this->runningWork.find(id);
     auto produced = this->placer.release(id, outcome);
     if (found == this->runningWork.end() || !produced) {
@@ -170,6 +166,17 @@
     return this->runningWork.size();
 }
 
+void DispatchCore::refuseExpired()
+{
+    for (auto ticket : this->queue.expired(this->clock.now())) {
+        if (this->waitingWork.at(ticket).hasNoUpstream) {
+            this->refuse(ticket, ResultCode::NoCapacity, "every upstream that may take the request has failed or left", shortestRetryAfter);
+        } else {
+            this->refuse(ticket, ResultCode::DeadlineExceeded, "no upstream had room before the queue deadline", shortestRetryAfter);
+        }
+    }
+}
+
 void DispatchCore::checkAcceptsWork()
 {
     if (this->isIsolated) {
@@ -239,14 +246,14 @@
 
 void DispatchCore::placeArrival(const QueueEntry &entry)
 {
-    // Nothing changed since the last pass, so only the new request is worth an attempt, unless an aged one holds the room.
+    // Nothing changed since the last pass, so only the new request is worth an attempt.
     auto next = this->queue.candidates(entry.resource, this->settings.attemptsPerPass);
     auto isNew = [&entry](const QueueEntry &candidate) { return candidate.ticket == entry.ticket; };
-    auto isNext = std::any_of(next.begin(), next.end(), isNew);
-    auto isHeld = !isNew(next.front()) && this->holds(next.front());
-    if (isNext && !isHeld) {
-        this->offer(entry.ticket, {});
+    if (std::none_of(next.begin(), next.end(), isNew)) {
+        return;
     }
+    auto reserved = isNew(next.front()) ? std::vector<UpstreamId>() : this->reservedFor(next.front());
+    this->offer(entry.ticket, reserved);
 }
 
 void DispatchCore::pass(const ResourceId &resource)
@@ -271,11 +278,8 @@
         if (result == Offer::Placed) {
             return true;
         }
-        if (isFirst && result == Offer::NoRoom && this->holds(entry)) {
-            if (!entry.isRestricted) {
-                return false;
-            }
-            reserved = this->placer.usableUpstreams(this->waitingWork.at(entry.ticket).placement);
+        if (isFirst && result == Offer::NoRoom) {
+            reserved = this->reservedFor(entry);
         }
         isFirst = false;
     }
@@ -296,10 +300,14 @@
     return attempt.hadChoice ? Offer::NotYet : Offer::NoRoom;
 }
 
-bool DispatchCore::holds(const QueueEntry &entry) const
+std::vector<UpstreamId> DispatchCore::reservedFor(const QueueEntry &entry)
 {
-    // Without this, short work takes each bit of room before there is enough for an aged long request.
-    return entry.due <= this->clock.now();
+    if (entry.due > this->clock.now()) {
+        return {};
+    }
+    auto &work = this->waitingWork.at(entry.ticket);
+    work.reserved = this->placer.reservation(work.placement, work.reserved);
+    return work.reserved ? std::vector<UpstreamId> { *work.reserved } : std::vector<UpstreamId>();
 }
 
 void DispatchCore::place(const QueueEntry &entry, Placement placement)
--- a/Libraries/LibDispatch/DispatchCore.h
+++ b/Libraries/LibDispatch/DispatchCore.h
@@ -99,6 +99,7 @@
         NotYet,
     };
 
+    void refuseExpired();
     void checkAcceptsWork();
     void shortenHopeless(WaitingWork &work) const;
     void checkQueue(const QueueEntry &entry);
@@ -109,7 +110,11 @@
     void pass(const ResourceId &resource);
     bool placeOne(const ResourceId &resource);
     Offer offer(TicketId ticket, const std::vector<UpstreamId> &reserved);
-    bool holds(const QueueEntry &entry) const;
+    /**
+     * The upstream that an aged request waits for, which others may not use. Without it, short work takes each bit of room before
+     * there is enough for a long request.
+     */
+    std::vector<UpstreamId> reservedFor(const QueueEntry &entry);
     void place(const QueueEntry &entry, Placement placement);
     bool isPassDue(const ResourceState &state) const;
     void checkUpstreams(const ResourceId &resource, ResourceState &state);
--- a/Libraries/LibDispatch/Placer.cpp
+++ b/Libraries/LibDispatch/Placer.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/Placer.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Lovageward {
@@ -40,9 +41,7 @@
 Placer::Attempt Placer::tryPlace(PlacementRequest request)
 {
     Attempt attempt;
-    this->breakers.appendBlocked(this->clock.now(), request.excluded);
-    if (!request.isOwnRegionOnly && this->link.isExhausted()) {
-        request.isOwnRegionOnly = true;
+    if (this->restrict(request)) {
         this->linkHolds.add();
     }
     for (unsigned number = 0; number < maximumChoices; ++number) {
@@ -103,12 +102,52 @@
 std::vector<UpstreamId> Placer::usableUpstreams(const PlacementRequest &request) const
 {
     std::vector<UpstreamId> usable;
+    for (const auto &state : this->usableStates(request)) {
+        usable.push_back(state.id);
+    }
+    return usable;
+}
+
+std::optional<UpstreamId> Placer::reservation(PlacementRequest request, const std::optional<UpstreamId> &present) const
+{
+    this->restrict(request);
+    std::optional<UpstreamId> best;
+    auto leastLoad = std::numeric_limits<double>::max();
+    for (const auto &state : this->usableStates(request)) {
+        if (state.id == present) {
+            return present;
+        }
+        auto blocks = static_cast<double>(std::max<std::uint64_t>(1, state.report.kvBlocksTotal.value()));
+        auto load = static_cast<double>(state.report.kvBlocksUsed.value()) / blocks;
+        // A cold upstream is empty but can't take much, so it is the last choice.
+        load += state.report.phase == UpstreamPhase::Cold ? 1 : 0;
+        if (load < leastLoad) {
+            leastLoad = load;
+            best = state.id;
+        }
+    }
+    return best;
+}
+
+bool Placer::restrict(PlacementRequest &request) const
+{
+    this->breakers.appendBlocked(this->clock.now(), request.excluded);
+    if (request.isOwnRegionOnly || !this->link.isExhausted()) {
+        return false;
+    }
+    request.isOwnRegionOnly = true;
+    return true;
+}
+
+std::vector<UpstreamState> Placer::usableStates(const PlacementRequest &request) const
+{
+    std::vector<UpstreamState> usable;
     for (const auto &pool : request.pools) {
-        for (const auto &state : this->table.upstreamsOf(pool)) {
+        for (auto &state : this->table.upstreamsOf(pool)) {
             auto isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.id) != request.excluded.end();
             auto isReachable = !request.isOwnRegionOnly || state.region == this->ownRegion;
             if (state.report.phase != UpstreamPhase::Leaving && isReachable && !isExcluded) {
-                usable.push_back(state.id);
+                usable.push_back(std::move(state));
             }
         }
     }
--- a/Libraries/LibDispatch/Placer.h
+++ b/Libraries/LibDispatch/Placer.h
@@ -53,6 +53,9 @@
     /** Upstreams that could take the request at some time, whether or not they have room now. */
     std::vector<UpstreamId> usableUpstreams(const PlacementRequest &request) const;
 
+    /** The upstream to keep free for the request: the present one while it is usable, else the one with the least load. */
+    std::optional<UpstreamId> reservation(PlacementRequest request, const std::optional<UpstreamId> &present) const;
+
     std::uint64_t tableVersion() const
     {
         return this->table.version();
@@ -64,6 +67,10 @@
     }
 
 private:
+    /** Adds the limits of the moment, which are open breakers and an exhausted link. Returns true if the link is exhausted. */
+    bool restrict(PlacementRequest &request) const;
+    std::vector<UpstreamState> usableStates(const PlacementRequest &request) const;
+
     struct Running
     {
         UpstreamId upstream;
--- a/Libraries/LibDispatch/WaitingWork.h
+++ b/Libraries/LibDispatch/WaitingWork.h
@@ -5,6 +5,7 @@
 #include <LibPolicy/UpstreamChooser.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace Lovageward {
 
@@ -19,6 +20,8 @@
     /** Configuration that `placement.pools` comes from. */
     Offset resolvedAt;
     std::uint32_t maximumConcurrent = 0;
+    /** Upstream that is kept free for the request once it has aged. */
+    std::optional<UpstreamId> reserved;
     /** True if on arrival no upstream was left that could take the request; its deadline then comes early. */
     bool hasNoUpstream = false;
 };
--- a/Tests/LibDispatch/TestDispatchCore.cpp
+++ b/Tests/LibDispatch/TestDispatchCore.cpp
@@ -216,6 +216,42 @@
     CHECK((comesNew || fixture.refused.at(retry) == ResultCode::NoCapacity));
 }
 
+TEST_CASE("An aged long request keeps one upstream free and not all, so that short work goes on", "[dispatch]")
+{
+    CoreFixture fixture;
+    fixture.chooser.slots = 2;
+    fixture.chooser.costs[WorkClassId("plan")] = 2;
+    fixture.addUpstream("u1");
+    fixture.addUpstream("u2");
+    std::vector<TicketId> verdicts(3);
+    for (auto &verdict : verdicts) {
+        verdict = fixture.admit(fixture.item("red", "verdict"));
+    }
+    fixture.release(fixture.placed.at(verdicts[0]).id);
+    auto plan = fixture.admit(fixture.item("red", "plan", seconds(60)));
+    fixture.clock.advance(seconds(31));
+    fixture.step();
+    // Each upstream has one place left; only one of them may be used.
+    auto next = fixture.admit(fixture.item("blue", "verdict"));
+    auto last = fixture.admit(fixture.item("blue", "verdict"));
+    REQUIRE(fixture.placed.count(next) == 1);
+    CHECK(fixture.placed.count(last) == 0);
+    CHECK(fixture.placed.at(next).upstream == UpstreamId("u2"));
+    fixture.release(fixture.placed.at(verdicts[1]).id);
+    CHECK(fixture.placed.at(plan).upstream == UpstreamId("u1"));
+}
+
+TEST_CASE("A request whose deadline has passed isn't placed any more, even before the next background pass", "[dispatch]")
+{
+    CoreFixture fixture;
+    fixture.addUpstream("u1");
+    auto running = fixture.admit(fixture.item("red", "plan"));
+    auto late = fixture.admit(fixture.item("red", "plan", seconds(5)));
+    fixture.clock.advance(seconds(5));
+    fixture.release(fixture.placed.at(running).id);
+    CHECK(fixture.refused.at(late) == ResultCode::DeadlineExceeded);
+}
+
 TEST_CASE("Cold upstreams never get more work than there are credits, and each credit is returned", "[dispatch]")
 {
     CoreFixture fixture;
