LibCredits: Test two believed owners, cut off logs and seldom work

Cause: trials that broke the take-over wait, the lease end and the expiry at the client passed the seeded test, because two nodes never took themselves for the owner for long and credits were used at once. LibMembership tests that a host with a reused address doesn't answer for its predecessor.

--- a/Tests/LibCredits/CreditCluster.h
+++ b/Tests/LibCredits/CreditCluster.h
@@ -97,6 +97,27 @@
         return 0;
     }
 
+    /** Every second node loses sight of a node that goes on, so that two nodes take themselves for the owner. */
+    void splitViews(std::size_t subject)
+    {
+        for (std::size_t observer = 0; observer < this->nodes.size(); observer += 2) {
+            if (observer != subject) {
+                this->nodes[observer]->seen.erase(subject);
+            }
+        }
+    }
+
+    void healViews()
+    {
+        for (auto &node : this->nodes) {
+            for (const auto &other : this->nodes) {
+                if (other->isRunning()) {
+                    node->seen.insert(other->index);
+                }
+            }
+        }
+    }
+
     void loseEngine()
     {
         this->failAll();
@@ -107,6 +128,8 @@
     double messageLoss = 0;
     double placementRate = 0.3;
     bool isLeaseAvailable = true;
+    /** Nodes that can't append to the log. */
+    std::set<std::size_t> cutFromLog;
     std::uint64_t violations = 0;
     std::uint64_t uncreditedLate = 0;
     std::uint64_t creditedArrivals = 0;
@@ -202,7 +225,7 @@
     {
         constexpr auto term = seconds(10);
         auto now = this->clock.now();
-        if (!this->isLeaseAvailable || (this->lease.holder != index && now < this->lease.until)) {
+        if (!this->isLeaseAvailable || this->cutFromLog.contains(index) || (this->lease.holder != index && now < this->lease.until)) {
             return false;
         }
         this->lease = { index, now + term };
--- a/Tests/LibCredits/TestCreditInvariant.cpp
+++ b/Tests/LibCredits/TestCreditInvariant.cpp
@@ -34,6 +34,23 @@
         { "messages are lost", [](auto &cluster) { cluster.messageLoss = 0.2; } },
         { "messages pass", [](auto &cluster) { cluster.messageLoss = 0; } },
         { "the log is down", [](auto &cluster) { cluster.isLeaseAvailable = false; } },
+        { "the owner can't reach the log", [](auto &cluster) { cluster.cutFromLog.insert(cluster.ownerIndex()); } },
+        { "all reach the log", [](auto &cluster) { cluster.cutFromLog.clear(); } },
+        { "half of the nodes lose sight of the owner", [](auto &cluster) { cluster.splitViews(cluster.ownerIndex()); } },
+        { "two owners, and the first can't reach the log any more",
+          [](auto &cluster) {
+              auto owner = cluster.ownerIndex();
+              cluster.splitViews(owner);
+              cluster.run(seconds(8));
+              cluster.cutFromLog.insert(owner);
+          } },
+        { "all nodes see each other", [](auto &cluster) { cluster.healViews(); } },
+        { "a node is paused while the upstream turns cold",
+          [](auto &cluster) {
+              cluster.stop(cluster.random.below(cluster.size()), true);
+              cluster.run(milliseconds(200));
+              cluster.engine.turnColdAgain(cluster.clock.now());
+          } },
         { "the log is up", [](auto &cluster) { cluster.isLeaseAvailable = true; } },
     };
 }
@@ -55,6 +72,8 @@
     auto table = faults();
     for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
         CreditCluster cluster(3 + seed % 6, seed);
+        // Where work comes seldom, nodes hold their credits for longer.
+        cluster.placementRate = seed % 2 == 0 ? 0.3 : 0.03;
         std::string trace;
         cluster.run(seconds(12));
         for (int round = 0; round < 12; ++round) {
@@ -89,6 +108,8 @@
             }
             cluster.engine.isUp = true;
             cluster.isLeaseAvailable = true;
+            cluster.cutFromLog.clear();
+            cluster.healViews();
             cluster.messageLoss = 0;
             cluster.engine.turnColdAgain(cluster.clock.now());
             // Death of the owner (8 s), lapse of its lease (10 s), take-over (3 s) and a poll (1 s).
--- a/Tests/LibMembership/TestGossip.cpp
+++ b/Tests/LibMembership/TestGossip.cpp
@@ -235,3 +235,32 @@
         CHECK(owner == cluster.agent(1).ownerOf(std::to_string(key)).host);
     }
 }
+
+TEST_CASE("A host that has taken over an address isn't taken for the member that had it", "[gossip]")
+{
+    class ReplacedHost final : public PeerTransport
+    {
+    public:
+        std::string request(const PeerAddress &, const PeerMessage &, TimePoint) override
+        {
+            GossipMessage answer;
+            answer.self = { HostId("new"), Incarnation(3), MemberState::Alive, PeerAddress("tcp://x:1"), RegionId(), FailureDomainId() };
+            return encodeGossip(answer);
+        }
+    };
+    ManualClock clock;
+    SeededRandom random(1);
+    ReplacedHost transport;
+    SequentialRunner runner;
+    SilentSink sink;
+    Counters counters;
+    GossipAgent agent(
+        clock, random, transport, runner, sink, counters, { HostId("a"), Incarnation(1), RegionId(), FailureDomainId(), PeerAddress(), Offset(0) });
+    agent.hostListFetched({ { "old", HostKind::Entry, PoolId(), RegionId(), FailureDomainId(), "", PeerAddress("tcp://x:1"), false } });
+    agent.step();
+    CHECK(agent.stateOf(HostId("old")) == MemberState::Suspect);
+    CHECK(agent.stateOf(HostId("new")) == MemberState::Alive);
+    GossipMessage misdirected;
+    misdirected.target = HostId("b");
+    CHECK_THROWS_AS(agent.handle({ PeerMessageKind::Probe, HostId("new"), encodeGossip(misdirected) }), Error);
+}
