--- a/Tests/LibClaims/ClaimWorld.h
+++ b/Tests/LibClaims/ClaimWorld.h
@@ -14,6 +14,9 @@
 
 namespace Lovageward {
 
+/** Few partitions, so that several keys share batches and epochs. */
+constexpr std::uint64_t usedPartitions = 3;
+
 struct ClaimWorldSettings
 {
     std::uint64_t seed = 1;
@@ -45,8 +48,8 @@
 
     void run();
 
-    /** The claim records in the log, for the trace of a failure. */
-    std::vector<std::string> logLines();
+    /** The claim records in the log and what happened. */
+    std::vector<std::string> fullTrace();
 
     /** Broken rules; empty if all hold. */
     std::vector<std::string> violations;
--- a/Tests/LibClaims/TestClaimInterleavings.cpp
+++ b/Tests/LibClaims/TestClaimInterleavings.cpp
@@ -1,10 +1,6 @@
 #include "ClaimWorld.h"
 
-#include <Support/Seeds.h>
-
-#include <catch2/catch.hpp>
-
-#include <fmt/format.h>
+#include <Support/RandomRuns.h>
 
 using namespace Lovageward;
 
@@ -32,50 +28,11 @@
     };
 }
 
-bool isSet(const char *variable)
-{
-    return std::getenv(variable) != nullptr; // NOLINT(concurrency-mt-unsafe)
-}
-
-void printTrace(ClaimWorld &world)
-{
-    for (const auto &line : world.logLines()) {
-        fmt::print(stderr, "{}\n", line);
-    }
-    for (const auto &line : world.trace) {
-        fmt::print(stderr, "{}\n", line);
-    }
-}
-
 }
 
 TEST_CASE("No interleaving of faults runs a call twice or makes a not_run untrue", "[claims][random]")
 {
-    auto seeds = seedCount(60);
-    std::map<std::string, int> totals;
-    for (const auto &scenario : scenarios()) {
-        for (auto seed = firstSeed(); seed < firstSeed() + seeds; ++seed) {
-            auto settings = scenario.settings;
-            settings.seed = seed;
-            ClaimWorld world(settings);
-            world.run();
-            for (const auto &[name, count] : world.outcomes) {
-                totals[fmt::format("{}: {}", scenario.name, name)] += count;
-            }
-            if (!world.violations.empty() || isSet("LOVAGEWARD_SHOW_TRACE")) {
-                fmt::print(stderr, "scenario '{}', seed {}:\n", scenario.name, seed);
-                printTrace(world);
-            }
-            INFO("scenario '" << scenario.name << "', LOVAGEWARD_FIRST_SEED=" << seed);
-            CAPTURE(world.violations);
-            REQUIRE(world.violations.empty());
-        }
-    }
-    if (isSet("LOVAGEWARD_SHOW_OUTCOMES")) {
-        for (const auto &[name, count] : totals) {
-            fmt::print("{:>7} {}\n", count, name);
-        }
-    }
+    auto totals = runScenarios<ClaimWorld>(scenarios(), 60);
     // Guards against a run that passes because nothing happened.
     CHECK(totals["everything: ran"] > 0);
     CHECK(totals["everything: replayed"] > 0);
--- a/Tests/LibClaims/TestClaimedCallRunner.cpp
+++ b/Tests/LibClaims/TestClaimedCallRunner.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibCore/SystemRandom.h>
 #include <LibLog/InMemoryLogService.h>
+#include <Support/SilentSink.h>
 
 #include <catch2/catch.hpp>
 
@@ -16,14 +17,6 @@
 
 namespace {
 
-class SilentSink final : public LogSink
-{
-public:
-    void write(LogLevel /*level*/, const std::string & /*line*/) override
-    {
-    }
-};
-
 /** Two nodes; the partition's parity decides the owner. */
 class TwoNodes final : public Membership
 {
--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -1,5 +1,7 @@
 #include "LeaseWorld.h"
 
+#include <Support/SilentSink.h>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -8,14 +10,6 @@
 
 namespace {
 
-class SilentSink final : public LogSink
-{
-public:
-    void write(LogLevel /*level*/, const std::string & /*line*/) override
-    {
-    }
-};
-
 SilentSink silentSink;
 
 constexpr Duration faultyTime = minutes(9);
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseWorld.h
@@ -39,6 +39,11 @@
 
     void run();
 
+    std::vector<std::string> fullTrace() const
+    {
+        return this->trace;
+    }
+
     std::vector<std::string> violations;
     std::vector<std::string> trace;
     std::map<std::string, int> outcomes;
--- a/Tests/LibLease/TestOrderScheduler.cpp
+++ b/Tests/LibLease/TestOrderScheduler.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibLease/OrderScheduler.h>
 #include <LibLog/InMemoryLogService.h>
+#include <Support/SilentSink.h>
 
 #include <catch2/catch.hpp>
 
@@ -11,14 +12,6 @@
 
 namespace {
 
-class SilentSink final : public LogSink
-{
-public:
-    void write(LogLevel /*level*/, const std::string & /*line*/) override
-    {
-    }
-};
-
 /** Engines, weight store and order transport in one. */
 class FakePool final : public PoolView, public OrderSender, public WeightStore
 {
--- /dev/null
+++ b/Tests/Support/RandomRuns.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** Value of an environment variable as a number, or the fallback. */
+inline std::uint64_t numberFromEnvironment(const char *variable, std::uint64_t fallback)
+{
+    const auto *text = std::getenv(variable); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/**
+ * Runs each scenario with LOVAGEWARD_SEEDS seeds from LOVAGEWARD_FIRST_SEED on, and requires that no rule is broken. A
+ * failing seed prints its trace, as all do if LOVAGEWARD_SHOW_TRACE is 1. Returns the outcomes as "scenario: outcome";
+ * LOVAGEWARD_SHOW_OUTCOMES=1 prints them.
+ */
+template<typename World, typename Scenario>
+std::map<std::string, int> runScenarios(const std::vector<Scenario> &scenarios, std::uint64_t usualSeeds)
+{
+    auto first = numberFromEnvironment("LOVAGEWARD_FIRST_SEED", 1);
+    auto seeds = numberFromEnvironment("LOVAGEWARD_SEEDS", usualSeeds);
+    std::map<std::string, int> totals;
+    for (const auto &scenario : scenarios) {
+        for (auto seed = first; seed < first + seeds; ++seed) {
+            auto settings = scenario.settings;
+            settings.seed = seed;
+            World world(settings);
+            world.run();
+            for (const auto &[name, count] : world.outcomes) {
+                totals[fmt::format("{}: {}", scenario.name, name)] += count;
+            }
+            if (!world.violations.empty() || numberFromEnvironment("LOVAGEWARD_SHOW_TRACE", 0) != 0) {
+                fmt::print(stderr, "scenario '{}', seed {}:\n{}\n", scenario.name, seed, fmt::join(world.fullTrace(), "\n"));
+            }
+            INFO("scenario '" << scenario.name << "', LOVAGEWARD_FIRST_SEED=" << seed);
+            CAPTURE(world.violations);
+            REQUIRE(world.violations.empty());
+        }
+    }
+    if (numberFromEnvironment("LOVAGEWARD_SHOW_OUTCOMES", 0) != 0) {
+        for (const auto &[name, count] : totals) {
+            fmt::print("{:>7} {}\n", count, name);
+        }
+    }
+    return totals;
+}
+
+}
--- /dev/null
+++ b/Tests/Support/SilentSink.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Logger.h>
+
+namespace Lovageward {
+
+/** Drops all log lines. */
+class SilentSink final : public LogSink
+{
+public:
+    void write(LogLevel /*level*/, const std::string & /*line*/) override
+    {
+    }
+};
+
+}
