--- a/Tests/LibClaims/TestClaimedCallRunner.cpp
+++ b/Tests/LibClaims/TestClaimedCallRunner.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibCore/SystemRandom.h>
 #include <LibLog/InMemoryLogService.h>
+#include <Support/SilentSink.h>
 
 #include <catch2/catch.hpp>
 
@@ -16,14 +17,6 @@
 
 namespace {
 
-class SilentSink final : public LogSink
-{
-public:
-    void write(LogLevel /*level*/, const std::string & /*line*/) override
-    {
-    }
-};
-
 /** Two nodes; the partition's parity decides the owner. */
 class TwoNodes final : public Membership
 {
@@ -98,14 +91,14 @@
     runners[0].start();
     runners[1].start();
 
-    constexpr int keys = 6;
-    constexpr int threadsPerKey = 4;
+    constexpr std::size_t keys = 6;
+    constexpr std::size_t threadsPerKey = 4;
     std::atomic<int> executions[keys] = {};
     std::atomic<int> correct = 0;
     auto now = std::chrono::duration_cast<seconds>(clock.wallNow().time_since_epoch()).count();
     std::vector<std::thread> threads;
     threads.reserve(keys * threadsPerKey);
-    for (int number = 0; number < keys * threadsPerKey; ++number) {
+    for (std::size_t number = 0; number < keys * threadsPerKey; ++number) {
         threads.emplace_back([&, number] {
             auto key = number % keys;
             ClaimedCall call {
