LibHttp: Copy the echoed request id before it is compared

Cause: AddressSanitizer found a read of a destroyed default argument in UpstreamExchange::send when an upstream answers without X-Request-Id, as on a resume. The comparison could then report a mismatch that did not exist.

Change: the value is copied.

--- a/Libraries/LibHttp/UpstreamExchange.cpp
+++ b/Libraries/LibHttp/UpstreamExchange.cpp
@@ -51,7 +51,8 @@
         throwUnknown(ResultCode::UpstreamConnectionLost, "the connection to " + address + " broke while the request was written");
     }
     this->readHead(address, response, deadline);
-    const auto &answered = response.head.get("X-Request-Id", "");
+    // The header's value is copied, because get() returns a reference to its default argument if there is no such header.
+    std::string answered = response.head.get("X-Request-Id", "");
     if (!answered.empty() && answered != request.get("X-Request-Id", answered)) {
         this->rejectMismatch(address, address + " answered another request");
     }
