--- a/Libraries/LibHttp/ClientSession.cpp
+++ b/Libraries/LibHttp/ClientSession.cpp
@@ -89,7 +89,8 @@
         }
     }
     if (response.getChunkedTransferEncoding()) {
-        if (this->buffered() > 0) {
+        // Bytes that POCO didn't take as a part of the body follow only a malformed chunk; a closed connection has none.
+        if (this->buffered() > 0 || this->socket().available() > 0) {
             throw Poco::DataException("the answer is malformed");
         }
         if (this->isUnusable()) {
