LibPolicy: Keep a wider margin while reports lag

Cause: with a recognised lag of 5 s the forecast was still missed too often, since it knows other nodes' work only as it was.

Change: 0.1 further deviations per second of recognised lag.

--- a/Libraries/LibPolicy/ForecastChooser.cpp
+++ b/Libraries/LibPolicy/ForecastChooser.cpp
@@ -20,6 +20,8 @@
 constexpr double arrivalMemory = 300;
 constexpr std::uint32_t usesPerGroupProfile = 16;
 constexpr double blocksPerArrival = 50;
+/** Work that other nodes send and lose in the meantime makes late reports less certain. */
+constexpr double deviationsPerSecondOfLag = 0.1;
 /** Calls of sample per decision in a pool that is larger than the sample. */
 constexpr int sampleRounds = 2;
 
@@ -130,7 +132,9 @@
 AdmissionBound ForecastChooser::boundFor(const PlacementRequest &request, const PoolWork &pool, const Site &site) const
 {
     auto isGapProtected = this->clock.now() < pool.gapProtectedUntil;
-    return { .deviations = isGapProtected ? this->settings.gapDeviations : this->settings.completionDeviations,
+    auto deviations = isGapProtected ? this->settings.gapDeviations : this->settings.completionDeviations;
+    auto lag = std::chrono::duration<double>(pool.reportLag.lag()).count();
+    return { .deviations = deviations + deviationsPerSecondOfLag * lag,
              .fill = this->fillFor(request, site),
              .nodes = static_cast<double>(this->settings.nodeCount) };
 }
