LibCredits: Keep the limit while a report shows strain

Change: nothing counts towards the next doubling while the last report shows waiting work or nearly full memory.

--- a/Libraries/LibCredits/CreditLedger.cpp
+++ b/Libraries/LibCredits/CreditLedger.cpp
@@ -64,8 +64,9 @@
     this->reportedLimit = newReport.coldLimit;
     this->currentLimit = std::max(this->currentLimit, newReport.coldLimit);
     auto isFull = newReport.kvBlocksUsed.value() * percent > newReport.kvBlocksTotal.value() * this->options.growthBlockPercent;
-    if (newReport.waiting > 0 || isFull) {
-        // The report has no count of preemptions; waiting work or nearly full memory announces them.
+    // The report has no count of preemptions; waiting work or nearly full memory announces them.
+    this->isStrained = newReport.waiting > 0 || isFull;
+    if (this->isStrained) {
         this->completions = 0;
     }
 }
@@ -137,6 +138,9 @@
 
 void CreditLedger::countCompletion()
 {
+    if (this->isStrained) {
+        return;
+    }
     ++this->completions;
     if (this->currentLimit > 0 && this->completions >= this->currentLimit) {
         this->completions = 0;
--- a/Libraries/LibCredits/CreditLedger.h
+++ b/Libraries/LibCredits/CreditLedger.h
@@ -114,6 +114,8 @@
     std::uint32_t reportedLimit = 0;
     std::uint32_t currentLimit = 0;
     std::uint32_t completions = 0;
+    /** True if the last report shows a load under which the limit must not grow. */
+    bool isStrained = false;
     /** Counts the cold starts that were noticed, so that late news from an earlier one don't raise the limit. */
     std::uint64_t coldStart = 0;
 };
--- a/Tests/LibCredits/CreditCluster.h
+++ b/Tests/LibCredits/CreditCluster.h
@@ -97,14 +97,13 @@
         return 0;
     }
 
-    /** Every second node loses sight of a node that goes on, so that two nodes take themselves for the owner. */
+    /** Every second node and the next in rank lose sight of a node that goes on, so that two nodes take themselves for the owner. */
     void splitViews(std::size_t subject)
     {
         for (std::size_t observer = 0; observer < this->nodes.size(); observer += 2) {
-            if (observer != subject) {
-                this->nodes[observer]->seen.erase(subject);
-            }
+            this->loseSight(observer, subject);
         }
+        this->loseSight(this->nextOwner(subject), subject);
     }
 
     void healViews()
@@ -127,6 +126,8 @@
     FakeEngine engine;
     double messageLoss = 0;
     double placementRate = 0.3;
+    /** Rate of every second node. Nodes with little work hold their credits for longer. */
+    double rarePlacementRate = 0.3;
     bool isLeaseAvailable = true;
     /** Nodes that can't append to the log. */
     std::set<std::size_t> cutFromLog;
@@ -151,6 +152,29 @@
     static constexpr auto longestWay = milliseconds(300);
     static constexpr auto reportLag = milliseconds(500);
 
+    void loseSight(std::size_t observer, std::size_t subject)
+    {
+        if (observer != subject) {
+            this->nodes[observer]->seen.erase(subject);
+        }
+    }
+
+    /** Owner of the upstream in the eyes of a node that doesn't see the subject. */
+    std::size_t nextOwner(std::size_t subject) const
+    {
+        std::vector<Member> members;
+        for (const auto &node : this->nodes) {
+            if (node->isRunning() && node->index != subject) {
+                members.push_back(node->self());
+            }
+        }
+        if (members.empty()) {
+            return subject;
+        }
+        OwnershipView view(members.front(), members, {});
+        return static_cast<std::size_t>(std::stoul(view.ownerOf(upstreamId(), RegionId("guj-west")).host.value().substr(1)));
+    }
+
     struct Arrival
     {
         TimePoint at;
@@ -205,6 +229,7 @@
         report.bootId = BootId("boot-" + std::to_string(this->engine.boot));
         report.phase = this->engine.phase;
         report.running = static_cast<std::uint32_t>(this->engine.running.size());
+        report.kvBlocksUsed = BlockCount(this->engine.isNearlyFull ? 950 : 100);
         report.kvBlocksTotal = BlockCount(1000);
         report.coldLimit = this->engine.coldLimit;
         return report;
@@ -236,7 +261,7 @@
 
     void tryPlacements(CreditNode &node)
     {
-        if (this->random.unit() >= this->placementRate) {
+        if (this->random.unit() >= (node.index % 2 == 0 ? this->placementRate : this->rarePlacementRate)) {
             return;
         }
         auto state = node.table.find(upstreamId());
--- a/Tests/LibCredits/FakeEngine.h
+++ b/Tests/LibCredits/FakeEngine.h
@@ -25,6 +25,8 @@
     std::uint32_t trueLimit = 4;
     std::uint32_t completions = 0;
     bool isUp = true;
+    /** Nearly full memory keeps the limit from growing, so that the nodes compete for few places. */
+    bool isNearlyFull = false;
     TimePoint warmSince;
     TimePoint coldSince;
     std::vector<Work> running;
@@ -61,6 +63,9 @@
 
     void complete()
     {
+        if (this->isNearlyFull) {
+            return;
+        }
         if (++this->completions >= this->trueLimit) {
             this->completions = 0;
             this->trueLimit *= 2;
--- a/Tests/LibCredits/TestCreditInvariant.cpp
+++ b/Tests/LibCredits/TestCreditInvariant.cpp
@@ -72,8 +72,8 @@
     auto table = faults();
     for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
         CreditCluster cluster(3 + seed % 6, seed);
-        // Where work comes seldom, nodes hold their credits for longer.
-        cluster.placementRate = seed % 2 == 0 ? 0.3 : 0.03;
+        cluster.rarePlacementRate = seed % 2 == 0 ? 0.3 : 0.03;
+        cluster.engine.isNearlyFull = seed % 4 < 3;
         std::string trace;
         cluster.run(seconds(12));
         for (int round = 0; round < 12; ++round) {
