LibHttp, LibPolicy: Mend what the first run of all checks showed

Change: readiness is asked before the pending bytes; the test's unknown kind is 10; the node count is atomic; a caller that leaves while its request is queued frees its place.

--- a/Benchmarks/fleet/Fleet.cpp
+++ b/Benchmarks/fleet/Fleet.cpp
@@ -65,7 +65,7 @@
 void Fleet::start()
 {
     auto standIn = this->buildFolder + "/Benchmarks/StandIns/lovageward-standin";
-    auto addUpstream = [&](const std::string &name, const std::string &pool, const Site &site, std::vector<std::string> arguments) {
+    auto addUpstream = [&](const std::string &name, const std::string &pool, const Site &site, const std::vector<std::string> &arguments) {
         UpstreamProcess upstream { name, pool, site.region, site.failureDomain, std::make_unique<FleetProcess>(standIn, arguments, true) };
         this->upstreams.push_back(std::move(upstream));
     };
--- a/Libraries/LibHttp/ClientSession.cpp
+++ b/Libraries/LibHttp/ClientSession.cpp
@@ -89,11 +89,13 @@
         }
     }
     if (response.getChunkedTransferEncoding()) {
-        // Bytes that POCO didn't take as a part of the body follow only a malformed chunk; a closed connection has none.
-        if (this->buffered() > 0 || this->socket().available() > 0) {
+        // Bytes that POCO didn't take as a part of the body follow only a malformed chunk; a closed connection has none. Readiness is asked
+        // first, because bytes may arrive between the two calls.
+        auto isReadable = this->isUnusable();
+        if (this->buffered() > 0 || (this->connected() && this->socket().available() > 0)) {
             throw Poco::DataException("the answer is malformed");
         }
-        if (this->isUnusable()) {
+        if (isReadable) {
             throw Poco::Net::ConnectionResetException("the connection broke within the answer");
         }
     } else if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(body.size())) {
--- a/Libraries/LibHttp/CompletionHandler.cpp
+++ b/Libraries/LibHttp/CompletionHandler.cpp
@@ -96,6 +96,7 @@
     SseAnswerSink streamed(response);
     JsonAnswerSink whole(response, completion.kind, workClass.id.value(), completion.promptTokens, this->parts.clock.wallNow());
     AnswerSink &sink = completion.isStreamed ? static_cast<AnswerSink &>(streamed) : whole;
+    task.item.isCallerGone = [&sink] { return sink.isCallerGone(); };
     GenerationRelay(this->relayParts, this->parts.dispatcher, this->settings.relay, this->settings.resumeTokenLifetime, sink).run(task);
 }
 
--- a/Libraries/LibPolicy/ForecastChooser.cpp
+++ b/Libraries/LibPolicy/ForecastChooser.cpp
@@ -34,7 +34,7 @@
 }
 
 ForecastChooser::ForecastChooser(const Clock &clock, RandomSource &random, const UpstreamTable &table, const ForecastSettings &settings)
-    : clock(clock), random(random), table(table), settings(settings)
+    : clock(clock), random(random), table(table), settings(settings), nodeCount(settings.nodeCount)
 {
 }
 
@@ -136,7 +136,7 @@
     auto lag = std::chrono::duration<double>(pool.reportLag.lag()).count();
     return { .deviations = deviations + deviationsPerSecondOfLag * lag,
              .fill = this->fillFor(request, site),
-             .nodes = static_cast<double>(this->settings.nodeCount) };
+             .nodes = static_cast<double>(this->nodeCount.load(std::memory_order_relaxed)) };
 }
 
 double ForecastChooser::fillFor(const PlacementRequest &request, const Site &site) const
@@ -258,7 +258,7 @@
 
 void ForecastChooser::setNodeCount(std::size_t count)
 {
-    this->settings.nodeCount = std::max<std::size_t>(count, 1);
+    this->nodeCount.store(std::max<std::size_t>(count, 1), std::memory_order_relaxed);
 }
 
 LengthModel &ForecastChooser::lengthModel()
--- a/Libraries/LibPolicy/ForecastChooser.h
+++ b/Libraries/LibPolicy/ForecastChooser.h
@@ -8,6 +8,7 @@
 #include <LibPolicy/UpstreamChooser.h>
 #include <LibPolicy/UpstreamTable.h>
 
+#include <atomic>
 #include <unordered_map>
 #include <vector>
 
@@ -27,7 +28,7 @@
     void progressed(PlacementId id, TokenCount produced) override;
     void finished(PlacementId id, TokenCount produced, bool isComplete) override;
 
-    /** Live nodes that use the same upstreams, from membership. */
+    /** Live nodes that use the same upstreams, from membership. The only call that may come from any thread. */
     void setNodeCount(std::size_t count);
 
     /** The lengths learned so far. */
@@ -98,6 +99,7 @@
     RandomSource &random;
     const UpstreamTable &table;
     ForecastSettings settings;
+    std::atomic<std::size_t> nodeCount;
     LengthModel lengths;
     std::unordered_map<std::uint32_t, Site> sites;
     std::unordered_map<PoolId, PoolWork> pools;
--- a/Tests/LibPeer/MutableProxy.h
+++ b/Tests/LibPeer/MutableProxy.h
@@ -71,7 +71,7 @@
     {
         int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto address = loopback(0);
-        ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        static_cast<void>(::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address));
         ::listen(descriptor, 16);
         return descriptor;
     }
@@ -92,7 +92,7 @@
     {
         int outer = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto address = loopback(this->targetPort);
-        ::connect(outer, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        static_cast<void>(::connect(outer, reinterpret_cast<sockaddr *>(&address), sizeof address));
         std::array<pollfd, 2> waiting { pollfd { inner, POLLIN, 0 }, pollfd { outer, POLLIN, 0 } };
         bool isOpen = true;
         while (!this->isStopping && isOpen) {
--- a/Tests/LibPeer/TestPeerEnvelope.cpp
+++ b/Tests/LibPeer/TestPeerEnvelope.cpp
@@ -57,7 +57,7 @@
         { "cut short", good.substr(0, good.size() - 1) },
         { "trailing byte", good + "x" },
         { "kind 0", envelope(0, 0) },
-        { "unknown kind", envelope(9, 0) },
+        { "unknown kind", envelope(10, 0) },
         { "too many values", envelope(1, 20) },
         { "not an array", std::string("\x05", 1) },
         { "array that announces 2^32 - 1 values", std::string("\xdd\xff\xff\xff\xff", 5) },
