--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t claimHandlers = 6;
 constexpr std::size_t takeOverHandlers = 2;
 constexpr auto claimReportLimit = seconds(5);
+constexpr auto orderReleaseLimit = seconds(2);
 /** Weights of a model of 7 billion parameters with 2 bytes each. */
 constexpr ByteCount typicalWeights(14'000'000'000);
 
@@ -187,6 +188,7 @@
     this->shared.gossip.leave();
     this->handoverThread.reset();
     this->orderThread.reset();
+    this->orders.shutDown(this->basis.clock.now() + orderReleaseLimit);
     this->upkeepThread.reset();
     this->claims.stop();
     this->routing.stop();
--- a/Libraries/LibNode/SharedState.cpp
+++ b/Libraries/LibNode/SharedState.cpp
@@ -6,6 +6,7 @@
 
 constexpr std::size_t auditCapacity = 20'000;
 constexpr std::size_t runnerThreads = 8;
+constexpr std::size_t gossipThreads = 8;
 constexpr auto pollTime = seconds(2);
 /** Time without contact to log and peers after which a drain may have been missed. */
 constexpr auto isolationTime = seconds(6);
@@ -22,7 +23,8 @@
     , router(nodeBasis.sink, nodeBasis.counters)
     , transport(nodeBasis.clock, nodeBasis.sink, this->router)
     , runner(runnerThreads)
-    , gossip(nodeBasis.clock, nodeBasis.random, this->transport, this->runner, nodeBasis.sink, nodeBasis.counters, nodeBasis.self())
+    , gossipRunner(gossipThreads)
+    , gossip(nodeBasis.clock, nodeBasis.random, this->transport, this->gossipRunner, nodeBasis.sink, nodeBasis.counters, nodeBasis.self())
     , pullHandler(this->config)
     , puller(nodeBasis.clock, nodeBasis.random, nodeBasis.sink, nodeBasis.counters, this->transport, this->gossip, this->config)
     , checkpointWriter(nodeBasis.clock, nodeBasis.sink, nodeBasis.counters, *nodeBasis.log, this->gossip, this->config, logRetention)
--- a/Libraries/LibNode/SharedState.h
+++ b/Libraries/LibNode/SharedState.h
@@ -37,7 +37,10 @@
     LogTailer tailer;
     PeerRouter router;
     NngPeerTransport transport;
+    /** For polls, digests and credits, which may wait for silent hosts. */
     ThreadPoolRunner runner;
+    /** For probes only: a probe that waits behind a silent upstream would make live nodes look dead. */
+    ThreadPoolRunner gossipRunner;
     GossipAgent gossip;
     ConfigPullHandler pullHandler;
     ConfigPuller puller;
--- a/Tests/LibClaims/ClaimWorld.cpp
+++ b/Tests/LibClaims/ClaimWorld.cpp
@@ -1,7 +1,7 @@
 #include "ClaimWorld.h"
 
 #include <LibClaims/IdempotencyKey.h>
-#include <Support/SilentSink.h>
+#include <Support/QuietSink.h>
 
 #include <fmt/format.h>
 
@@ -11,7 +11,7 @@
 
 namespace {
 
-SilentSink silentSink;
+QuietSink silentSink;
 
 constexpr Duration faultyTime = seconds(60);
 constexpr Duration calmTime = seconds(30);
--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -1,6 +1,6 @@
 #include "LeaseWorld.h"
 
-#include <Support/SilentSink.h>
+#include <Support/QuietSink.h>
 
 #include <fmt/format.h>
 
@@ -10,7 +10,7 @@
 
 namespace {
 
-SilentSink silentSink;
+QuietSink silentSink;
 
 constexpr Duration faultyTime = minutes(9);
 constexpr Duration calmTime = minutes(12);
