--- a/Libraries/LibCore/SystemClock.cpp
+++ b/Libraries/LibCore/SystemClock.cpp
@@ -1,11 +1,15 @@
 #include <LibCore/SystemClock.h>
 
+#include <ctime>
+
 namespace Lovageward {
 
 TimePoint SystemClock::now() const
 {
-    auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
+    // Unlike the steady clock, this one counts the time in which the machine was suspended: deadlines of callers pass meanwhile.
+    timespec sinceBoot {};
+    ::clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    return TimePoint(std::chrono::duration_cast<Duration>(seconds(sinceBoot.tv_sec) + std::chrono::nanoseconds(sinceBoot.tv_nsec)));
 }
 
 WallTime SystemClock::wallNow() const
--- /dev/null
+++ b/Libraries/LibForward/ControlServer.cpp
@@ -0,0 +1,132 @@
+#include <LibForward/ControlServer.h>
+
+#include <LibCore/Error.h>
+#include <LibForward/PeerPull.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/NumberParser.h>
+#include <Poco/URI.h>
+
+namespace Lovageward {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int threadsPerAddress = 3;
+constexpr int listenBacklog = 64;
+
+/** What the handlers read. */
+struct ControlSources
+{
+    const Readiness &readiness;
+    const Counters &counters;
+    const FeedMirror &mirror;
+    const std::string &readinessPath;
+};
+
+class ControlHandler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit ControlHandler(const ControlSources &sources) : sources(sources)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        Poco::URI uri(request.getURI());
+        std::string body;
+        if (uri.getPath() == this->sources.readinessPath) {
+            auto report = this->sources.readiness.report();
+            response.setStatusAndReason(report.isReady ? HTTPServerResponse::HTTP_OK : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
+            body = report.message;
+        } else if (uri.getPath() == "/metrics") {
+            response.setContentType("text/plain; version=0.0.4");
+            body = this->sources.counters.exposition();
+        } else if (uri.getPath() == feedPagePath) {
+            body = this->feedPage(uri, response);
+        } else {
+            response.setStatusAndReason(HTTPServerResponse::HTTP_NOT_FOUND);
+        }
+        response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        response.send() << body;
+    }
+
+private:
+    std::string feedPage(const Poco::URI &uri, HTTPServerResponse &response) const
+    {
+        unsigned topic = feedTopicCount;
+        Poco::UInt64 offset = 0;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            auto isRead = name == "topic" ? Poco::NumberParser::tryParseUnsigned(value, topic) : Poco::NumberParser::tryParseUnsigned64(value, offset);
+            if (!isRead) {
+                topic = feedTopicCount;
+                break;
+            }
+        }
+        if (topic >= feedTopicCount) {
+            response.setStatusAndReason(HTTPServerResponse::HTTP_BAD_REQUEST);
+            return "topic and from must be numbers";
+        }
+        response.setContentType("application/msgpack");
+        return encodeFeedPage(this->sources.mirror.since(static_cast<FeedTopic>(topic), offset));
+    }
+
+    ControlSources sources;
+};
+
+class ControlHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit ControlHandlerFactory(const ControlSources &sources) : sources(sources)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest & /*request*/) override
+    {
+        return new ControlHandler(this->sources);
+    }
+
+private:
+    ControlSources sources;
+};
+
+}
+
+ControlServer::ControlServer(const Readiness &readiness, const Counters &counters, const FeedMirror &mirror, std::string readinessPath)
+    : readiness(readiness), counters(counters), mirror(mirror), readinessPath(std::move(readinessPath))
+{
+}
+
+ControlServer::~ControlServer()
+{
+    for (auto &server : this->servers) {
+        server->stopAll(true);
+    }
+}
+
+void ControlServer::listen(const std::string &address)
+{
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(address), true);
+        socket.listen(listenBacklog);
+        Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+        params->setMaxThreads(threadsPerAddress);
+        ControlSources sources { this->readiness, this->counters, this->mirror, this->readinessPath };
+        Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new ControlHandlerFactory(sources));
+        this->servers.push_back(std::make_unique<Poco::Net::HTTPServer>(factory, socket, params));
+        this->servers.back()->start();
+    } catch (const Poco::Exception &error) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't listen on " + address + ": " + error.displayText());
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/ForwardParts.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Counters.h>
+#include <LibCore/EventLog.h>
+#include <LibCore/RandomSource.h>
+#include <LibForward/CallerChannel.h>
+#include <LibGateway/ConfigHolder.h>
+#include <LibGateway/ForwardProtocol.h>
+#include <LibGateway/RetryAllowance.h>
+#include <LibGateway/UpstreamHealth.h>
+#include <LibGateway/UpstreamRegistry.h>
+#include <LibGateway/WorkPlacer.h>
+
+namespace Lovageward {
+
+/** What the forwarding of requests works with. All references outlive the connections. */
+struct ForwardParts
+{
+    const Clock &clock;
+    RandomSource &random;
+    EventLog &events;
+    Counters &counters;
+    const ConfigHolder &config;
+    const UpstreamRegistry &registry;
+    WorkPlacer &placer;
+    UpstreamHealth &health;
+    RetryAllowance &retries;
+    const ForwardProtocol &protocol;
+    const DrainNotice &drain;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibForward/CallerChannel.h>
+#include <LibForward/ForwardParts.h>
+#include <LibForward/PlainForwarder.h>
+#include <LibForward/StreamForwarder.h>
+#include <LibGateway/RequestAdmission.h>
+
+#include <Poco/Net/TCPServerConnection.h>
+
+#include <atomic>
+
+namespace Lovageward {
+
+/** State that the connections of a gateway share. */
+struct GatewayContext
+{
+    explicit GatewayContext(const ForwardParts &parts) : parts(parts), admission(parts.random), plain(parts), streams(parts)
+    {
+    }
+
+    const ForwardParts &parts;
+    RequestAdmission admission;
+    PlainForwarder plain;
+    StreamForwarder streams;
+    std::atomic<std::size_t> activeRequests = 0;
+};
+
+/** One connection of a caller, served by one thread until it closes. */
+class GatewayConnection final : public Poco::Net::TCPServerConnection
+{
+public:
+    GatewayConnection(const Poco::Net::StreamSocket &socket, GatewayContext &context);
+
+    void run() override;
+
+private:
+    /** Returns true if the connection can carry another request. */
+    bool serve(const ReceivedRequest &received, CallerChannel &caller);
+    bool forward(const AdmittedWork &work, CallerChannel &caller, bool keepsOpen);
+    bool refuse(const Error &error, const RequestId &request, CallerChannel &caller, bool keepsOpen);
+    void checkShutdown(const AdmittedWork &work) const;
+
+    GatewayContext &context;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibForward/GatewayServer.cpp
@@ -0,0 +1,76 @@
+#include <LibForward/GatewayServer.h>
+
+#include <LibCore/Error.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Net/TCPServerParams.h>
+
+namespace Lovageward {
+
+namespace {
+
+/** Connections that the kernel accepts before a thread takes them; a full queue delays a caller by seconds. */
+constexpr int listenBacklog = 1024;
+
+/** Stack of a connection's thread; the same as for the completion API. */
+constexpr int threadStackBytes = 128 * 1024;
+constexpr int idleThreads = 8;
+constexpr int threadIdleSeconds = 20;
+
+class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit ConnectionFactory(GatewayContext &context) : context(context)
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new GatewayConnection(socket, this->context);
+    }
+
+private:
+    GatewayContext &context;
+};
+
+}
+
+GatewayServer::GatewayServer(const ForwardParts &parts, std::string listenAddress, int maximumConnections)
+    : listenAddress(std::move(listenAddress)), context(parts), threads("callers", idleThreads, maximumConnections, threadIdleSeconds, threadStackBytes)
+{
+}
+
+GatewayServer::~GatewayServer()
+{
+    this->stopAccepting();
+    this->threads.joinAll();
+}
+
+void GatewayServer::start()
+{
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(this->listenAddress), true);
+        socket.listen(listenBacklog);
+        Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
+        params->setMaxThreads(this->threads.capacity());
+        params->setMaxQueued(listenBacklog);
+        Poco::Net::TCPServerConnectionFactory::Ptr factory(new ConnectionFactory(this->context));
+        this->server = std::make_unique<Poco::Net::TCPServer>(factory, this->threads, socket, params);
+        this->server->start();
+    } catch (const Poco::Exception &error) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't listen on " + this->listenAddress + ": " + error.displayText());
+    }
+}
+
+void GatewayServer::stopAccepting()
+{
+    if (this->server) {
+        this->server->stop();
+        this->server.reset();
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/HttpHeads.cpp
@@ -0,0 +1,121 @@
+#include <LibForward/HttpHeads.h>
+
+#include <LibCore/Error.h>
+
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace Lovageward {
+
+namespace {
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+/** Fields of RFC 9110, section 7.6.1, and the framing of one connection. */
+constexpr auto connectionFields = std::to_array<std::string_view>(
+    { "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect" });
+
+template<typename Message>
+Message parseHead(const std::string &head, ResultCode failure)
+{
+    try {
+        Message message;
+        message.setFieldLimit(0);
+        std::istringstream stream(head);
+        message.read(stream);
+        return message;
+    } catch (const Poco::Exception &error) {
+        throw Error(failure, RunState::Unknown, "a message head can't be read: " + error.displayText());
+    }
+}
+
+BodyBounds bodyOf(const Poco::Net::MessageHeader &head, ResultCode failure)
+{
+    auto lengths = std::count_if(head.begin(), head.end(), [](const auto &field) { return Poco::icompare(field.first, "Content-Length") == 0; });
+    if (head.has("Transfer-Encoding")) {
+        if (lengths > 0 || Poco::icompare(head.get("Transfer-Encoding"), "chunked") != 0) {
+            throw Error(failure, RunState::Unknown, "the length of a body is ambiguous");
+        }
+        return { BodyFraming::Chunked, 0 };
+    }
+    if (lengths == 0) {
+        return { BodyFraming::None, 0 };
+    }
+    const auto &text = head.get("Content-Length");
+    BodyBounds bounds { BodyFraming::Length, 0 };
+    auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), bounds.length);
+    if (lengths > 1 || problem != std::errc() || end != text.data() + text.size()) {
+        throw Error(failure, RunState::Unknown, fmt::format("Content-Length '{}' is not a number", text));
+    }
+    return bounds;
+}
+
+}
+
+std::optional<std::string> takeHead(std::string &received)
+{
+    auto end = received.find(headEnd);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    auto head = received.substr(0, end + headEnd.size());
+    received.erase(0, head.size());
+    return head;
+}
+
+Poco::Net::HTTPRequest parseRequestHead(const std::string &head)
+{
+    return parseHead<Poco::Net::HTTPRequest>(head, ResultCode::BadRequest);
+}
+
+Poco::Net::HTTPResponse parseAnswerHead(const std::string &head)
+{
+    return parseHead<Poco::Net::HTTPResponse>(head, ResultCode::AnswerMismatch);
+}
+
+BodyBounds requestBody(const Poco::Net::HTTPRequest &head)
+{
+    return bodyOf(head, ResultCode::BadRequest);
+}
+
+BodyBounds answerBody(const Poco::Net::HTTPResponse &head, const std::string &requestMethod)
+{
+    auto status = static_cast<int>(head.getStatus());
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    if (requestMethod == "HEAD" || status == noContent || status == notModified) {
+        return { BodyFraming::None, 0 };
+    }
+    auto bounds = bodyOf(head, ResultCode::AnswerMismatch);
+    return bounds.framing == BodyFraming::None ? BodyBounds { BodyFraming::UntilClose, 0 } : bounds;
+}
+
+bool isConnectionField(const Poco::Net::MessageHeader &head, const std::string &name)
+{
+    auto lower = Poco::toLower(name);
+    if (std::find(connectionFields.begin(), connectionFields.end(), lower) != connectionFields.end()) {
+        return true;
+    }
+    std::vector<std::string> named;
+    Poco::Net::MessageHeader::splitElements(head.get("Connection", ""), named);
+    return std::any_of(named.begin(), named.end(), [&](const std::string &element) { return Poco::icompare(element, name) == 0; });
+}
+
+HeaderFields forwardedFields(const Poco::Net::HTTPResponse &head)
+{
+    HeaderFields fields;
+    for (const auto &[name, value] : head) {
+        if (Poco::icompare(name, "Content-Length") != 0 && !isConnectionField(head, name)) {
+            fields.emplace_back(name, value);
+        }
+    }
+    return fields;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -0,0 +1,109 @@
+#include <LibForward/PeerExchange.h>
+
+#include <LibCore/Error.h>
+#include <LibHttp/ClientSession.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+namespace Lovageward {
+
+namespace {
+
+/** Interval of digests: a placement should see what its peers placed before the engine has read the prompt. */
+constexpr Duration shortestInterval = milliseconds(250);
+
+/** With many peers the interval grows, so that a node receives about 50 digests a second at the most. */
+constexpr Duration intervalPerPeer = milliseconds(20);
+
+/** The receiver looks so often whether it is to stop. */
+constexpr Duration receiveWait = seconds(1);
+
+constexpr std::size_t largestDatagram = 2048;
+constexpr std::size_t namedPeers = 4;
+
+}
+
+PeerExchange::PeerExchange(const PeerExchangeParts &parts, const HostId &host, const std::string &listenAddress) : parts(parts), host(host)
+{
+    try {
+        this->socket.bind(Poco::Net::SocketAddress(listenAddress), true);
+        this->socket.setReceiveTimeout(toTimespan(receiveWait));
+    } catch (const Poco::Exception &error) {
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't bind the peer socket " + listenAddress + ": " + error.displayText());
+    }
+    this->receiver = std::thread([this] { this->receive(); });
+}
+
+PeerExchange::~PeerExchange()
+{
+    this->isStopping = true;
+    this->receiver.join();
+}
+
+PeerDigest PeerExchange::ownDigest() const
+{
+    PeerDigest digest;
+    digest.host = this->host;
+    digest.isLeaving = this->parts.drain.isBegun();
+    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        digest.nextOffsets[topic] = this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic));
+    }
+    digest.shares = this->parts.book.ownShares();
+    digest.peers = this->parts.peers.live(namedPeers);
+    return digest;
+}
+
+TimePoint PeerExchange::step()
+{
+    auto bytes = encodeDigest(this->ownDigest());
+    auto targets = this->parts.peers.targets();
+    for (const auto &target : targets) {
+        try {
+            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(target));
+            this->parts.counters.counter("lovageward_digests_sent_total").add();
+        } catch (const Poco::Exception &error) {
+            this->parts.events.write("digest_not_sent", { { "peer", target }, { "reason", error.displayText() } });
+        }
+    }
+    return this->parts.clock.now() + std::max<Duration>(shortestInterval, intervalPerPeer * static_cast<int>(targets.size()));
+}
+
+void PeerExchange::receive()
+{
+    std::array<char, largestDatagram> bytes {};
+    while (!this->isStopping) {
+        try {
+            Poco::Net::SocketAddress sender;
+            auto count = this->socket.receiveFrom(bytes.data(), static_cast<int>(bytes.size()), sender);
+            this->take(std::string_view(bytes.data(), static_cast<std::size_t>(count)), sender.toString());
+        } catch (const Poco::TimeoutException &) { // NOLINT(bugprone-empty-catch): nothing arrived.
+        } catch (const Poco::Exception &error) {
+            // The kernel reports a peer without a listener on the next receive.
+            this->parts.events.write("digest_receive_failed", { { "reason", error.displayText() } });
+        }
+    }
+}
+
+void PeerExchange::take(std::string_view bytes, const std::string &sender)
+{
+    try {
+        auto digest = decodeDigest(bytes);
+        if (digest.host == this->host) {
+            return;
+        }
+        if (this->parts.peers.heard(sender, digest.nextOffsets)) {
+            this->parts.events.write("peer", { { "peer", digest.host.value() }, { "address", sender } });
+        }
+        this->parts.book.applyPeer(digest.host, digest.shares);
+        for (const auto &address : digest.peers) {
+            this->parts.peers.learn(address);
+        }
+    } catch (const Error &error) {
+        this->parts.events.write("digest_ignored", { { "address", sender }, { "reason", error.what() } });
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/PeerExchange.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Counters.h>
+#include <LibCore/EventLog.h>
+#include <LibForward/CallerChannel.h>
+#include <LibGateway/FeedMirror.h>
+#include <LibGateway/LoadBook.h>
+#include <LibGateway/PeerDigest.h>
+#include <LibGateway/PeerTable.h>
+#include <LibMembership/PeriodicTask.h>
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <atomic>
+#include <thread>
+
+namespace Lovageward {
+
+/** What the exchange of digests works with. */
+struct PeerExchangeParts
+{
+    const Clock &clock;
+    EventLog &events;
+    Counters &counters;
+    LoadBook &book;
+    PeerTable &peers;
+    const FeedMirror &mirror;
+    const DrainNotice &drain;
+};
+
+/**
+ * Sends this node's digest to its peers and takes theirs. Digests travel as datagrams: each one holds the whole state, so nothing is repeated,
+ * and no connection can go silent. step() sends; a thread of its own receives.
+ */
+class PeerExchange final : public PeriodicTask
+{
+public:
+    /** Throws Error(InvalidSettings) if the address can't be bound. */
+    PeerExchange(const PeerExchangeParts &parts, const HostId &host, const std::string &listenAddress);
+    ~PeerExchange() override;
+
+    TimePoint step() override;
+
+private:
+    void receive();
+    void take(std::string_view bytes, const std::string &sender);
+    PeerDigest ownDigest() const;
+
+    PeerExchangeParts parts;
+    HostId host;
+    Poco::Net::DatagramSocket socket;
+    std::atomic<bool> isStopping = false;
+    std::thread receiver;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibForward/PeerPull.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibGateway/FeedFollower.h>
+#include <LibGateway/FeedMirror.h>
+#include <LibGateway/PeerTable.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Lovageward {
+
+/** msgpack encoding of a page that one node gives another. */
+std::string encodeFeedPage(const FeedPage &page);
+
+/** Throws Error(MalformedMessage). */
+FeedPage decodeFeedPage(const std::string &bytes);
+
+/** Path of the peers' HTTP port that serves pages: `?topic=N&from=OFFSET` follows. */
+inline constexpr const char *feedPagePath = "/feed";
+
+/** Pulls feed records from peers over HTTP. */
+class PeerPull final : public PeerFeed
+{
+public:
+    /** `port` is the peers' HTTP port, which is the same on all hosts. */
+    PeerPull(const Clock &clock, const PeerTable &peers, std::uint16_t port) : clock(clock), peers(peers), port(port)
+    {
+    }
+
+    FeedPage pull(FeedTopic topic, std::uint64_t offset) override;
+    bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const override;
+
+private:
+    const Clock &clock;
+    const PeerTable &peers;
+    std::uint16_t port;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibForward/StreamForwarder.cpp
@@ -0,0 +1,13 @@
+#include <LibForward/StreamForwarder.h>
+
+#include <LibForward/StreamRelay.h>
+
+namespace Lovageward {
+
+StreamEnd StreamForwarder::forward(const AdmittedWork &work, CallerChannel &caller, bool keepsOpen) const
+{
+    StreamRelay relay(this->parts, this->dialer, work, caller, keepsOpen);
+    return relay.run();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -0,0 +1,426 @@
+#include <LibForward/StreamRelay.h>
+
+#include <LibForward/HttpHeads.h>
+
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Longest event; engines send a few hundred bytes at a time. */
+constexpr std::size_t maximumEventBytes = 1 << 20;
+
+/** The relay looks at least so often whether its upstream is leaving. */
+constexpr Duration leaveCheckPause = milliseconds(100);
+
+/** A stream that stays silent for so long after an event has lost its upstream, or its engine has preempted it. */
+constexpr Duration silenceLimit = milliseconds(1500);
+
+/** A run with a copy elsewhere stays at a leaving upstream for so long, since it may end there in time. */
+constexpr Duration stayWithCopy = milliseconds(900);
+
+/** Urgency of generations by the priority of their route: engines admit the more urgent ones first and never preempt them for others. */
+constexpr std::uint32_t urgencyOfFirstPriority = 3;
+constexpr std::uint32_t lowestUrgency = 9;
+
+constexpr int okStatus = 200;
+constexpr double refusalWeight = 0.5;
+constexpr double brokenWeight = 1.5;
+
+}
+
+StreamRelay::StreamRelay(const ForwardParts &parts, const UpstreamDialer &dialer, const AdmittedWork &work, CallerChannel &caller, bool keepsOpen)
+    : parts(parts), dialer(dialer), work(work), caller(caller), keepsOpen(keepsOpen), events(maximumEventBytes)
+{
+    if (work.request.lastEventId) {
+        this->events.continueAfter(*work.request.lastEventId);
+    }
+}
+
+StreamEnd StreamRelay::run()
+{
+    this->openFirst();
+    while (true) {
+        auto outcome = this->step();
+        if (outcome == Step::Reopened) {
+            continue;
+        }
+        if (outcome == Step::GoOn) {
+            this->awaitChange();
+            continue;
+        }
+        this->parts.events.write("stream_end",
+                                 { { "request", this->work.request.id.value() },
+                                   { "upstream", this->place.upstream.id.value() },
+                                   { "events", this->eventsSent },
+                                   { "whole", outcome == Step::Complete } });
+        return outcome == Step::Complete ? StreamEnd::Complete : StreamEnd::CutOff;
+    }
+}
+
+ForwardTerms StreamRelay::baseTerms() const
+{
+    ForwardTerms terms;
+    if (this->work.pool->engine) {
+        terms.urgency = std::min(urgencyOfFirstPriority + this->work.route->priority, lowestUrgency);
+    }
+    terms.lastEventId = this->events.lastId();
+    return terms;
+}
+
+void StreamRelay::bookBackup(ForwardTerms &terms, const UpstreamRecord &runner)
+{
+    this->backup.reset();
+    auto keepsCopy = this->work.pool->engine && this->work.pool->engine->keepsBackups && !this->work.route->isResumable;
+    if (!keepsCopy) {
+        return;
+    }
+    auto result = this->parts.placer.placeCopy(this->dialer.needOf(this->work, AttemptState()), runner);
+    if (result.outcome == PickOutcome::Picked) {
+        terms.backupAddress = result.run.upstream.address;
+        this->backup = std::move(result.run);
+    }
+}
+
+void StreamRelay::openFirst()
+{
+    auto opened = this->dialer.open(this->work, this->attempts, this->baseTerms(), this->caller);
+    this->place = std::move(opened.place);
+    this->call = std::move(opened.call);
+    this->lastEventAt = this->parts.clock.now();
+}
+
+StreamRelay::Step StreamRelay::step()
+{
+    if (this->move) {
+        auto outcome = this->stepMove();
+        if (outcome != Step::GoOn) {
+            return outcome;
+        }
+    }
+    auto state = this->call->advance();
+    if (this->call->hasHead() && !this->hasJudgedHead) {
+        auto outcome = this->takeHead();
+        if (outcome != Step::GoOn) {
+            return outcome;
+        }
+    }
+    if (this->hasJudgedHead && static_cast<int>(this->call->head().getStatus()) != okStatus) {
+        return state == UpstreamCall::State::Receiving ? Step::GoOn : this->takeWholeAnswer();
+    }
+    if (this->hasJudgedHead) {
+        auto outcome = this->forwardEvents();
+        if (outcome != Step::GoOn) {
+            return outcome;
+        }
+    }
+    if (state == UpstreamCall::State::Complete || state == UpstreamCall::State::Broken) {
+        return this->finishCall();
+    }
+    if (this->parts.clock.now() >= this->work.deadline) {
+        this->call->cancel();
+        if (!this->hasBegun) {
+            throw Error(ResultCode::DeadlineExceeded, RunState::Unknown, "the upstream did not answer in time");
+        }
+        return Step::CutOff;
+    }
+    if (this->isSilent()) {
+        return this->recover("the upstream is silent");
+    }
+    return this->checkLeaving();
+}
+
+bool StreamRelay::isSilent() const
+{
+    auto canContinue = this->backup.has_value() || this->work.route->isResumable;
+    return canContinue && this->eventsSent > 0 && this->parts.clock.now() - this->lastEventAt > silenceLimit;
+}
+
+void StreamRelay::awaitChange()
+{
+    if (this->call->state() == UpstreamCall::State::Complete || this->call->state() == UpstreamCall::State::Broken) {
+        // The stream has ended at its source and waits for the end of a move.
+        ChannelWaiter waiter;
+        auto callerSide = waiter.add(this->caller.descriptor());
+        waiter.add(this->move ? this->move->descriptor() : -1);
+        waiter.wait(this->parts.clock, this->parts.clock.now() + leaveCheckPause);
+        if (waiter.isReadable(callerSide) && this->caller.isGone()) {
+            throw CallerGone();
+        }
+        return;
+    }
+    ChannelWaiter waiter;
+    auto callerSide = waiter.add(this->caller.descriptor());
+    waiter.add(this->call->descriptor());
+    waiter.add(this->move ? this->move->descriptor() : -1);
+    waiter.wait(this->parts.clock, std::min(this->work.deadline, this->parts.clock.now() + leaveCheckPause));
+    if (waiter.isReadable(callerSide) && this->caller.isGone()) {
+        this->call->cancel();
+        throw CallerGone();
+    }
+}
+
+StreamRelay::Step StreamRelay::takeHead()
+{
+    auto marks = this->parts.protocol.decodeAnswer(this->call->head());
+    auto status = static_cast<int>(this->call->head().getStatus());
+    this->parts.events.write("answer_head",
+                             { { "request", this->work.request.id.value() },
+                               { "upstream", this->place.upstream.id.value() },
+                               { "status", status },
+                               { "not_run", marks.isNotRun || marks.isOtherUpstream } });
+    if (!marks.request.isEmpty() && marks.request != this->work.request.id) {
+        this->call->cancel();
+        return this->recover("the answer belongs to another request");
+    }
+    if (marks.isNotRun || marks.isOtherUpstream) {
+        this->parts.health.failed(this->place.upstream.id, refusalWeight);
+        this->call->cancel();
+        if (this->hasBegun) {
+            return this->recover("the upstream refused to continue the run");
+        }
+        this->attempts.excluded.push_back(this->place.upstream.id);
+        this->openFirst();
+        return Step::Reopened;
+    }
+    if (status == okStatus && !marks.isMarked) {
+        this->call->cancel();
+        return this->recover("the answer bears no mark of the upstream");
+    }
+    this->hasJudgedHead = true;
+    return Step::GoOn;
+}
+
+StreamRelay::Step StreamRelay::takeWholeAnswer()
+{
+    if (this->hasBegun || this->call->state() != UpstreamCall::State::Complete) {
+        return this->recover("the upstream failed");
+    }
+    this->parts.health.failed(this->place.upstream.id, 1);
+    const auto &head = this->call->head();
+    auto fields = forwardedFields(head);
+    this->caller.sendAnswer(static_cast<int>(head.getStatus()), head.getReason(), fields, this->call->body(), this->keepsOpen);
+    return Step::Complete;
+}
+
+bool StreamRelay::sendEvent(const WholeEvent &event)
+{
+    if (!this->hasBegun) {
+        const auto &head = this->call->head();
+        this->hasBegun = this->caller.beginStream(static_cast<int>(head.getStatus()), head.getReason(), forwardedFields(head), this->keepsOpen);
+    }
+    return this->hasBegun && this->caller.sendPiece(event.bytes);
+}
+
+StreamRelay::Step StreamRelay::forwardEvents()
+{
+    try {
+        this->events.append(this->call->body());
+        this->call->body().clear();
+        while (auto event = this->events.next()) {
+            if (!this->sendEvent(*event)) {
+                this->call->cancel();
+                throw CallerGone();
+            }
+            ++this->eventsSent;
+            this->lastEventAt = this->parts.clock.now();
+            if (this->work.pool->engine) {
+                this->place.booking->progress(static_cast<double>(this->eventsSent) * this->work.pool->engine->tokensPerEvent);
+            }
+        }
+    } catch (const Error &error) {
+        this->call->cancel();
+        return this->recover(error.what());
+    }
+    return Step::GoOn;
+}
+
+StreamRelay::Step StreamRelay::finishCall()
+{
+    if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->eventsSent > 0) {
+        this->parts.health.succeeded(this->place.upstream.id);
+        return this->caller.endStream() ? Step::Complete : Step::CutOff;
+    }
+    if (this->move && this->move->stage() != RunMove::Stage::Failed) {
+        // A run that is being moved ends at its source without its end.
+        return Step::GoOn;
+    }
+    return this->recover(this->call->problem().empty() ? "the stream ended within an event" : this->call->problem());
+}
+
+Error StreamRelay::brokenError(const std::string &reason) const
+{
+    return Error(ResultCode::UpstreamConnectionLost, RunState::Unknown, reason);
+}
+
+StreamRelay::Step StreamRelay::recover(const std::string &reason)
+{
+    this->parts.health.failed(this->place.upstream.id, brokenWeight);
+    this->parts.events.write("run_interrupted",
+                             { { "request", this->work.request.id.value() },
+                               { "upstream", this->place.upstream.id.value() },
+                               { "reason", reason },
+                               { "events", this->eventsSent },
+                               { "has_backup", this->backup.has_value() },
+                               { "leaving", this->leavingSince.has_value() } });
+    this->call->cancel();
+    this->move.reset();
+    this->attempts.excluded.push_back(this->place.upstream.id);
+    if (this->continueFromCopy() || this->continueElsewhere()) {
+        return Step::Reopened;
+    }
+    if (!this->hasBegun) {
+        throw this->brokenError(reason);
+    }
+    return Step::CutOff;
+}
+
+bool StreamRelay::continueFromCopy()
+{
+    if (!this->backup || this->eventsSent == 0) {
+        return false;
+    }
+    auto target = std::move(*this->backup);
+    this->backup.reset();
+    auto reason = this->parts.registry.leaveReason(target.upstream.id, target.upstream.boot);
+    if (reason == LeaveReason::Restarted) {
+        return false;
+    }
+    RunMemory memory { target.upstream.address, this->work.request.id.value() };
+    return this->continueAt(std::move(target), memory);
+}
+
+bool StreamRelay::continueAt(PlacedRun target, const RunMemory &memory)
+{
+    try {
+        auto terms = this->baseTerms();
+        terms.memory = memory;
+        this->bookBackup(terms, target.upstream);
+        this->call = this->dialer.sendTo(this->work, target, terms, this->attempts);
+    } catch (const Poco::Exception &error) {
+        this->parts.events.write(
+            "connect_failed", { { "request", this->work.request.id.value() }, { "upstream", target.upstream.id.value() }, { "error", error.displayText() } });
+        return false;
+    }
+    this->place = std::move(target);
+    this->hasJudgedHead = false;
+    this->hasTriedMove = false;
+    this->leavingSince.reset();
+    this->events.reset();
+    this->lastEventAt = this->parts.clock.now();
+    return true;
+}
+
+bool StreamRelay::continueElsewhere()
+{
+    ++this->attempts.runs;
+    auto isAllowed = this->work.route->isResumable && this->attempts.runs < this->work.route->maximumAttempts;
+    if (!isAllowed || this->parts.clock.now() >= this->work.deadline) {
+        return false;
+    }
+    try {
+        auto opened = this->dialer.open(this->work, this->attempts, this->baseTerms(), this->caller);
+        this->place = std::move(opened.place);
+        this->call = std::move(opened.call);
+    } catch (const Error &error) {
+        this->parts.events.write("not_continued", { { "request", this->work.request.id.value() }, { "reason", error.what() } });
+        return false;
+    }
+    this->hasJudgedHead = false;
+    this->events.reset();
+    this->lastEventAt = this->parts.clock.now();
+    return true;
+}
+
+StreamRelay::Step StreamRelay::checkLeaving()
+{
+    if (this->hasTriedMove) {
+        return Step::GoOn;
+    }
+    auto now = this->parts.clock.now();
+    if (!this->leavingSince) {
+        auto reason = this->parts.registry.leaveReason(this->place.upstream.id, this->place.upstream.boot);
+        if (reason != LeaveReason::Draining) {
+            return Step::GoOn;
+        }
+        this->leavingSince = now;
+    }
+    if (this->eventsSent == 0) {
+        return Step::GoOn;
+    }
+    if (this->backup && this->parts.registry.isUsable(this->backup->upstream.id)) {
+        if (now - *this->leavingSince >= stayWithCopy) {
+            this->hasTriedMove = true;
+            return this->recover("the upstream is leaving");
+        }
+        return Step::GoOn;
+    }
+    this->hasTriedMove = true;
+    this->beginMove();
+    return Step::GoOn;
+}
+
+void StreamRelay::beginMove()
+{
+    if (!this->work.pool->engine || !this->work.pool->engine->movesRuns) {
+        return;
+    }
+    auto need = this->dialer.needOf(this->work, AttemptState());
+    auto result = this->parts.placer.placeCopy(need, this->place.upstream);
+    auto isPlaced = result.outcome == PickOutcome::Picked;
+    this->parts.events.write("move_begin",
+                             { { "request", this->work.request.id.value() },
+                               { "from", this->place.upstream.id.value() },
+                               { "to", isPlaced ? result.run.upstream.id.value() : std::string() },
+                               { "events", this->eventsSent } });
+    if (!isPlaced) {
+        return;
+    }
+    try {
+        this->move
+            = std::make_unique<RunMove>(this->parts.clock, this->parts.protocol, this->work.request.id, this->place.upstream.address, std::move(result.run));
+    } catch (const Poco::Exception &error) {
+        this->parts.events.write("move_failed", { { "request", this->work.request.id.value() }, { "reason", error.displayText() } });
+    }
+}
+
+StreamRelay::Step StreamRelay::stepMove()
+{
+    auto stage = this->move->step();
+    if (stage != RunMove::Stage::Done && stage != RunMove::Stage::StoppedAtSource && stage != RunMove::Stage::Failed) {
+        if (this->parts.clock.now() < this->move->deadline()) {
+            return Step::GoOn;
+        }
+        this->move->abandon();
+        stage = RunMove::Stage::Failed;
+    }
+    auto ended = std::move(this->move);
+    this->parts.events.write("move_end",
+                             { { "request", this->work.request.id.value() },
+                               { "done", stage == RunMove::Stage::Done },
+                               { "stopped_at_source", stage == RunMove::Stage::StoppedAtSource },
+                               { "reason", ended->problem() } });
+    if (stage == RunMove::Stage::Failed) {
+        return Step::GoOn;
+    }
+    // Events that the source sent before it stopped come first.
+    this->call->advance();
+    auto outcome = this->hasJudgedHead ? this->forwardEvents() : Step::GoOn;
+    if (outcome != Step::GoOn) {
+        return outcome;
+    }
+    this->call->cancel();
+    if (stage == RunMove::Stage::StoppedAtSource) {
+        PlacedRun source;
+        source.upstream = this->place.upstream;
+        source.booking = std::move(this->place.booking);
+        return this->continueAt(std::move(source), ended->memory()) ? Step::Reopened : this->recover("a stopped run can't be continued");
+    }
+    return this->continueAt(std::move(ended->target()), ended->memory()) ? Step::Reopened : this->recover("a moved run can't be continued");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -0,0 +1,124 @@
+#include <LibForward/UpstreamDialer.h>
+
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** A handshake takes 40 ms between regions; an opening packet that was dropped is repeated after a second, which is too late to wait for. */
+constexpr Duration connectLimit = milliseconds(400);
+
+/** Connections tried for one request before it is refused. */
+constexpr std::uint32_t mostConnectTries = 4;
+
+/** Part of the target latency that a request may wait for room; a caller that is refused by then can still be served in time elsewhere. */
+constexpr int waitDivisor = 8;
+
+/** Pause between two looks for room. */
+constexpr Duration roomCheckPause = milliseconds(15);
+
+/** Bounds of the time after which a refused caller should return. An engine that is full finishes a run a few times a second. */
+constexpr Duration shortestReturn = milliseconds(200);
+constexpr Duration longestReturn = milliseconds(900);
+
+/** Failures of a connection count double, since nothing at all worked. */
+constexpr double connectionFailureWeight = 2;
+
+}
+
+Error UpstreamDialer::refusal(const AdmittedWork & /*work*/, const std::string &message) const
+{
+    auto spread = std::chrono::duration_cast<Duration>((longestReturn - shortestReturn) * this->parts.random.unit());
+    return Error(ResultCode::NoCapacity, RunState::NotRun, message, shortestReturn + spread);
+}
+
+PlacementNeed UpstreamDialer::needOf(const AdmittedWork &work, const AttemptState &attempts) const
+{
+    return PlacementNeed { *work.route, *work.pool, work.footprint, work.allowedRegions, attempts.excluded };
+}
+
+PlacedRun UpstreamDialer::awaitPlace(const AdmittedWork &work, const AttemptState &attempts, CallerChannel &caller) const
+{
+    auto until = std::min(work.request.arrivedAt + work.route->targetLatency / waitDivisor, work.deadline);
+    while (true) {
+        auto result = this->parts.placer.place(this->needOf(work, attempts));
+        if (result.outcome == PickOutcome::Picked) {
+            return std::move(result.run);
+        }
+        if (this->parts.clock.now() >= until) {
+            auto reason = result.outcome == PickOutcome::NoRoom ? "all upstreams are full" : "no upstream is known";
+            this->parts.events.write("no_room",
+                                     { { "request", work.request.id.value() },
+                                       { "pool", work.pool->id.value() },
+                                       { "reason", reason },
+                                       { "candidates", result.candidates },
+                                       { "peak_tokens", work.footprint.peak(0) } });
+            throw this->refusal(work, reason);
+        }
+        ChannelWaiter waiter;
+        waiter.add(caller.descriptor());
+        if (waiter.wait(this->parts.clock, std::min(until, this->parts.clock.now() + roomCheckPause)) && caller.isGone()) {
+            throw CallerGone();
+        }
+    }
+}
+
+OpenedRun UpstreamDialer::open(const AdmittedWork &work, AttemptState &attempts, ForwardTerms terms, CallerChannel &caller) const
+{
+    for (std::uint32_t tries = 0; tries < mostConnectTries; ++tries) {
+        auto place = this->awaitPlace(work, attempts, caller);
+        auto isRepeat = attempts.arrivals > 0;
+        if (isRepeat && !this->parts.retries.tryRepeat(work.pool->id)) {
+            throw Error(ResultCode::RetryBudgetExhausted, RunState::NotRun, "the retry budget is used up", longestReturn);
+        }
+        try {
+            auto upstream = place.upstream.id;
+            auto call = this->sendTo(work, place, terms, attempts);
+            return OpenedRun { std::move(place), std::move(call) };
+        } catch (const Poco::Exception &error) {
+            this->parts.health.failed(place.upstream.id, connectionFailureWeight);
+            attempts.excluded.push_back(place.upstream.id);
+            this->parts.events.write("connect_failed",
+                                     { { "request", work.request.id.value() }, { "upstream", place.upstream.id.value() }, { "error", error.displayText() } });
+        }
+        if (this->parts.clock.now() >= work.deadline) {
+            break;
+        }
+    }
+    throw this->refusal(work, "no upstream can be connected");
+}
+
+std::unique_ptr<UpstreamCall> UpstreamDialer::sendTo(const AdmittedWork &work, const PlacedRun &place, ForwardTerms terms, AttemptState &attempts) const
+{
+    auto now = this->parts.clock.now();
+    auto connectDeadline = std::min(now + connectLimit, work.deadline);
+    auto call = std::make_unique<UpstreamCall>(this->parts.clock, place.upstream.address, work.request.method, connectDeadline);
+    terms.upstream = place.upstream.id;
+    terms.team = work.team;
+    // Taken after the handshake, so that the upstream isn't given time that has passed.
+    now = this->parts.clock.now();
+    terms.timeLeft = work.deadline - now;
+    if (terms.timeLeft <= Duration(0)) {
+        throw Poco::TimeoutException("the deadline passed during the handshake");
+    }
+    call->send(this->parts.protocol.encodeRequest(work.request, terms), work.deadline);
+    ++attempts.arrivals;
+    this->parts.events.write("sent",
+                             { { "request", work.request.id.value() },
+                               { "upstream", place.upstream.id.value() },
+                               { "arrival", attempts.arrivals },
+                               { "runs_there", place.load.runs },
+                               { "peak_tokens_there", place.load.peakTokens },
+                               { "failure_share", place.failureShare },
+                               { "time_left_ms", std::chrono::duration_cast<milliseconds>(terms.timeLeft).count() },
+                               { "config", work.config->version().value() },
+                               { "backup", terms.backupAddress },
+                               { "continues", terms.memory.has_value() } });
+    return call;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibForward/ForwardParts.h>
+#include <LibForward/UpstreamCall.h>
+#include <LibGateway/RequestAdmission.h>
+
+#include <memory>
+#include <vector>
+
+namespace Lovageward {
+
+/** A request that was sent to an upstream and not answered yet. */
+struct OpenedRun
+{
+    PlacedRun place;
+    std::unique_ptr<UpstreamCall> call;
+};
+
+/** Progress of one request over its attempts. */
+struct AttemptState
+{
+    /** Upstreams that aren't tried again. */
+    std::vector<UpstreamId> excluded;
+    /** Times that the request reached an upstream, also one that refused it. */
+    std::uint32_t arrivals = 0;
+    /** Arrivals after which the request may have run. */
+    std::uint32_t runs = 0;
+};
+
+/** Thrown when the caller left while its request waited. */
+class CallerGone final : public std::exception
+{
+};
+
+/** Places a request, connects to the upstream and sends the request. */
+class UpstreamDialer
+{
+public:
+    explicit UpstreamDialer(const ForwardParts &parts) : parts(parts)
+    {
+    }
+
+    /**
+     * Waits for room for a part of the target latency at the most. Throws CallerGone, or Error with NoCapacity, RetryBudgetExhausted,
+     * UpstreamUnavailable or ShuttingDown; nothing was sent by this call then.
+     */
+    OpenedRun open(const AdmittedWork &work, AttemptState &attempts, ForwardTerms terms, CallerChannel &caller) const;
+
+    /** Sends the request to an upstream that was placed before. Throws Poco::Exception if the connection can't be made. */
+    std::unique_ptr<UpstreamCall> sendTo(const AdmittedWork &work, const PlacedRun &place, ForwardTerms terms, AttemptState &attempts) const;
+
+    PlacementNeed needOf(const AdmittedWork &work, const AttemptState &attempts) const;
+
+    /** Refusal for lack of room, with a time to come back that is spread so that callers don't return together. */
+    Error refusal(const AdmittedWork &work, const std::string &message) const;
+
+private:
+    PlacedRun awaitPlace(const AdmittedWork &work, const AttemptState &attempts, CallerChannel &caller) const;
+
+    const ForwardParts &parts;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ColdLimiter.cpp
@@ -0,0 +1,36 @@
+#include <LibGateway/ColdLimiter.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Share of the bound that is used; the rest covers nodes that aren't counted and requests that arrive bunched. */
+constexpr double usedShare = 0.7;
+
+/** Entries are dropped when there are this many; upstreams are warm again after seconds. */
+constexpr std::size_t mostEntries = 1000;
+
+}
+
+bool ColdLimiter::tryTake(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodes)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    if (this->nextAt.size() > mostEntries) {
+        std::erase_if(this->nextAt, [&](const auto &entry) { return entry.second < now; });
+    }
+    auto rate = usedShare * requestsPerSecond / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    if (rate <= 0) {
+        return false;
+    }
+    auto &next = this->nextAt[upstream];
+    if (now < next) {
+        return false;
+    }
+    next = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -0,0 +1,216 @@
+#include <LibGateway/FeedFollower.h>
+
+#include <LibCore/Error.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Lovageward {
+
+namespace {
+
+/** Longest wait for an answer of the store beyond the time that it may hold a read. A healthy store answers in a few milliseconds. */
+constexpr Duration answerLimit = milliseconds(700);
+
+/** Pause after a failed read. Peers are asked meanwhile. */
+constexpr Duration pauseAfterFailure = milliseconds(400);
+
+/** A store that could not be read for so long may have dropped entries of living upstreams. */
+constexpr Duration outageLength = seconds(1);
+
+/** Entries that lapsed during an outage are registered again within two seconds of its end. */
+constexpr Duration returnGrace = milliseconds(2300);
+
+std::string_view topicName(FeedTopic topic)
+{
+    return topic == FeedTopic::Operators ? "operators" : "upstreams";
+}
+
+}
+
+FeedFollower::FeedFollower(
+    const Clock &clock, EventLog &events, StateFeed &feed, const FeedDecoder &decoder, PeerFeed &peers, FeedTargets targets, FeedTopic topic, FeedPace pace)
+    : clock(clock), events(events), feed(feed), decoder(decoder), peers(peers), targets(targets), topic(topic), pace(pace)
+{
+}
+
+TimePoint FeedFollower::lastReadAt() const
+{
+    return TimePoint(Duration(this->readAt.load()));
+}
+
+TimePoint FeedFollower::step()
+{
+    try {
+        if (this->isListed) {
+            this->follow();
+        } else {
+            this->list();
+        }
+        this->noteSuccess();
+        return this->clock.now() + this->pace.pause;
+    } catch (const Error &error) {
+        if (error.code() == ResultCode::RecordsExpired) {
+            this->events.write("feed_expired", { { "topic", topicName(this->topic) }, { "offset", this->nextOffset } });
+            this->isListed = false;
+            return this->clock.now();
+        }
+        this->noteFailure(error.what());
+    }
+    this->pullFromPeers();
+    return this->clock.now() + pauseAfterFailure;
+}
+
+void FeedFollower::list()
+{
+    auto page = this->feed.listNewest(this->topic, this->clock.now() + answerLimit);
+    // An outage ends with this read, so what is missing now may return.
+    this->noteSuccess();
+    for (const auto &record : page.records) {
+        this->apply(record);
+    }
+    this->removeUnlisted(page);
+    this->nextOffset = page.nextOffset;
+    this->targets.mirror.advance(this->topic, page.nextOffset);
+    this->isListed = true;
+    this->isRead = true;
+    this->events.write("feed_listed", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
+}
+
+void FeedFollower::follow()
+{
+    auto page = this->feed.readFrom(this->topic, this->nextOffset, this->pace.wait, this->clock.now() + this->pace.wait + answerLimit);
+    this->noteSuccess();
+    for (const auto &record : page.records) {
+        this->apply(record);
+    }
+    this->nextOffset = std::max(this->nextOffset, page.nextOffset);
+    this->targets.mirror.advance(this->topic, page.nextOffset);
+}
+
+void FeedFollower::apply(const FeedRecord &record)
+{
+    if (!this->targets.mirror.offer(this->topic, record)) {
+        return;
+    }
+    try {
+        auto change = this->decoder.decode(this->topic, record, this->clock.now());
+        if (change) {
+            this->applyChange(*change, record);
+        }
+    } catch (const Error &error) {
+        this->events.write("record_ignored", { { "topic", topicName(this->topic) }, { "key", record.key }, { "reason", error.what() } });
+        if (this->topic == FeedTopic::Upstreams) {
+            // An entry that can't be read names no upstream to use.
+            this->targets.registry.remove(UpstreamId(record.key));
+        }
+    }
+}
+
+void FeedFollower::applyChange(const FeedChange &change, const FeedRecord &record)
+{
+    if (const auto *config = std::get_if<std::shared_ptr<const GatewayConfig>>(&change)) {
+        auto isNewer = this->targets.config.offer(*config);
+        this->events.write("config", { { "version", (*config)->version().value() }, { "offset", record.offset }, { "in_force", isNewer } });
+    } else if (const auto *drain = std::get_if<DrainChange>(&change)) {
+        this->targets.registry.setDrained(drain->domain, drain->isDrained);
+        this->events.write("drain", { { "domain", drain->domain.value() }, { "drained", drain->isDrained }, { "offset", record.offset } });
+    } else if (const auto *entry = std::get_if<UpstreamRecord>(&change)) {
+        if (this->targets.registry.put(*entry)) {
+            this->events.write("upstream",
+                               { { "upstream", entry->id.value() },
+                                 { "boot", entry->boot.value() },
+                                 { "pool", entry->pool.value() },
+                                 { "domain", entry->failureDomain.value() },
+                                 { "draining", entry->isDraining },
+                                 { "offset", record.offset } });
+        }
+    } else if (const auto *removal = std::get_if<UpstreamRemoval>(&change)) {
+        auto isDoubtful = this->isAfterOutage();
+        if (isDoubtful) {
+            this->targets.registry.removeUnlessReturned(removal->upstream, this->doubtfulUntil);
+        } else {
+            this->targets.registry.remove(removal->upstream);
+        }
+        this->events.write("upstream_removed", { { "upstream", removal->upstream.value() }, { "offset", record.offset }, { "doubtful", isDoubtful } });
+    }
+}
+
+void FeedFollower::removeUnlisted(const FeedPage &page)
+{
+    std::set<UpstreamId> upstreams;
+    std::set<FailureDomainId> drained;
+    for (const auto &record : page.records) {
+        try {
+            auto change = this->decoder.decode(this->topic, record, this->clock.now());
+            if (const auto *entry = change ? std::get_if<UpstreamRecord>(&*change) : nullptr) {
+                upstreams.insert(entry->id);
+            }
+            if (const auto *drain = change ? std::get_if<DrainChange>(&*change) : nullptr; drain != nullptr && drain->isDrained) {
+                drained.insert(drain->domain);
+            }
+        } catch (const Error &) { // NOLINT(bugprone-empty-catch): apply() has logged the record.
+        }
+    }
+    if (this->topic == FeedTopic::Upstreams) {
+        for (const auto &missing : this->targets.registry.missingFrom(upstreams)) {
+            this->applyChange(UpstreamRemoval { missing }, FeedRecord { missing.value(), {}, page.nextOffset });
+        }
+        return;
+    }
+    for (const auto &domain : this->targets.registry.drainedDomains()) {
+        if (!drained.contains(domain)) {
+            this->applyChange(DrainChange { domain, false }, FeedRecord { domain.value(), {}, page.nextOffset });
+        }
+    }
+}
+
+bool FeedFollower::isAfterOutage() const
+{
+    return this->clock.now() < this->doubtfulUntil;
+}
+
+void FeedFollower::noteSuccess()
+{
+    auto now = this->clock.now();
+    if (this->failingSince) {
+        auto outage = now - *this->failingSince;
+        if (outage >= outageLength) {
+            this->doubtfulUntil = now + returnGrace;
+        }
+        this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
+        this->failingSince.reset();
+        this->failures = 0;
+    }
+    this->readAt = now.time_since_epoch().count();
+}
+
+void FeedFollower::noteFailure(const std::string &reason)
+{
+    ++this->failures;
+    if (!this->failingSince) {
+        this->failingSince = this->clock.now();
+        this->events.write("store_lost", { { "topic", topicName(this->topic) }, { "reason", reason } });
+    }
+}
+
+void FeedFollower::pullFromPeers()
+{
+    if (this->isListed && !this->peers.isAnyAhead(this->topic, this->targets.mirror.nextOffset(this->topic))) {
+        return;
+    }
+    try {
+        auto known = this->targets.mirror.nextOffset(this->topic);
+        auto page = this->peers.pull(this->topic, known);
+        for (const auto &record : page.records) {
+            this->apply(record);
+        }
+        this->targets.mirror.advance(this->topic, page.nextOffset);
+        this->isRead = this->isRead || page.nextOffset > 0;
+        this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
+    } catch (const Error &error) {
+        this->events.write("peer_pull_failed", { { "topic", topicName(this->topic) }, { "reason", error.what() } });
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/EventLog.h>
+#include <LibGateway/ConfigHolder.h>
+#include <LibGateway/FeedMirror.h>
+#include <LibGateway/StateFeed.h>
+#include <LibGateway/UpstreamRegistry.h>
+#include <LibMembership/PeriodicTask.h>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+
+namespace Lovageward {
+
+/** Gets records from other nodes. */
+class PeerFeed
+{
+public:
+    virtual ~PeerFeed() = default;
+
+    /** Records of the topic from the offset on, from a peer that may have them. Throws Error(PeerUnreachable) if no peer answers. */
+    virtual FeedPage pull(FeedTopic topic, std::uint64_t offset) = 0;
+
+    /** Whether a peer has said that it read the topic further than to the offset. */
+    virtual bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const = 0;
+};
+
+/** How often a topic is read. */
+struct FeedPace
+{
+    /** Longest time that the store holds a read open while there is no record. */
+    Duration wait = Duration(0);
+    /** Pause after a read that brought records. */
+    Duration pause = Duration(0);
+};
+
+/** What the records of a feed change. */
+struct FeedTargets
+{
+    ConfigHolder &config;
+    UpstreamRegistry &registry;
+    FeedMirror &mirror;
+};
+
+/**
+ * Follows one topic of the platform's store and applies its records. While the store can't be read, records come from peers. Entries that vanish
+ * around an outage are kept for a grace time. Answers the load pattern of a store that is down, slow, or turns single nodes away. One thread
+ * calls step(); the other functions are safe from any thread.
+ */
+class FeedFollower final : public PeriodicTask
+{
+public:
+    FeedFollower(const Clock &clock,
+                 EventLog &events,
+                 StateFeed &feed,
+                 const FeedDecoder &decoder,
+                 PeerFeed &peers,
+                 FeedTargets targets,
+                 FeedTopic topic,
+                 FeedPace pace);
+
+    TimePoint step() override;
+
+    /** True once the topic was read whole, from the store or from a peer. */
+    bool hasRead() const
+    {
+        return this->isRead;
+    }
+
+    /** Time of the last successful read of the store. */
+    TimePoint lastReadAt() const;
+
+private:
+    void list();
+    void follow();
+    void apply(const FeedRecord &record);
+    void applyChange(const FeedChange &change, const FeedRecord &record);
+    void removeUnlisted(const FeedPage &page);
+    void noteSuccess();
+    void noteFailure(const std::string &reason);
+    void pullFromPeers();
+    bool isAfterOutage() const;
+
+    const Clock &clock;
+    EventLog &events;
+    StateFeed &feed;
+    const FeedDecoder &decoder;
+    PeerFeed &peers;
+    FeedTargets targets;
+    FeedTopic topic;
+    FeedPace pace;
+    bool isListed = false;
+    std::atomic<bool> isRead = false;
+    std::atomic<Duration::rep> readAt = 0;
+    std::uint64_t nextOffset = 0;
+    std::uint32_t failures = 0;
+    std::optional<TimePoint> failingSince;
+    /** Removals before that time are doubtful. */
+    TimePoint doubtfulUntil;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FeedMirror.cpp
@@ -0,0 +1,46 @@
+#include <LibGateway/FeedMirror.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+bool FeedMirror::offer(FeedTopic topic, const FeedRecord &record)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &newest = this->topics[static_cast<std::size_t>(topic)].newest;
+    auto found = newest.find(record.key);
+    if (found != newest.end() && found->second.offset >= record.offset) {
+        return false;
+    }
+    newest[record.key] = record;
+    return true;
+}
+
+void FeedMirror::advance(FeedTopic topic, std::uint64_t nextOffset)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &held = this->topics[static_cast<std::size_t>(topic)].nextOffset;
+    held = std::max(held, nextOffset);
+}
+
+std::uint64_t FeedMirror::nextOffset(FeedTopic topic) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->at(topic).nextOffset;
+}
+
+FeedPage FeedMirror::since(FeedTopic topic, std::uint64_t offset) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    FeedPage page;
+    page.nextOffset = this->at(topic).nextOffset;
+    for (const auto &[key, record] : this->at(topic).newest) {
+        if (record.offset >= offset) {
+            page.records.push_back(record);
+        }
+    }
+    std::sort(page.records.begin(), page.records.end(), [](const auto &left, const auto &right) { return left.offset < right.offset; });
+    return page;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <LibGateway/UpstreamRecord.h>
+#include <LibGateway/WorkRequest.h>
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <optional>
+#include <string>
+
+namespace Lovageward {
+
+/** Where the memory of an interrupted run lies. */
+struct RunMemory
+{
+    /** "IP:port" of the engine that made or holds the copy, as the copy was named. */
+    std::string address;
+    std::string handle;
+};
+
+/** What the node adds to a request for one upstream. */
+struct ForwardTerms
+{
+    UpstreamId upstream;
+    TeamId team;
+    /** The upstream stops work then. */
+    Duration timeLeft = Duration(0);
+    /** 0 (first) to 9; engines admit and preempt by it. */
+    std::optional<std::uint32_t> urgency;
+    /** "IP:port" of the engine that keeps a copy of the run's memory; empty for none. */
+    std::string backupAddress;
+    std::optional<RunMemory> memory;
+    std::optional<std::uint64_t> lastEventId;
+};
+
+/** Load that an upstream reported with an answer. */
+struct ReportedLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/** What the head of an upstream's answer says beside its status. */
+struct AnswerMarks
+{
+    /** Echoed id of the request; empty if there is none. */
+    RequestId request;
+    /** The upstream states that the request did not run and never will. */
+    bool isNotRun = false;
+    /** The answer bears the upstream's mark, without which a success doesn't count. */
+    bool isMarked = false;
+    /** Another process than the expected one has the address. */
+    bool isOtherUpstream = false;
+    std::optional<ReportedLoad> load;
+};
+
+/** Answer to a call that moves a run. */
+struct MoveAnswer
+{
+    /** The copy is complete at the target. */
+    bool isDone = false;
+    /** No such run exists at the source. */
+    bool isUnknownRun = false;
+    /** A call for this run is in progress. */
+    bool isBusy = false;
+    /** Names the memory, also after a failed last call: the source then keeps it. */
+    std::string handle;
+};
+
+/** Translates between callers, upstreams and the gateway. Implementations hold no state and are safe to call from several threads. */
+class ForwardProtocol
+{
+public:
+    virtual ~ForwardProtocol() = default;
+
+    /** Throws Error(BadRequest) for a head that isn't a proper request. Deadline and arrival are on the node's clock. */
+    virtual WorkRequest decodeRequest(const Poco::Net::HTTPRequest &head, TimePoint arrivedAt) const = 0;
+
+    /** The bytes of the request, head and body, for an upstream at `address`. */
+    virtual std::string encodeRequest(const WorkRequest &request, const ForwardTerms &terms) const = 0;
+
+    virtual AnswerMarks decodeAnswer(const Poco::Net::HTTPResponse &head) const = 0;
+
+    /** The bytes of a call that copies the memory of a run to another engine; `isLast` also stops the run. */
+    virtual std::string encodeMove(const RequestId &request, const std::string &targetAddress, bool isLast) const = 0;
+
+    virtual MoveAnswer decodeMove(int status, const std::string &body) const = 0;
+
+    /** The bytes of a call that frees the memory of a run that was copied but isn't continued. */
+    virtual std::string encodeMemoryRelease(const std::string &handle) const = 0;
+
+    /** Name of the field in which answers repeat the request's id. */
+    virtual const std::string &requestIdField() const = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -0,0 +1,80 @@
+#include <LibGateway/PeerDigest.h>
+
+#include <LibPeer/MessageReader.h>
+#include <LibPeer/MessageWriter.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Shares in one datagram; a node works at few upstreams at a time, and the largest shares matter most. */
+constexpr std::size_t mostShares = 64;
+constexpr std::size_t mostPeers = 8;
+
+std::vector<LoadShare> largestShares(std::vector<LoadShare> shares)
+{
+    if (shares.size() > mostShares) {
+        std::sort(shares.begin(), shares.end(), [](const auto &left, const auto &right) { return left.load.peakTokens > right.load.peakTokens; });
+        shares.resize(mostShares);
+    }
+    return shares;
+}
+
+}
+
+std::string encodeDigest(const PeerDigest &digest)
+{
+    MessageWriter writer;
+    writer.array(5).text(digest.host.value()).flag(digest.isLeaving);
+    writer.array(digest.nextOffsets.size());
+    for (auto offset : digest.nextOffsets) {
+        writer.number(offset);
+    }
+    auto shares = largestShares(digest.shares);
+    writer.array(shares.size());
+    for (const auto &share : shares) {
+        writer.array(3).number(share.upstreamHash).number(share.load.runs).number(static_cast<std::uint64_t>(std::max(0.0, share.load.peakTokens)));
+    }
+    auto peers = std::min(digest.peers.size(), mostPeers);
+    writer.array(peers);
+    for (std::size_t position = 0; position < peers; ++position) {
+        writer.text(digest.peers[position]);
+    }
+    return writer.encoded();
+}
+
+PeerDigest decodeDigest(std::string_view bytes)
+{
+    constexpr std::size_t mostFields = 64;
+    constexpr std::uint64_t mostRuns = 1'000'000;
+    MessageReader reader(bytes);
+    PeerDigest digest;
+    reader.beginArray(5, mostFields);
+    digest.host = HostId(reader.text());
+    digest.isLeaving = reader.flag();
+    reader.beginArray(digest.nextOffsets.size(), mostFields);
+    for (auto &offset : digest.nextOffsets) {
+        offset = reader.number();
+    }
+    reader.endArray();
+    digest.shares.resize(reader.beginArray(0, mostShares));
+    for (auto &share : digest.shares) {
+        reader.beginArray(3, mostFields);
+        share.upstreamHash = reader.number();
+        share.load.runs = static_cast<std::uint32_t>(reader.number(mostRuns));
+        share.load.peakTokens = static_cast<double>(reader.number());
+        reader.endArray();
+    }
+    reader.endArray();
+    digest.peers.resize(reader.beginArray(0, mostPeers));
+    for (auto &peer : digest.peers) {
+        peer = reader.text();
+    }
+    reader.endArray();
+    reader.endArray();
+    return digest;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -0,0 +1,96 @@
+#include <LibGateway/PeerTable.h>
+
+#include <utility>
+
+namespace Lovageward {
+
+namespace {
+
+/** A peer sends several times a second, so three seconds of silence mean that it is gone or cut off. */
+constexpr Duration liveTime = seconds(3);
+
+/** Pause between two tries of a silent peer, which may be cut off for a while. */
+constexpr Duration silentTryPause = seconds(2);
+
+/** Silent peers are forgotten after that; the store names those that return. */
+constexpr Duration forgetTime = minutes(2);
+
+}
+
+PeerTable::PeerTable(const Clock &clock, RandomSource &random, std::string ownAddress) : clock(clock), random(random), ownAddress(std::move(ownAddress))
+{
+}
+
+void PeerTable::learn(const std::string &address)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    if (address != this->ownAddress && !this->peers.contains(address)) {
+        this->peers[address].forgetAt = this->clock.now() + forgetTime;
+    }
+}
+
+bool PeerTable::heard(const std::string &address, const std::array<std::uint64_t, feedTopicCount> &nextOffsets)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    auto &peer = this->peers[address];
+    auto isNew = now >= peer.liveUntil;
+    peer.liveUntil = now + liveTime;
+    peer.forgetAt = now + forgetTime;
+    peer.nextOffsets = nextOffsets;
+    return isNew;
+}
+
+std::vector<std::string> PeerTable::targets()
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    std::erase_if(this->peers, [&](const auto &peer) { return now >= peer.second.forgetAt; });
+    std::vector<std::string> addresses;
+    for (auto &[address, peer] : this->peers) {
+        if (now >= peer.liveUntil) {
+            if (now < peer.tryAt) {
+                continue;
+            }
+            peer.tryAt = now + silentTryPause;
+        }
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+std::vector<std::string> PeerTable::live(std::size_t most) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<std::string> addresses;
+    for (const auto &[address, peer] : this->peers) {
+        if (this->clock.now() < peer.liveUntil) {
+            addresses.push_back(address);
+        }
+    }
+    addresses = this->shuffled(std::move(addresses));
+    addresses.resize(std::min(most, addresses.size()));
+    return addresses;
+}
+
+std::vector<std::string> PeerTable::ahead(FeedTopic topic, std::uint64_t offset) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<std::string> addresses;
+    for (const auto &[address, peer] : this->peers) {
+        if (this->clock.now() < peer.liveUntil && peer.nextOffsets[static_cast<std::size_t>(topic)] > offset) {
+            addresses.push_back(address);
+        }
+    }
+    return this->shuffled(std::move(addresses));
+}
+
+std::vector<std::string> PeerTable::shuffled(std::vector<std::string> addresses) const
+{
+    for (std::size_t left = addresses.size(); left > 1; --left) {
+        std::swap(addresses[left - 1], addresses[this->random.below(left)]);
+    }
+    return addresses;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PeerTable.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/RandomSource.h>
+#include <LibGateway/StateFeed.h>
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** The other nodes by the address of their peer socket, found through seeds, the store and each other. Thread-safe; its mutex is a leaf lock. */
+class PeerTable
+{
+public:
+    PeerTable(const Clock &clock, RandomSource &random, std::string ownAddress);
+
+    /** An address that was named by the settings, the store or a peer. Known addresses keep their state. */
+    void learn(const std::string &address);
+
+    /** A digest arrived from the address. Returns true if the peer wasn't heard before or for long. */
+    bool heard(const std::string &address, const std::array<std::uint64_t, feedTopicCount> &nextOffsets);
+
+    /** Addresses to send to. A peer that was silent for long is only tried now and then. */
+    std::vector<std::string> targets();
+
+    /** Some peers that were heard lately, in random order. */
+    std::vector<std::string> live(std::size_t most) const;
+
+    /** Peers that were heard lately and have read the topic further than to the offset, in random order. */
+    std::vector<std::string> ahead(FeedTopic topic, std::uint64_t offset) const;
+
+private:
+    struct Peer
+    {
+        TimePoint liveUntil;
+        /** Next try of a silent peer. */
+        TimePoint tryAt;
+        TimePoint forgetAt;
+        std::array<std::uint64_t, feedTopicCount> nextOffsets {};
+    };
+
+    std::vector<std::string> shuffled(std::vector<std::string> addresses) const;
+
+    const Clock &clock;
+    RandomSource &random;
+    std::string ownAddress;
+    mutable std::mutex mutex;
+    std::map<std::string, Peer> peers;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -0,0 +1,87 @@
+#include <LibGateway/RequestAdmission.h>
+
+#include <LibCore/Error.h>
+#include <LibGateway/WorkPlacer.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Time until a node that starts has read its configuration. */
+constexpr Duration startRetryAfter = milliseconds(500);
+
+/** Part of the maximum that an output takes on average when the caller gives no estimate. */
+constexpr double assumedOutputShare = 0.5;
+
+[[noreturn]] void refuse(ResultCode code, const std::string &message)
+{
+    throw Error(code, RunState::NotRun, message);
+}
+
+std::string_view pathOf(const std::string &target)
+{
+    return std::string_view(target).substr(0, target.find_first_of("?#"));
+}
+
+/** Regions that both lists allow, where an empty list allows all. Nothing if they exclude each other. */
+std::optional<std::vector<RegionId>> intersect(const std::vector<RegionId> &left, const std::vector<RegionId> &right)
+{
+    if (left.empty() || right.empty()) {
+        return left.empty() ? right : left;
+    }
+    std::vector<RegionId> both;
+    std::copy_if(left.begin(), left.end(), std::back_inserter(both), [&](const RegionId &region) {
+        return std::find(right.begin(), right.end(), region) != right.end();
+    });
+    return both.empty() ? std::nullopt : std::optional(both);
+}
+
+Footprint footprintOf(const WorkRequest &request, const UpstreamPool &pool)
+{
+    if (!pool.engine) {
+        return {};
+    }
+    auto maximum = static_cast<double>(request.maximumOutputTokens.value());
+    auto expected = request.expectedOutputTokens ? static_cast<double>(request.expectedOutputTokens->value()) : maximum * assumedOutputShare;
+    return Footprint { static_cast<double>(request.promptTokens.value()), maximum > 0 ? std::min(expected, maximum) : expected, maximum };
+}
+
+}
+
+AdmittedWork RequestAdmission::admit(WorkRequest request, std::shared_ptr<const GatewayConfig> config) const
+{
+    if (!config) {
+        throw Error(ResultCode::NodeStarting, RunState::NotRun, "the node hasn't read its configuration", startRetryAfter);
+    }
+    AdmittedWork work;
+    work.route = config->findRoute(request.host, pathOf(request.target));
+    if (work.route == nullptr) {
+        refuse(ResultCode::NotFound, "no route matches host and path");
+    }
+    std::vector<RegionId> teamRegions;
+    if (config->hasTeams() && work.route->needsKey) {
+        const auto *team = config->findTeam(request.key);
+        if (team == nullptr) {
+            refuse(ResultCode::Unauthenticated, "the key belongs to no team");
+        }
+        work.team = team->id;
+        teamRegions = team->allowedRegions;
+    }
+    auto regions = intersect(work.route->allowedRegions, teamRegions);
+    work.pool = config->findPool(WorkPlacer::choosePool(*work.route, this->random.unit()));
+    if (!regions || work.pool == nullptr) {
+        refuse(ResultCode::NoCapacity, "the configuration leaves no upstream for this request");
+    }
+    work.allowedRegions = *regions;
+    work.deadline = std::min(request.deadline, request.arrivedAt + work.route->timeout);
+    work.footprint = footprintOf(request, *work.pool);
+    work.request = std::move(request);
+    work.config = std::move(config);
+    return work;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestAdmission.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibCore/RandomSource.h>
+#include <LibGateway/GatewayConfig.h>
+#include <LibGateway/LoadBook.h>
+#include <LibGateway/WorkRequest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** A request with what the configuration says of it. */
+struct AdmittedWork
+{
+    WorkRequest request;
+    /** Keeps the route and the pool alive. */
+    std::shared_ptr<const GatewayConfig> config;
+    const Route *route = nullptr;
+    const UpstreamPool *pool = nullptr;
+    /** Empty if the route needs no key. */
+    TeamId team;
+    /** The answer is due by then, for the caller's and the route's sake. */
+    TimePoint deadline;
+    std::vector<RegionId> allowedRegions;
+    Footprint footprint;
+};
+
+/** Decides by the configuration whether a request is allowed, and where it may go. Needs no network. */
+class RequestAdmission
+{
+public:
+    explicit RequestAdmission(RandomSource &random) : random(random)
+    {
+    }
+
+    /**
+     * Throws Error with RunState::NotRun: NodeStarting without a configuration, NotFound without a route, Unauthenticated for an unknown key,
+     * NoCapacity if the configuration leaves no pool or region.
+     */
+    AdmittedWork admit(WorkRequest request, std::shared_ptr<const GatewayConfig> config) const;
+
+private:
+    RandomSource &random;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RetryAllowance.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Ids.h>
+#include <LibDispatch/RetryBudget.h>
+
+#include <map>
+#include <mutex>
+
+namespace Lovageward {
+
+/** Bound on repeats at a pool, summed over all nodes. */
+struct RetryBound
+{
+    /** Repeats for each request of a caller. */
+    double ratio = 0;
+    /** Repeats of all nodes together that are allowed beside the ratio. */
+    double slack = 0;
+    Duration window = seconds(10);
+};
+
+/**
+ * This node's share of the retry budget of each pool. Answers the load pattern of a failing pool whose load repeats would multiply.
+ * Thread-safe; its mutex is a leaf lock.
+ */
+class RetryAllowance
+{
+public:
+    /** `nodes` is the number of nodes that share the slack; it is counted high when it isn't known. */
+    RetryAllowance(const Clock &clock, const RetryBound &bound, std::size_t nodes);
+
+    void countRequest(const PoolId &pool);
+
+    /** Takes one repeat if there is one left. */
+    bool tryRepeat(const PoolId &pool);
+
+private:
+    RetryBudget &budgetOf(const PoolId &pool);
+
+    const Clock &clock;
+    RetryBound bound;
+    std::uint32_t floor;
+    std::mutex mutex;
+    std::map<PoolId, RetryBudget> budgets;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamHealth.cpp
@@ -0,0 +1,60 @@
+#include <LibGateway/UpstreamHealth.h>
+
+#include <cmath>
+
+namespace Lovageward {
+
+namespace {
+
+/** Time in which the memory of a failure halves; an upstream that recovered gets its share of work again after a few of them. */
+constexpr Duration halfLife = seconds(2);
+
+/** Successes assumed beforehand, so that one failed request alone doesn't condemn an upstream. */
+constexpr double priorSuccesses = 2;
+
+}
+
+void UpstreamHealth::succeeded(const UpstreamId &upstream)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->scores.find(upstream);
+    if (found == this->scores.end()) {
+        return;
+    }
+    found->second = this->decayed(found->second);
+    found->second.total += 1;
+    constexpr double negligible = 0.01;
+    if (found->second.failures < negligible) {
+        this->scores.erase(found);
+    }
+}
+
+void UpstreamHealth::failed(const UpstreamId &upstream, double weight)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &score = this->scores[upstream];
+    score = this->decayed(score);
+    score.failures += weight;
+    score.total += weight;
+}
+
+double UpstreamHealth::failureShare(const UpstreamId &upstream) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->scores.find(upstream);
+    if (found == this->scores.end()) {
+        return 0;
+    }
+    auto score = this->decayed(found->second);
+    return score.failures / (score.total + priorSuccesses);
+}
+
+UpstreamHealth::Score UpstreamHealth::decayed(const Score &score) const
+{
+    auto now = this->clock.now();
+    auto halvings = std::chrono::duration<double>(now - score.updatedAt) / std::chrono::duration<double>(halfLife);
+    auto factor = std::exp2(-halvings);
+    return Score { score.failures * factor, score.total * factor, now };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -0,0 +1,99 @@
+#include <LibGateway/UpstreamPicker.h>
+
+#include <algorithm>
+
+namespace Lovageward {
+
+namespace {
+
+/** Share of an engine's memory that runs may take at their expected ends. Runs end at different times, so they rarely reach it together. */
+constexpr double fullFill = 1.05;
+
+/** Share that is left free of copies, which only serve an interrupted run. */
+constexpr double fullFillForCopies = 0.8;
+
+/** Load that a run at another failure domain must save. Transfers between domains are billed by volume. */
+constexpr double otherDomainCost = 0.05;
+/** As otherDomainCost, for another region: the link is slow as well. */
+constexpr double otherRegionCost = 0.25;
+
+/** Load that equals an upstream which fails every request. */
+constexpr double failureCost = 3;
+
+/** Requests that a plain service may hold for each slot; the queue behind its slots is short. */
+constexpr double runsPerSlot = 3;
+
+/** Spread between equal upstreams, so that nodes with the same view don't all choose the same one. */
+constexpr double tieSpread = 0.02;
+
+}
+
+RegionId Location::regionOf(const FailureDomainId &domain) const
+{
+    auto found = this->regions.find(domain);
+    return found == this->regions.end() ? RegionId() : found->second;
+}
+
+double UpstreamPicker::distanceCost(const FailureDomainId &from, const FailureDomainId &to) const
+{
+    if (from == to) {
+        return 0;
+    }
+    return this->location.regionOf(from) == this->location.regionOf(to) ? otherDomainCost : otherRegionCost;
+}
+
+double UpstreamPicker::fillAfter(const Candidate &candidate, const UpstreamPool &pool, const Footprint &footprint) const
+{
+    if (pool.engine) {
+        auto memory = static_cast<double>(pool.engine->memory.value());
+        auto memoryFill = (candidate.load.peakTokens + footprint.peak(0)) / std::max(memory, 1.0);
+        auto slotFill = (candidate.load.runs + 1.0) / std::max(1U, pool.engine->slots);
+        return std::max(memoryFill, slotFill);
+    }
+    return (candidate.load.runs + 1.0) / std::max(1U, candidate.record.slots);
+}
+
+Pick UpstreamPicker::pick(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint) const
+{
+    Pick best;
+    double lowest = 0;
+    auto limit = pool.engine ? fullFill : runsPerSlot;
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        const auto &candidate = candidates[position];
+        auto fill = this->fillAfter(candidate, pool, footprint);
+        if (fill > limit) {
+            best.outcome = best.outcome == PickOutcome::Picked ? best.outcome : PickOutcome::NoRoom;
+            continue;
+        }
+        auto cost = fill + this->distanceCost(this->location.failureDomain, candidate.record.failureDomain) + failureCost * candidate.failureShare
+            + tieSpread * this->random.unit();
+        if (best.outcome != PickOutcome::Picked || cost < lowest) {
+            best = Pick { PickOutcome::Picked, position };
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t>
+UpstreamPicker::pickForCopy(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner) const
+{
+    std::optional<std::size_t> best;
+    double lowest = 0;
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        const auto &candidate = candidates[position];
+        auto fill = this->fillAfter(candidate, pool, footprint);
+        if (candidate.record.id == runner.id || fill > fullFillForCopies) {
+            continue;
+        }
+        auto cost = fill + this->distanceCost(runner.failureDomain, candidate.record.failureDomain) + failureCost * candidate.failureShare
+            + tieSpread * this->random.unit();
+        if (!best || cost < lowest) {
+            best = position;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/RandomSource.h>
+#include <LibGateway/GatewayConfig.h>
+#include <LibGateway/LoadBook.h>
+#include <LibGateway/UpstreamRecord.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Lovageward {
+
+/** Where this node stands, and which region each failure domain belongs to. */
+struct Location
+{
+    FailureDomainId failureDomain;
+    RegionId region;
+    std::map<FailureDomainId, RegionId> regions;
+
+    /** Empty for a domain that the settings don't name. */
+    RegionId regionOf(const FailureDomainId &domain) const;
+};
+
+/** An upstream that could run a request, with what is known of it. */
+struct Candidate
+{
+    UpstreamRecord record;
+    UpstreamLoad load;
+    /** See UpstreamHealth::failureShare. */
+    double failureShare = 0;
+};
+
+enum class PickOutcome {
+    Picked,
+    /** No upstream may run the request. */
+    NoUpstream,
+    /** All that may run it have no room now. */
+    NoRoom,
+};
+
+struct Pick
+{
+    PickOutcome outcome = PickOutcome::NoUpstream;
+    /** Position among the candidates. */
+    std::size_t position = 0;
+};
+
+/**
+ * Chooses the upstream with the most forecast room. Distance and failures count like load, so that a near upstream goes first until it is
+ * clearly fuller than a far one. Answers the load pattern of long outputs on engines whose memory fills before their slots: an engine takes a
+ * run only if all its runs fit at their expected ends.
+ */
+class UpstreamPicker
+{
+public:
+    UpstreamPicker(Location location, RandomSource &random) : location(std::move(location)), random(random)
+    {
+    }
+
+    Pick pick(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint) const;
+
+    /** An engine, other than `runner`, that has room for a copy of the run. Prefers the own failure domain of `runner` for a short transfer. */
+    std::optional<std::size_t>
+    pickForCopy(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner) const;
+
+    const Location &place() const
+    {
+        return this->location;
+    }
+
+private:
+    double fillAfter(const Candidate &candidate, const UpstreamPool &pool, const Footprint &footprint) const;
+    double distanceCost(const FailureDomainId &from, const FailureDomainId &to) const;
+
+    Location location;
+    RandomSource &random;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamRegistry.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibGateway/UpstreamRecord.h>
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Lovageward {
+
+/** Why work that runs at an upstream should leave it. */
+enum class LeaveReason {
+    None,
+    /** The upstream announced its end or its entry was removed in time. */
+    Draining,
+    /** Another process runs under the upstream's id, so the memory of its runs is gone. */
+    Restarted,
+};
+
+/**
+ * The upstreams that may get work: those that are registered, don't drain, and stand in no drained failure domain. An entry that was removed
+ * while the registry's source was out of reach stays usable for a grace time, because such removals are often undone when the source is
+ * back. Answers the load pattern of reclaimed upstreams and of an outage of the platform's store. Thread-safe; its mutex is a leaf lock.
+ */
+class UpstreamRegistry
+{
+public:
+    explicit UpstreamRegistry(const Clock &clock) : clock(clock)
+    {
+    }
+
+    /** A new or changed entry. Returns true if it changes what work may do. */
+    bool put(const UpstreamRecord &record);
+
+    /** Entry removed by its owner or expired. */
+    void remove(const UpstreamId &upstream);
+
+    /** Entry removed around an outage: it stays usable until the time given, unless it is put again. */
+    void removeUnlessReturned(const UpstreamId &upstream, TimePoint until);
+
+    /** Entries that aren't in a complete listing. */
+    std::vector<UpstreamId> missingFrom(const std::set<UpstreamId> &listed) const;
+
+    void setDrained(const FailureDomainId &domain, bool isDrained);
+    std::set<FailureDomainId> drainedDomains() const;
+
+    /** Upstreams of the pool that may get new work. */
+    std::vector<UpstreamRecord> usable(const PoolId &pool) const;
+
+    /** Whether the process that started with `boot` under this id still is to keep its running work. */
+    LeaveReason leaveReason(const UpstreamId &upstream, const BootId &boot) const;
+
+    /** True if the upstream may get new work now. */
+    bool isUsable(const UpstreamId &upstream) const;
+
+    std::size_t size() const;
+
+private:
+    struct Entry
+    {
+        UpstreamRecord record;
+        /** Removal that takes effect at that time. */
+        std::optional<TimePoint> removedAt;
+    };
+
+    bool mayWork(const Entry &entry) const;
+
+    const Clock &clock;
+    mutable std::mutex mutex;
+    std::map<UpstreamId, Entry> entries;
+    std::set<FailureDomainId> drained;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/WorkPlacer.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibGateway/ColdLimiter.h>
+#include <LibGateway/GatewayConfig.h>
+#include <LibGateway/LoadBook.h>
+#include <LibGateway/UpstreamHealth.h>
+#include <LibGateway/UpstreamPicker.h>
+#include <LibGateway/UpstreamRegistry.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lovageward {
+
+/** What the placement of a request depends on beside the state of the upstreams. */
+struct PlacementNeed
+{
+    const Route &route;
+    const UpstreamPool &pool;
+    Footprint footprint;
+    /** Regions that route and team both allow; empty for all. */
+    std::vector<RegionId> allowedRegions;
+    /** Upstreams that this request tried already. */
+    std::vector<UpstreamId> excluded;
+};
+
+/** A place at an upstream, booked from the decision on. */
+struct PlacedRun
+{
+    UpstreamRecord upstream;
+    std::unique_ptr<BookedRun> booking;
+    /** What decided, for the log. */
+    UpstreamLoad load;
+    double failureShare = 0;
+};
+
+struct PlacementResult
+{
+    PickOutcome outcome = PickOutcome::NoUpstream;
+    PlacedRun run;
+    std::size_t candidates = 0;
+};
+
+/**
+ * Places requests on upstreams and books them in one step, so that two threads don't take the same room. Lock order: its own mutex, then the
+ * leaf locks of the registry, the book, the health scores and the cold limiter.
+ */
+class WorkPlacer
+{
+public:
+    WorkPlacer(const Clock &clock,
+               const UpstreamRegistry &registry,
+               LoadBook &book,
+               const UpstreamHealth &health,
+               ColdLimiter &coldLimiter,
+               const UpstreamPicker &picker,
+               std::size_t assumedNodes);
+
+    PlacementResult place(const PlacementNeed &need);
+
+    /** A place for a copy of the memory of a run that `runner` has. Same outcomes as place(). */
+    PlacementResult placeCopy(const PlacementNeed &need, const UpstreamRecord &runner);
+
+    /** The pool that a request goes to by the weights of its route. `draw` is uniform in [0, 1). */
+    static PoolId choosePool(const Route &route, double draw);
+
+private:
+    std::vector<Candidate> candidatesFor(const PlacementNeed &need) const;
+
+    const Clock &clock;
+    const UpstreamRegistry &registry;
+    LoadBook &book;
+    const UpstreamHealth &health;
+    ColdLimiter &coldLimiter;
+    const UpstreamPicker &picker;
+    std::size_t assumedNodes;
+    std::mutex mutex;
+};
+
+}
--- a/Libraries/LibNode/SettingsReader.cpp
+++ b/Libraries/LibNode/SettingsReader.cpp
@@ -5,12 +5,14 @@
 
 #include <Poco/Net/IPAddress.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace Lovageward {
 
@@ -93,6 +95,27 @@
     }
 }
 
+void SettingsReader::readFile(const std::string &text)
+{
+    std::istringstream lines(text);
+    std::string line;
+    while (std::getline(lines, line)) {
+        line = Poco::trim(line);
+        if (line.empty() || line.front() == '#') {
+            continue;
+        }
+        auto separator = line.find('=');
+        if (separator == std::string::npos) {
+            reject(fmt::format("the settings file has a line without '=': {}", line));
+        }
+        auto name = Poco::trim(line.substr(0, separator));
+        auto found = std::find_if(this->values.begin(), this->values.end(), [&](const Value &value) { return value.name == name; });
+        if (found != this->values.end()) {
+            found->text = Poco::trim(line.substr(separator + 1));
+        }
+    }
+}
+
 const std::string &SettingsReader::text(const std::string &name) const
 {
     return const_cast<SettingsReader *>(this)->valueOf(name).text;
--- a/Libraries/LibNode/SettingsReader.h
+++ b/Libraries/LibNode/SettingsReader.h
@@ -49,6 +49,12 @@
      */
     void read(const std::vector<std::string> &arguments, const EnvironmentLookup &environment);
 
+    /**
+     * Takes values from lines `name = value`, which flags and the environment override. Call it before read(). Empty lines, comments that
+     * begin with `#` and names that no definition has are passed over. Throws Error(InvalidSettings) for a line of another form.
+     */
+    void readFile(const std::string &text);
+
     const std::string &text(const std::string &name) const;
     std::int64_t number(const std::string &name) const;
 
--- a/Services/lovageward/main.cpp
+++ b/Services/lovageward/main.cpp
@@ -1,3 +1,5 @@
+#include "GatewayMain.h"
+
 #include <LibCore/Error.h>
 #include <LibNode/Node.h>
 
@@ -63,6 +65,9 @@
     }
     auto isCheckOnly = takeFlag(arguments, "--check-settings");
     try {
+        if (takeFlag(arguments, "gateway")) {
+            return runGateway(arguments, isCheckOnly);
+        }
         auto settings = readNodeSettings(arguments, [](const std::string &name) { return std::getenv(name.c_str()); });
         if (isCheckOnly) {
             fmt::print("The settings are valid.\n");
