LibForward: Keep a standby copy of long runs and count unread prompts

Change: a long run has a standby copy in another failure domain; the load of an engine counts prompts that aren't read; a placement is told to peers at once, at most 200 digests a second; a run continues only at an engine that may get work.

--- a/Libraries/LibForward/ForwardParts.h
+++ b/Libraries/LibForward/ForwardParts.h
@@ -14,6 +14,14 @@
 
 namespace Lovageward {
 
+/** Learns that this node's load has changed. */
+class PlacementListener
+{
+public:
+    virtual ~PlacementListener() = default;
+    virtual void placed() = 0;
+};
+
 /** What the forwarding of requests works with. All references outlive the connections. */
 struct ForwardParts
 {
@@ -28,6 +36,8 @@
     RetryAllowance &retries;
     const ForwardProtocol &protocol;
     const DrainNotice &drain;
+    /** Told when work was placed, so that peers learn of it at once. */
+    PlacementListener &placements;
 };
 
 }
--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -18,6 +18,9 @@
 /** With many peers the interval grows, so that a node receives about 50 digests a second at the most. */
 constexpr Duration intervalPerPeer = milliseconds(20);
 
+/** Placements are told at once, but a node sends at most about 200 digests a second altogether. */
+constexpr Duration pausePerPeer = milliseconds(5);
+
 /** The receiver looks so often whether it is to stop. */
 constexpr Duration receiveWait = seconds(1);
 
@@ -56,8 +59,20 @@
     return digest;
 }
 
+void PeerExchange::placed()
+{
+    auto *thread = this->sender.load();
+    if (thread != nullptr) {
+        thread->wake();
+    }
+}
+
 TimePoint PeerExchange::step()
 {
+    auto earliest = TimePoint(Duration(this->earliestNext.load()));
+    if (this->parts.clock.now() < earliest) {
+        return earliest;
+    }
     auto bytes = encodeDigest(this->ownDigest());
     auto targets = this->parts.peers.targets();
     for (const auto &target : targets) {
@@ -68,7 +83,9 @@
             this->parts.events.write("digest_not_sent", { { "peer", target }, { "reason", error.displayText() } });
         }
     }
-    return this->parts.clock.now() + std::max<Duration>(shortestInterval, intervalPerPeer * static_cast<int>(targets.size()));
+    auto peers = static_cast<int>(targets.size());
+    this->earliestNext = (this->parts.clock.now() + pausePerPeer * peers).time_since_epoch().count();
+    return this->parts.clock.now() + std::max<Duration>(shortestInterval, intervalPerPeer * peers);
 }
 
 void PeerExchange::receive()
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -4,11 +4,13 @@
 #include <LibCore/Counters.h>
 #include <LibCore/EventLog.h>
 #include <LibForward/CallerChannel.h>
+#include <LibForward/ForwardParts.h>
 #include <LibGateway/FeedMirror.h>
 #include <LibGateway/LoadBook.h>
 #include <LibGateway/PeerDigest.h>
 #include <LibGateway/PeerTable.h>
 #include <LibMembership/PeriodicTask.h>
+#include <LibMembership/TaskThread.h>
 
 #include <Poco/Net/DatagramSocket.h>
 
@@ -33,7 +35,7 @@
  * Sends this node's digest to its peers and takes theirs. Digests travel as datagrams: each one holds the whole state, so nothing is repeated,
  * and no connection can go silent. step() sends; a thread of its own receives.
  */
-class PeerExchange final : public PeriodicTask
+class PeerExchange final : public PeriodicTask, public PlacementListener
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
@@ -42,6 +44,15 @@
 
     TimePoint step() override;
 
+    /** Sends the next digest soon. */
+    void placed() override;
+
+    /** Set once, before work is placed. */
+    void setThread(TaskThread *thread)
+    {
+        this->sender = thread;
+    }
+
 private:
     void receive();
     void take(std::string_view bytes, const std::string &sender);
@@ -51,6 +62,9 @@
     HostId host;
     Poco::Net::DatagramSocket socket;
     std::atomic<bool> isStopping = false;
+    std::atomic<TaskThread *> sender = nullptr;
+    /** No digest is sent before that, however much is placed. */
+    std::atomic<Duration::rep> earliestNext = 0;
     std::thread receiver;
 };
 
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -79,8 +79,9 @@
     if (!keepsCopy) {
         return;
     }
-    auto result = this->parts.placer.placeCopy(this->dialer.needOf(this->work, AttemptState()), runner);
+    auto result = this->parts.placer.placeCopy(this->dialer.needOf(this->work, AttemptState()), runner, CopyPurpose::Standby);
     if (result.outcome == PickOutcome::Picked) {
+        this->parts.placements.placed();
         terms.backupAddress = result.run.upstream.address;
         this->backup = std::move(result.run);
     }
@@ -88,7 +89,8 @@
 
 void StreamRelay::openFirst()
 {
-    auto opened = this->dialer.open(this->work, this->attempts, this->baseTerms(), this->caller);
+    auto complete = [this](ForwardTerms &terms, const UpstreamRecord &runner) { this->bookBackup(terms, runner); };
+    auto opened = this->dialer.open(this->work, this->attempts, this->baseTerms(), this->caller, complete);
     this->place = std::move(opened.place);
     this->call = std::move(opened.call);
     this->lastEventAt = this->parts.clock.now();
@@ -181,6 +183,8 @@
         this->parts.health.failed(this->place.upstream.id, refusalWeight);
         this->call->cancel();
         if (this->hasBegun) {
+            // The run did not go on there, so nothing was copied from there either.
+            this->backup.reset();
             return this->recover("the upstream refused to continue the run");
         }
         this->attempts.excluded.push_back(this->place.upstream.id);
@@ -286,8 +290,9 @@
     }
     auto target = std::move(*this->backup);
     this->backup.reset();
-    auto reason = this->parts.registry.leaveReason(target.upstream.id, target.upstream.boot);
-    if (reason == LeaveReason::Restarted) {
+    auto isHeld
+        = this->parts.registry.isUsable(target.upstream.id) && this->parts.registry.leaveReason(target.upstream.id, target.upstream.boot) == LeaveReason::None;
+    if (!isHeld) {
         return false;
     }
     RunMemory memory { target.upstream.address, this->work.request.id.value() };
@@ -370,7 +375,7 @@
         return;
     }
     auto need = this->dialer.needOf(this->work, AttemptState());
-    auto result = this->parts.placer.placeCopy(need, this->place.upstream);
+    auto result = this->parts.placer.placeCopy(need, this->place.upstream, CopyPurpose::Move);
     auto isPlaced = result.outcome == PickOutcome::Picked;
     this->parts.events.write("move_begin",
                              { { "request", this->work.request.id.value() },
@@ -380,6 +385,7 @@
     if (!isPlaced) {
         return;
     }
+    this->parts.placements.placed();
     try {
         this->move
             = std::make_unique<RunMove>(this->parts.clock, this->parts.protocol, this->work.request.id, this->place.upstream.address, std::move(result.run));
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -47,6 +47,7 @@
     while (true) {
         auto result = this->parts.placer.place(this->needOf(work, attempts));
         if (result.outcome == PickOutcome::Picked) {
+            this->parts.placements.placed();
             return std::move(result.run);
         }
         if (this->parts.clock.now() >= until) {
@@ -67,7 +68,8 @@
     }
 }
 
-OpenedRun UpstreamDialer::open(const AdmittedWork &work, AttemptState &attempts, ForwardTerms terms, CallerChannel &caller) const
+OpenedRun
+UpstreamDialer::open(const AdmittedWork &work, AttemptState &attempts, const ForwardTerms &terms, CallerChannel &caller, const TermsForPlace &complete) const
 {
     for (std::uint32_t tries = 0; tries < mostConnectTries; ++tries) {
         auto place = this->awaitPlace(work, attempts, caller);
@@ -76,8 +78,11 @@
             throw Error(ResultCode::RetryBudgetExhausted, RunState::NotRun, "the retry budget is used up", longestReturn);
         }
         try {
-            auto upstream = place.upstream.id;
-            auto call = this->sendTo(work, place, terms, attempts);
+            auto completeTerms = terms;
+            if (complete) {
+                complete(completeTerms, place.upstream);
+            }
+            auto call = this->sendTo(work, place, completeTerms, attempts);
             return OpenedRun { std::move(place), std::move(call) };
         } catch (const Poco::Exception &error) {
             this->parts.health.failed(place.upstream.id, connectionFailureWeight);
--- a/Libraries/LibForward/UpstreamDialer.h
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -4,6 +4,7 @@
 #include <LibForward/UpstreamCall.h>
 #include <LibGateway/RequestAdmission.h>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -32,6 +33,9 @@
 {
 };
 
+/** Completes the terms of a request once its place is known. */
+using TermsForPlace = std::function<void(ForwardTerms &terms, const UpstreamRecord &upstream)>;
+
 /** Places a request, connects to the upstream and sends the request. */
 class UpstreamDialer
 {
@@ -44,7 +48,8 @@
      * Waits for room for a part of the target latency at the most. Throws CallerGone, or Error with NoCapacity, RetryBudgetExhausted,
      * UpstreamUnavailable or ShuttingDown; nothing was sent by this call then.
      */
-    OpenedRun open(const AdmittedWork &work, AttemptState &attempts, ForwardTerms terms, CallerChannel &caller) const;
+    OpenedRun
+    open(const AdmittedWork &work, AttemptState &attempts, const ForwardTerms &terms, CallerChannel &caller, const TermsForPlace &complete = {}) const;
 
     /** Sends the request to an upstream that was placed before. Throws Poco::Exception if the connection can't be made. */
     std::unique_ptr<UpstreamCall> sendTo(const AdmittedWork &work, const PlacedRun &place, ForwardTerms terms, AttemptState &attempts) const;
--- a/Libraries/LibGateway/LoadBook.cpp
+++ b/Libraries/LibGateway/LoadBook.cpp
@@ -15,14 +15,15 @@
     return this->promptTokens + output;
 }
 
-RunNumber LoadBook::begin(const UpstreamId &upstream, const Footprint &footprint)
+RunNumber LoadBook::begin(const UpstreamId &upstream, const Footprint &footprint, bool hasUnreadPrompt)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     RunNumber number(++this->lastRun);
-    this->runs.emplace(number, Run { upstream, footprint, 0 });
+    this->runs.emplace(number, Run { upstream, footprint, 0, !hasUnreadPrompt });
     auto &load = this->own[upstream];
     ++load.runs;
     load.peakTokens += footprint.peak(0);
+    load.unreadTokens += hasUnreadPrompt ? footprint.promptTokens : 0;
     return number;
 }
 
@@ -34,8 +35,13 @@
         return;
     }
     auto &entry = found->second;
-    this->own[entry.upstream].peakTokens += entry.footprint.peak(producedTokens) - entry.footprint.peak(entry.produced);
+    auto &load = this->own[entry.upstream];
+    load.peakTokens += entry.footprint.peak(producedTokens) - entry.footprint.peak(entry.produced);
     entry.produced = producedTokens;
+    if (!entry.isRead) {
+        load.unreadTokens -= entry.footprint.promptTokens;
+        entry.isRead = true;
+    }
 }
 
 void LoadBook::end(RunNumber run)
@@ -47,6 +53,7 @@
     }
     auto load = this->own.find(found->second.upstream);
     load->second.peakTokens -= found->second.footprint.peak(found->second.produced);
+    load->second.unreadTokens -= found->second.isRead ? 0 : found->second.footprint.promptTokens;
     if (--load->second.runs == 0) {
         this->own.erase(load);
     }
@@ -68,6 +75,7 @@
         if (now < peer.validUntil && theirs != peer.loads.end()) {
             total.runs += theirs->second.runs;
             total.peakTokens += theirs->second.peakTokens;
+            total.unreadTokens += theirs->second.unreadTokens;
         }
     }
     return total;
--- a/Libraries/LibGateway/LoadBook.h
+++ b/Libraries/LibGateway/LoadBook.h
@@ -32,6 +32,8 @@
     std::uint32_t runs = 0;
     /** Memory when each run is at its expected end. */
     double peakTokens = 0;
+    /** Prompt tokens of runs that have produced nothing yet. The engine reads prompts one after another. */
+    double unreadTokens = 0;
 };
 
 /** Load of one node at one upstream, as nodes tell each other. */
@@ -54,7 +56,9 @@
     {
     }
 
-    RunNumber begin(const UpstreamId &upstream, const Footprint &footprint);
+    /** A run that continues from a copy, and the copy itself, have no prompt to be read. */
+    RunNumber begin(const UpstreamId &upstream, const Footprint &footprint, bool hasUnreadPrompt);
+    /** The first call shows that the prompt was read. */
     void progress(RunNumber run, double producedTokens);
     void end(RunNumber run);
 
@@ -81,6 +85,7 @@
         UpstreamId upstream;
         Footprint footprint;
         double produced = 0;
+        bool isRead = false;
     };
 
     struct Peer
@@ -101,7 +106,8 @@
 class BookedRun
 {
 public:
-    BookedRun(LoadBook &book, const UpstreamId &upstream, const Footprint &footprint) : book(book), run(book.begin(upstream, footprint))
+    BookedRun(LoadBook &book, const UpstreamId &upstream, const Footprint &footprint, bool hasUnreadPrompt)
+        : book(book), run(book.begin(upstream, footprint, hasUnreadPrompt))
     {
     }
 
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -35,7 +35,9 @@
     auto shares = largestShares(digest.shares);
     writer.array(shares.size());
     for (const auto &share : shares) {
-        writer.array(3).number(share.upstreamHash).number(share.load.runs).number(static_cast<std::uint64_t>(std::max(0.0, share.load.peakTokens)));
+        writer.array(4).number(share.upstreamHash).number(share.load.runs);
+        writer.number(static_cast<std::uint64_t>(std::max(0.0, share.load.peakTokens)));
+        writer.number(static_cast<std::uint64_t>(std::max(0.0, share.load.unreadTokens)));
     }
     auto peers = std::min(digest.peers.size(), mostPeers);
     writer.array(peers);
@@ -61,10 +63,11 @@
     reader.endArray();
     digest.shares.resize(reader.beginArray(0, mostShares));
     for (auto &share : digest.shares) {
-        reader.beginArray(3, mostFields);
+        reader.beginArray(4, mostFields);
         share.upstreamHash = reader.number();
         share.load.runs = static_cast<std::uint32_t>(reader.number(mostRuns));
         share.load.peakTokens = static_cast<double>(reader.number());
+        share.load.unreadTokens = static_cast<double>(reader.number());
         reader.endArray();
     }
     reader.endArray();
--- a/Libraries/LibGateway/UpstreamPicker.cpp
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -9,8 +9,11 @@
 /** Share of an engine's memory that runs may take at their expected ends. Runs end at different times, so they rarely reach it together. */
 constexpr double fullFill = 1.05;
 
-/** Share that is left free of copies, which only serve an interrupted run. */
-constexpr double fullFillForCopies = 0.8;
+/** Fill up to which an engine takes standby copies, which only serve interrupted runs. */
+constexpr double fullFillForStandby = 0.8;
+
+/** Load of a memory full of prompts that aren't read yet. Engines read them one after another, so a run waits for all of them. */
+constexpr double unreadCost = 3;
 
 /** Load that a run at another failure domain must save. Transfers between domains are billed by volume. */
 constexpr double otherDomainCost = 0.05;
@@ -23,6 +26,15 @@
 /** Requests that a plain service may hold for each slot; the queue behind its slots is short. */
 constexpr double runsPerSlot = 3;
 
+/** A standby copy in the failure domain of its run is lost with it, if the domain is. */
+constexpr double sharedDomainCost = 0.2;
+
+/** Transfers between failure domains take twice as long, and a leaving engine has little time. */
+constexpr double moveDistanceFactor = 4;
+
+/** Spread between targets of copies: runs that leave an engine together must not all queue at one target. */
+constexpr double copySpread = 0.3;
+
 /** Spread between equal upstreams, so that nodes with the same view don't all choose the same one. */
 constexpr double tieSpread = 0.02;
 
@@ -65,8 +77,8 @@
             best.outcome = best.outcome == PickOutcome::Picked ? best.outcome : PickOutcome::NoRoom;
             continue;
         }
-        auto cost = fill + this->distanceCost(this->location.failureDomain, candidate.record.failureDomain) + failureCost * candidate.failureShare
-            + tieSpread * this->random.unit();
+        auto cost = fill + this->unreadShare(candidate, pool) + this->distanceCost(this->location.failureDomain, candidate.record.failureDomain)
+            + failureCost * candidate.failureShare + tieSpread * this->random.unit();
         if (best.outcome != PickOutcome::Picked || cost < lowest) {
             best = Pick { PickOutcome::Picked, position };
             lowest = cost;
@@ -75,19 +87,28 @@
     return best;
 }
 
-std::optional<std::size_t>
-UpstreamPicker::pickForCopy(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner) const
+double UpstreamPicker::unreadShare(const Candidate &candidate, const UpstreamPool &pool) const
+{
+    return pool.engine ? unreadCost * candidate.load.unreadTokens / std::max(static_cast<double>(pool.engine->memory.value()), 1.0) : 0;
+}
+
+std::optional<std::size_t> UpstreamPicker::pickForCopy(
+    const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner, CopyPurpose purpose) const
 {
     std::optional<std::size_t> best;
     double lowest = 0;
+    auto limit = purpose == CopyPurpose::Standby ? fullFillForStandby : fullFill;
     for (std::size_t position = 0; position < candidates.size(); ++position) {
         const auto &candidate = candidates[position];
         auto fill = this->fillAfter(candidate, pool, footprint);
-        if (candidate.record.id == runner.id || fill > fullFillForCopies) {
+        if (candidate.record.id == runner.id || fill > limit) {
             continue;
         }
-        auto cost = fill + this->distanceCost(runner.failureDomain, candidate.record.failureDomain) + failureCost * candidate.failureShare
-            + tieSpread * this->random.unit();
+        auto isSameDomain = candidate.record.failureDomain == runner.failureDomain;
+        auto standbyCost = isSameDomain ? sharedDomainCost : 0;
+        auto moveCost = moveDistanceFactor * this->distanceCost(runner.failureDomain, candidate.record.failureDomain);
+        auto placeCost = purpose == CopyPurpose::Move ? moveCost : standbyCost;
+        auto cost = fill + placeCost + failureCost * candidate.failureShare + copySpread * this->random.unit();
         if (!best || cost < lowest) {
             best = position;
             lowest = cost;
--- a/Libraries/LibGateway/UpstreamPicker.h
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -47,6 +47,14 @@
     std::size_t position = 0;
 };
 
+/** What a copy of a run's memory is for. */
+enum class CopyPurpose {
+    /** Kept while the run goes on, against the loss of its engine. It avoids the failure domain of the run. */
+    Standby,
+    /** The run is about to go on from it. It stays in the failure domain of the run, where the transfer is fastest. */
+    Move,
+};
+
 /**
  * Chooses the upstream with the most forecast room. Distance and failures count like load, so that a near upstream goes first until it is
  * clearly fuller than a far one. Answers the load pattern of long outputs on engines whose memory fills before their slots: an engine takes a
@@ -61,9 +69,12 @@
 
     Pick pick(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint) const;
 
-    /** An engine, other than `runner`, that has room for a copy of the run. Prefers the own failure domain of `runner` for a short transfer. */
-    std::optional<std::size_t>
-    pickForCopy(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner) const;
+    /** An engine, other than `runner`, that has room for a copy of a run that `runner` has. */
+    std::optional<std::size_t> pickForCopy(const std::vector<Candidate> &candidates,
+                                           const UpstreamPool &pool,
+                                           const Footprint &footprint,
+                                           const UpstreamRecord &runner,
+                                           CopyPurpose purpose) const;
 
     const Location &place() const
     {
@@ -72,6 +83,7 @@
 
 private:
     double fillAfter(const Candidate &candidate, const UpstreamPool &pool, const Footprint &footprint) const;
+    double unreadShare(const Candidate &candidate, const UpstreamPool &pool) const;
     double distanceCost(const FailureDomainId &from, const FailureDomainId &to) const;
 
     Location location;
--- a/Libraries/LibGateway/WorkPlacer.cpp
+++ b/Libraries/LibGateway/WorkPlacer.cpp
@@ -39,18 +39,18 @@
         result.run.upstream = chosen.record;
         result.run.load = chosen.load;
         result.run.failureShare = chosen.failureShare;
-        result.run.booking = std::make_unique<BookedRun>(this->book, chosen.record.id, need.footprint);
+        result.run.booking = std::make_unique<BookedRun>(this->book, chosen.record.id, need.footprint, true);
         return result;
     }
 }
 
-PlacementResult WorkPlacer::placeCopy(const PlacementNeed &need, const UpstreamRecord &runner)
+PlacementResult WorkPlacer::placeCopy(const PlacementNeed &need, const UpstreamRecord &runner, CopyPurpose purpose)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     PlacementResult result;
     auto candidates = this->candidatesFor(need);
     result.candidates = candidates.size();
-    auto position = this->picker.pickForCopy(candidates, need.pool, need.footprint, runner);
+    auto position = this->picker.pickForCopy(candidates, need.pool, need.footprint, runner, purpose);
     if (!position) {
         result.outcome = candidates.empty() ? PickOutcome::NoUpstream : PickOutcome::NoRoom;
         return result;
@@ -60,7 +60,7 @@
     result.run.upstream = chosen.record;
     result.run.load = chosen.load;
     result.run.failureShare = chosen.failureShare;
-    result.run.booking = std::make_unique<BookedRun>(this->book, chosen.record.id, need.footprint);
+    result.run.booking = std::make_unique<BookedRun>(this->book, chosen.record.id, need.footprint, false);
     return result;
 }
 
--- a/Libraries/LibGateway/WorkPlacer.h
+++ b/Libraries/LibGateway/WorkPlacer.h
@@ -61,7 +61,7 @@
     PlacementResult place(const PlacementNeed &need);
 
     /** A place for a copy of the memory of a run that `runner` has. Same outcomes as place(). */
-    PlacementResult placeCopy(const PlacementNeed &need, const UpstreamRecord &runner);
+    PlacementResult placeCopy(const PlacementNeed &need, const UpstreamRecord &runner, CopyPurpose purpose);
 
     /** The pool that a request goes to by the weights of its route. `draw` is uniform in [0, 1). */
     static PoolId choosePool(const Route &route, double draw);
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -141,10 +141,10 @@
         , directory(this->clock, this->events, surroundings.directory, this->peers, settings)
         , readiness(this->config, this->upstreams, this->drain)
         , control(this->readiness, this->counters, this->mirror, settings.readyPath)
+        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain }, settings.host, settings.peerListen)
         , parts { this->clock,  this->random, this->events,  this->counters,        this->config, this->registry,
-                  this->placer, this->health, this->retries, surroundings.protocol, this->drain }
+                  this->placer, this->health, this->retries, surroundings.protocol, this->drain,  this->exchange }
         , server(this->parts, settings.listen, settings.maximumConnections)
-        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain }, settings.host, settings.peerListen)
     {
         for (const auto &seed : settings.seeds) {
             this->peers.learn(seed);
@@ -179,9 +179,9 @@
     DirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer control;
+    PeerExchange exchange;
     ForwardParts parts;
     GatewayServer server;
-    PeerExchange exchange;
     /** Last, so that the tasks' threads end before what they use. */
     std::vector<std::unique_ptr<TaskThread>> threads;
 };
@@ -202,6 +202,7 @@
     run("upstreams", state.upstreams);
     run("peers", state.exchange);
     run("directory", state.directory);
+    state.exchange.setThread(state.threads[2].get());
     state.control.listen(state.settings.readyListen);
     state.control.listen(state.settings.controlListen);
     state.server.start();
