LibForward: Ask a standby copy before its run is given up

Copies to other failure domains filled the links of the engines, so moves took 1 to 2 s and copies of young runs were missing.

Change: the copy is asked to go on while the run still goes on at its engine; events are taken from one side only; if the copy refuses, the run stays where it is and is moved. Standby copies and moves go to near engines.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -20,8 +20,11 @@
 /** A stream that stays silent for so long after an event has lost its upstream, or its engine has preempted it. */
 constexpr Duration silenceLimit = milliseconds(1500);
 
-/** A run with a copy elsewhere stays at a leaving upstream for so long, since it may end there in time. */
-constexpr Duration stayWithCopy = milliseconds(900);
+/** A standby copy that can go on answers within a round trip; two engines must not work on one run for longer than 400 ms. */
+constexpr Duration takeoverLimit = milliseconds(300);
+
+/** Targets that are tried for a move; an engine without room answers at once. */
+constexpr std::size_t mostMoveTries = 4;
 
 /** Urgency of generations by the priority of their route: engines admit the more urgent ones first and never preempt them for others. */
 constexpr std::uint32_t urgencyOfFirstPriority = 3;
@@ -72,24 +75,24 @@
     return terms;
 }
 
-void StreamRelay::bookBackup(ForwardTerms &terms, const UpstreamRecord &runner)
+std::optional<PlacedRun> StreamRelay::placeBackup(ForwardTerms &terms, const UpstreamRecord &runner)
 {
-    this->backup.reset();
     auto keepsCopy = this->work.pool->engine && this->work.pool->engine->keepsBackups && !this->work.route->isResumable;
     if (!keepsCopy) {
-        return;
+        return std::nullopt;
     }
     auto result = this->parts.placer.placeCopy(this->dialer.needOf(this->work, AttemptState()), runner, CopyPurpose::Standby);
-    if (result.outcome == PickOutcome::Picked) {
-        this->parts.placements.placed();
-        terms.backupAddress = result.run.upstream.address;
-        this->backup = std::move(result.run);
+    if (result.outcome != PickOutcome::Picked) {
+        return std::nullopt;
     }
+    this->parts.placements.placed();
+    terms.backupAddress = result.run.upstream.address;
+    return std::move(result.run);
 }
 
 void StreamRelay::openFirst()
 {
-    auto complete = [this](ForwardTerms &terms, const UpstreamRecord &runner) { this->bookBackup(terms, runner); };
+    auto complete = [this](ForwardTerms &terms, const UpstreamRecord &runner) { this->backup = this->placeBackup(terms, runner); };
     auto opened = this->dialer.open(this->work, this->attempts, this->baseTerms(), this->caller, complete);
     this->place = std::move(opened.place);
     this->call = std::move(opened.call);
@@ -98,6 +101,13 @@
 
 StreamRelay::Step StreamRelay::step()
 {
+    if (this->takeover) {
+        // The events of the run wait meanwhile: they go on from one side only.
+        auto outcome = this->stepTakeover();
+        if (outcome != Step::GoOn || this->takeover) {
+            return outcome;
+        }
+    }
     if (this->move) {
         auto outcome = this->stepMove();
         if (outcome != Step::GoOn) {
@@ -144,24 +154,20 @@
 
 void StreamRelay::awaitChange()
 {
-    if (this->call->state() == UpstreamCall::State::Complete || this->call->state() == UpstreamCall::State::Broken) {
-        // The stream has ended at its source and waits for the end of a move.
-        ChannelWaiter waiter;
-        auto callerSide = waiter.add(this->caller.descriptor());
-        waiter.add(this->move ? this->move->descriptor() : -1);
-        waiter.wait(this->parts.clock, this->parts.clock.now() + leaveCheckPause);
-        if (waiter.isReadable(callerSide) && this->caller.isGone()) {
-            throw CallerGone();
-        }
-        return;
-    }
+    // An ended call would be readable for ever; its stream then waits for the end of a move.
+    auto isCallOpen = this->call->state() != UpstreamCall::State::Complete && this->call->state() != UpstreamCall::State::Broken;
+    auto awaitsCall = isCallOpen && !this->takeover;
     ChannelWaiter waiter;
     auto callerSide = waiter.add(this->caller.descriptor());
-    waiter.add(this->call->descriptor());
+    waiter.add(awaitsCall ? this->call->descriptor() : -1);
     waiter.add(this->move ? this->move->descriptor() : -1);
+    waiter.add(this->takeover ? this->takeover->call->descriptor() : -1);
     waiter.wait(this->parts.clock, std::min(this->work.deadline, this->parts.clock.now() + leaveCheckPause));
     if (waiter.isReadable(callerSide) && this->caller.isGone()) {
         this->call->cancel();
+        if (this->takeover) {
+            this->takeover->call->cancel();
+        }
         throw CallerGone();
     }
 }
@@ -273,6 +279,9 @@
                                { "leaving", this->leavingSince.has_value() } });
     this->call->cancel();
     this->move.reset();
+    if (this->takeover) {
+        this->endTakeover("the run broke off meanwhile");
+    }
     this->attempts.excluded.push_back(this->place.upstream.id);
     if (this->continueFromCopy() || this->continueElsewhere()) {
         return Step::Reopened;
@@ -304,20 +313,28 @@
     try {
         auto terms = this->baseTerms();
         terms.memory = memory;
-        this->bookBackup(terms, target.upstream);
+        auto nextBackup = this->placeBackup(terms, target.upstream);
         this->call = this->dialer.sendTo(this->work, target, terms, this->attempts);
+        this->backup = std::move(nextBackup);
     } catch (const Poco::Exception &error) {
         this->parts.events.write(
             "connect_failed", { { "request", this->work.request.id.value() }, { "upstream", target.upstream.id.value() }, { "error", error.displayText() } });
         return false;
     }
-    this->place = std::move(target);
+    this->adopt(std::move(target), std::move(this->call));
+    return true;
+}
+
+void StreamRelay::adopt(PlacedRun newPlace, std::unique_ptr<UpstreamCall> newCall)
+{
+    this->place = std::move(newPlace);
+    this->call = std::move(newCall);
     this->hasJudgedHead = false;
-    this->hasTriedMove = false;
+    this->hasTriedTakeover = false;
     this->leavingSince.reset();
+    this->refusedTargets.clear();
     this->events.reset();
     this->lastEventAt = this->parts.clock.now();
-    return true;
 }
 
 bool StreamRelay::continueElsewhere()
@@ -343,30 +360,84 @@
 
 StreamRelay::Step StreamRelay::checkLeaving()
 {
-    if (this->hasTriedMove) {
-        return Step::GoOn;
-    }
-    auto now = this->parts.clock.now();
     if (!this->leavingSince) {
         auto reason = this->parts.registry.leaveReason(this->place.upstream.id, this->place.upstream.boot);
         if (reason != LeaveReason::Draining) {
             return Step::GoOn;
         }
-        this->leavingSince = now;
+        this->leavingSince = this->parts.clock.now();
     }
-    if (this->eventsSent == 0) {
+    // A run that has produced nothing has no memory to carry over.
+    if (this->eventsSent == 0 || this->move || this->takeover || this->beginTakeover()) {
         return Step::GoOn;
     }
-    if (this->backup && this->parts.registry.isUsable(this->backup->upstream.id)) {
-        if (now - *this->leavingSince >= stayWithCopy) {
-            this->hasTriedMove = true;
-            return this->recover("the upstream is leaving");
+    if (this->refusedTargets.size() < mostMoveTries) {
+        this->beginMove();
+    }
+    return Step::GoOn;
+}
+
+bool StreamRelay::beginTakeover()
+{
+    if (this->hasTriedTakeover || !this->backup || !this->parts.registry.isUsable(this->backup->upstream.id)) {
+        return false;
+    }
+    this->hasTriedTakeover = true;
+    Takeover attempt;
+    attempt.place = std::move(*this->backup);
+    this->backup.reset();
+    attempt.endsAt = this->parts.clock.now() + takeoverLimit;
+    try {
+        auto terms = this->baseTerms();
+        terms.memory = RunMemory { attempt.place.upstream.address, this->work.request.id.value() };
+        attempt.nextBackup = this->placeBackup(terms, attempt.place.upstream);
+        attempt.call = this->dialer.sendTo(this->work, attempt.place, terms, this->attempts);
+    } catch (const Poco::Exception &error) {
+        this->parts.events.write(
+            "connect_failed",
+            { { "request", this->work.request.id.value() }, { "upstream", attempt.place.upstream.id.value() }, { "error", error.displayText() } });
+        return false;
+    }
+    this->takeover = std::move(attempt);
+    return true;
+}
+
+StreamRelay::Step StreamRelay::stepTakeover()
+{
+    auto &attempt = *this->takeover;
+    auto state = attempt.call->advance();
+    if (!attempt.call->hasHead()) {
+        if (state == UpstreamCall::State::Broken) {
+            this->endTakeover(attempt.call->problem());
+        } else if (this->parts.clock.now() >= attempt.endsAt) {
+            this->endTakeover("the copy did not answer in time");
         }
         return Step::GoOn;
     }
-    this->hasTriedMove = true;
-    this->beginMove();
-    return Step::GoOn;
+    auto marks = this->parts.protocol.decodeAnswer(attempt.call->head());
+    auto goesOn = static_cast<int>(attempt.call->head().getStatus()) == okStatus && marks.isMarked && marks.request == this->work.request.id;
+    if (!goesOn) {
+        this->endTakeover("the copy can't go on with the run");
+        return Step::GoOn;
+    }
+    this->call->cancel();
+    this->backup = std::move(attempt.nextBackup);
+    auto newPlace = std::move(attempt.place);
+    auto newCall = std::move(attempt.call);
+    this->takeover.reset();
+    this->parts.events.write("taken_over", { { "request", this->work.request.id.value() }, { "upstream", newPlace.upstream.id.value() } });
+    this->adopt(std::move(newPlace), std::move(newCall));
+    return Step::Reopened;
+}
+
+void StreamRelay::endTakeover(const std::string &reason)
+{
+    this->parts.events.write("takeover_failed",
+                             { { "request", this->work.request.id.value() }, { "upstream", this->takeover->place.upstream.id.value() }, { "reason", reason } });
+    this->takeover->call->cancel();
+    // The copy may still be on its way, so its place stays booked.
+    this->backup = std::move(this->takeover->place);
+    this->takeover.reset();
 }
 
 void StreamRelay::beginMove()
@@ -375,6 +446,7 @@
         return;
     }
     auto need = this->dialer.needOf(this->work, AttemptState());
+    need.excluded = this->refusedTargets;
     auto result = this->parts.placer.placeCopy(need, this->place.upstream, CopyPurpose::Move);
     auto isPlaced = result.outcome == PickOutcome::Picked;
     this->parts.events.write("move_begin",
@@ -383,9 +455,11 @@
                                { "to", isPlaced ? result.run.upstream.id.value() : std::string() },
                                { "events", this->eventsSent } });
     if (!isPlaced) {
+        this->refusedTargets.resize(mostMoveTries);
         return;
     }
     this->parts.placements.placed();
+    this->refusedTargets.push_back(result.run.upstream.id);
     try {
         this->move
             = std::make_unique<RunMove>(this->parts.clock, this->parts.protocol, this->work.request.id, this->place.upstream.address, std::move(result.run));
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -42,10 +42,15 @@
     bool continueFromCopy();
     bool continueElsewhere();
     Step checkLeaving();
+    /** Sends the request to the standby copy while the run still goes on, since the copy may be missing. */
+    bool beginTakeover();
+    Step stepTakeover();
+    void endTakeover(const std::string &reason);
+    void adopt(PlacedRun newPlace, std::unique_ptr<UpstreamCall> newCall);
     void beginMove();
     Step stepMove();
     bool continueAt(PlacedRun place, const RunMemory &memory);
-    void bookBackup(ForwardTerms &terms, const UpstreamRecord &runner);
+    std::optional<PlacedRun> placeBackup(ForwardTerms &terms, const UpstreamRecord &runner);
     ForwardTerms baseTerms() const;
     bool sendEvent(const WholeEvent &event);
     bool isSilent() const;
@@ -63,6 +68,18 @@
     /** Upstream that keeps a copy of the run's memory, with the room booked for it. */
     std::optional<PlacedRun> backup;
     std::unique_ptr<RunMove> move;
+    /** Targets that refused a copy of the run. */
+    std::vector<UpstreamId> refusedTargets;
+    /** A standby copy that was asked to go on with the run, which still goes on at its engine. */
+    struct Takeover
+    {
+        PlacedRun place;
+        std::unique_ptr<UpstreamCall> call;
+        std::optional<PlacedRun> nextBackup;
+        TimePoint endsAt;
+    };
+    std::optional<Takeover> takeover;
+    bool hasTriedTakeover = false;
     EventSequence events;
     /** The head of the current call was judged. */
     bool hasJudgedHead = false;
@@ -70,7 +87,6 @@
     bool hasBegun = false;
     std::uint64_t eventsSent = 0;
     TimePoint lastEventAt;
-    bool hasTriedMove = false;
     /** Since when the upstream is known to leave. */
     std::optional<TimePoint> leavingSince;
 };
--- a/Libraries/LibGateway/UpstreamPicker.cpp
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -26,11 +26,8 @@
 /** Requests that a plain service may hold for each slot; the queue behind its slots is short. */
 constexpr double runsPerSlot = 3;
 
-/** A standby copy in the failure domain of its run is lost with it, if the domain is. */
-constexpr double sharedDomainCost = 0.2;
-
-/** Transfers between failure domains take twice as long, and a leaving engine has little time. */
-constexpr double moveDistanceFactor = 4;
+/** Transfers between failure domains take twice as long on the links of both engines, which all copies share. */
+constexpr double transferDistanceFactor = 6;
 
 /** Spread between targets of copies: runs that leave an engine together must not all queue at one target. */
 constexpr double copySpread = 0.3;
@@ -104,11 +101,8 @@
         if (candidate.record.id == runner.id || fill > limit) {
             continue;
         }
-        auto isSameDomain = candidate.record.failureDomain == runner.failureDomain;
-        auto standbyCost = isSameDomain ? sharedDomainCost : 0;
-        auto moveCost = moveDistanceFactor * this->distanceCost(runner.failureDomain, candidate.record.failureDomain);
-        auto placeCost = purpose == CopyPurpose::Move ? moveCost : standbyCost;
-        auto cost = fill + placeCost + failureCost * candidate.failureShare + copySpread * this->random.unit();
+        auto transferCost = transferDistanceFactor * this->distanceCost(runner.failureDomain, candidate.record.failureDomain);
+        auto cost = fill + transferCost + failureCost * candidate.failureShare + copySpread * this->random.unit();
         if (!best || cost < lowest) {
             best = position;
             lowest = cost;
--- a/Libraries/LibGateway/UpstreamPicker.h
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -49,9 +49,9 @@
 
 /** What a copy of a run's memory is for. */
 enum class CopyPurpose {
-    /** Kept while the run goes on, against the loss of its engine. It avoids the failure domain of the run. */
+    /** Kept while the run goes on, against the loss of its engine. */
     Standby,
-    /** The run is about to go on from it. It stays in the failure domain of the run, where the transfer is fastest. */
+    /** The run is about to go on from it. */
     Move,
 };
 
@@ -69,7 +69,7 @@
 
     Pick pick(const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint) const;
 
-    /** An engine, other than `runner`, that has room for a copy of a run that `runner` has. */
+    /** An engine, other than `runner`, that has room for a copy of a run that `runner` has. Near engines go first: the links are slow. */
     std::optional<std::size_t> pickForCopy(const std::vector<Candidate> &candidates,
                                            const UpstreamPool &pool,
                                            const Footprint &footprint,
