LibForward: Let a run go on from the copy of a move without stopping it first

Young runs were moved although their standby copy was on its way, which sent the memory twice over the links.

Change: a move is one copy; the target is then asked to go on like a standby copy while the run still goes on, and reads the few tokens that the copy lacks anew. A standby copy that refuses is asked once more after 300 ms before a move begins.

--- a/Libraries/LibForward/RunMove.h
+++ b/Libraries/LibForward/RunMove.h
@@ -9,22 +9,17 @@
 namespace Lovageward {
 
 /**
- * Moves a run with its memory from one engine to another: the bulk is copied while the run goes on, then the run stops and the rest is copied.
- * Never waits; the relay asks step() when the descriptor is readable.
+ * Copies the memory of a run to another engine while the run goes on. The run can then go on from the copy there; the engine reads the few
+ * tokens that the copy lacks anew. Never waits; the relay asks step() when the descriptor is readable.
  */
 class RunMove
 {
 public:
     enum class Stage {
-        /** The run goes on at the source. */
-        CopyingBulk,
-        /** The run is stopped or about to stop; the source ends its stream. */
-        CopyingRest,
-        /** The run can be continued at the target. */
+        Copying,
+        /** The copy is complete as of a moment ago. */
         Done,
-        /** The run is stopped and can be continued only at the source. */
-        StoppedAtSource,
-        /** The run was not touched. */
+        /** There is no copy. */
         Failed,
     };
 
@@ -47,7 +42,7 @@
         return this->endsAt;
     }
 
-    /** The time has passed or the relay needs the run's place at once. */
+    /** The time has passed. */
     void abandon();
 
     /** Names the copied memory. */
@@ -64,19 +59,16 @@
     }
 
 private:
-    void begin(bool isLast);
     void finishCall();
 
-    const Clock &clock;
     const ForwardProtocol &protocol;
-    RequestId request;
     std::string sourceAddress;
     PlacedRun destination;
     std::unique_ptr<UpstreamCall> call;
     std::string handle;
     std::string failure;
     TimePoint endsAt;
-    Stage current = Stage::CopyingBulk;
+    Stage current = Stage::Copying;
 };
 
 }
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -23,6 +23,10 @@
 /** A standby copy that can go on answers within a round trip; two engines must not work on one run for longer than 400 ms. */
 constexpr Duration takeoverLimit = milliseconds(300);
 
+/** A young run's first copy takes a few hundred milliseconds; afterwards a move is quicker than to ask again. */
+constexpr std::size_t mostBackupTries = 2;
+constexpr Duration backupRetryPause = milliseconds(300);
+
 /** Targets that are tried for a move; an engine without room answers at once. */
 constexpr std::size_t mostMoveTries = 4;
 
@@ -109,9 +113,9 @@
         }
     }
     if (this->move) {
-        auto outcome = this->stepMove();
-        if (outcome != Step::GoOn) {
-            return outcome;
+        this->stepMove();
+        if (this->takeover) {
+            return Step::GoOn;
         }
     }
     auto state = this->call->advance();
@@ -154,12 +158,9 @@
 
 void StreamRelay::awaitChange()
 {
-    // An ended call would be readable for ever; its stream then waits for the end of a move.
-    auto isCallOpen = this->call->state() != UpstreamCall::State::Complete && this->call->state() != UpstreamCall::State::Broken;
-    auto awaitsCall = isCallOpen && !this->takeover;
     ChannelWaiter waiter;
     auto callerSide = waiter.add(this->caller.descriptor());
-    waiter.add(awaitsCall ? this->call->descriptor() : -1);
+    waiter.add(this->takeover ? -1 : this->call->descriptor());
     waiter.add(this->move ? this->move->descriptor() : -1);
     waiter.add(this->takeover ? this->takeover->call->descriptor() : -1);
     waiter.wait(this->parts.clock, std::min(this->work.deadline, this->parts.clock.now() + leaveCheckPause));
@@ -255,10 +256,6 @@
         this->parts.health.succeeded(this->place.upstream.id);
         return this->caller.endStream() ? Step::Complete : Step::CutOff;
     }
-    if (this->move && this->move->stage() != RunMove::Stage::Failed) {
-        // A run that is being moved ends at its source without its end.
-        return Step::GoOn;
-    }
     return this->recover(this->call->problem().empty() ? "the stream ended within an event" : this->call->problem());
 }
 
@@ -330,7 +327,8 @@
     this->place = std::move(newPlace);
     this->call = std::move(newCall);
     this->hasJudgedHead = false;
-    this->hasTriedTakeover = false;
+    this->backupTries = 0;
+    this->askBackupAt = TimePoint();
     this->leavingSince.reset();
     this->refusedTargets.clear();
     this->events.reset();
@@ -368,7 +366,7 @@
         this->leavingSince = this->parts.clock.now();
     }
     // A run that has produced nothing has no memory to carry over.
-    if (this->eventsSent == 0 || this->move || this->takeover || this->beginTakeover()) {
+    if (this->eventsSent == 0 || this->move || this->takeover || this->askBackup()) {
         return Step::GoOn;
     }
     if (this->refusedTargets.size() < mostMoveTries) {
@@ -377,19 +375,32 @@
     return Step::GoOn;
 }
 
-bool StreamRelay::beginTakeover()
+bool StreamRelay::askBackup()
 {
-    if (this->hasTriedTakeover || !this->backup || !this->parts.registry.isUsable(this->backup->upstream.id)) {
+    if (!this->backup || this->backupTries >= mostBackupTries || !this->parts.registry.isUsable(this->backup->upstream.id)) {
         return false;
     }
-    this->hasTriedTakeover = true;
-    Takeover attempt;
-    attempt.place = std::move(*this->backup);
+    if (this->parts.clock.now() < this->askBackupAt) {
+        // The copy of a young run is still on its way; a move would send the same memory once more.
+        return true;
+    }
+    ++this->backupTries;
+    this->askBackupAt = this->parts.clock.now() + backupRetryPause;
+    auto target = std::move(*this->backup);
     this->backup.reset();
+    RunMemory memory { target.upstream.address, this->work.request.id.value() };
+    return this->beginTakeover(std::move(target), memory, true);
+}
+
+bool StreamRelay::beginTakeover(PlacedRun target, const RunMemory &memory, bool isBackup)
+{
+    Takeover attempt;
+    attempt.place = std::move(target);
+    attempt.isBackup = isBackup;
     attempt.endsAt = this->parts.clock.now() + takeoverLimit;
     try {
         auto terms = this->baseTerms();
-        terms.memory = RunMemory { attempt.place.upstream.address, this->work.request.id.value() };
+        terms.memory = memory;
         attempt.nextBackup = this->placeBackup(terms, attempt.place.upstream);
         attempt.call = this->dialer.sendTo(this->work, attempt.place, terms, this->attempts);
     } catch (const Poco::Exception &error) {
@@ -435,8 +446,10 @@
     this->parts.events.write("takeover_failed",
                              { { "request", this->work.request.id.value() }, { "upstream", this->takeover->place.upstream.id.value() }, { "reason", reason } });
     this->takeover->call->cancel();
-    // The copy may still be on its way, so its place stays booked.
-    this->backup = std::move(this->takeover->place);
+    if (this->takeover->isBackup) {
+        // The copy may still be on its way, so its place stays booked.
+        this->backup = std::move(this->takeover->place);
+    }
     this->takeover.reset();
 }
 
@@ -468,12 +481,12 @@
     }
 }
 
-StreamRelay::Step StreamRelay::stepMove()
+void StreamRelay::stepMove()
 {
     auto stage = this->move->step();
-    if (stage != RunMove::Stage::Done && stage != RunMove::Stage::StoppedAtSource && stage != RunMove::Stage::Failed) {
+    if (stage == RunMove::Stage::Copying) {
         if (this->parts.clock.now() < this->move->deadline()) {
-            return Step::GoOn;
+            return;
         }
         this->move->abandon();
         stage = RunMove::Stage::Failed;
@@ -481,26 +494,12 @@
     auto ended = std::move(this->move);
     this->parts.events.write("move_end",
                              { { "request", this->work.request.id.value() },
+                               { "to", ended->target().upstream.id.value() },
                                { "done", stage == RunMove::Stage::Done },
-                               { "stopped_at_source", stage == RunMove::Stage::StoppedAtSource },
                                { "reason", ended->problem() } });
-    if (stage == RunMove::Stage::Failed) {
-        return Step::GoOn;
-    }
-    // Events that the source sent before it stopped come first.
-    this->call->advance();
-    auto outcome = this->hasJudgedHead ? this->forwardEvents() : Step::GoOn;
-    if (outcome != Step::GoOn) {
-        return outcome;
-    }
-    this->call->cancel();
-    if (stage == RunMove::Stage::StoppedAtSource) {
-        PlacedRun source;
-        source.upstream = this->place.upstream;
-        source.booking = std::move(this->place.booking);
-        return this->continueAt(std::move(source), ended->memory()) ? Step::Reopened : this->recover("a stopped run can't be continued");
+    if (stage == RunMove::Stage::Done) {
+        this->beginTakeover(std::move(ended->target()), ended->memory(), false);
     }
-    return this->continueAt(std::move(ended->target()), ended->memory()) ? Step::Reopened : this->recover("a moved run can't be continued");
 }
 
 }
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -43,12 +43,13 @@
     bool continueElsewhere();
     Step checkLeaving();
     /** Sends the request to the standby copy while the run still goes on, since the copy may be missing. */
-    bool beginTakeover();
+    bool askBackup();
+    bool beginTakeover(PlacedRun target, const RunMemory &memory, bool isBackup);
     Step stepTakeover();
     void endTakeover(const std::string &reason);
     void adopt(PlacedRun newPlace, std::unique_ptr<UpstreamCall> newCall);
     void beginMove();
-    Step stepMove();
+    void stepMove();
     bool continueAt(PlacedRun place, const RunMemory &memory);
     std::optional<PlacedRun> placeBackup(ForwardTerms &terms, const UpstreamRecord &runner);
     ForwardTerms baseTerms() const;
@@ -76,10 +77,14 @@
         PlacedRun place;
         std::unique_ptr<UpstreamCall> call;
         std::optional<PlacedRun> nextBackup;
+        /** The copy is the standby copy of the run and not one that was made for a move. */
+        bool isBackup = false;
         TimePoint endsAt;
     };
     std::optional<Takeover> takeover;
-    bool hasTriedTakeover = false;
+    /** When the standby copy may be asked again. */
+    TimePoint askBackupAt;
+    std::size_t backupTries = 0;
     EventSequence events;
     /** The head of the current call was judged. */
     bool hasJudgedHead = false;
--- a/Libraries/LibGateway/ForwardProtocol.h
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -61,11 +61,7 @@
 {
     /** The copy is complete at the target. */
     bool isDone = false;
-    /** No such run exists at the source. */
-    bool isUnknownRun = false;
-    /** A call for this run is in progress. */
-    bool isBusy = false;
-    /** Names the memory, also after a failed last call: the source then keeps it. */
+    /** Names the copy. */
     std::string handle;
 };
 
@@ -83,8 +79,8 @@
 
     virtual AnswerMarks decodeAnswer(const Poco::Net::HTTPResponse &head) const = 0;
 
-    /** The bytes of a call that copies the memory of a run to another engine; `isLast` also stops the run. */
-    virtual std::string encodeMove(const RequestId &request, const std::string &targetAddress, bool isLast) const = 0;
+    /** The bytes of a call that copies the memory of a run to another engine while the run goes on. */
+    virtual std::string encodeMove(const RequestId &request, const std::string &targetAddress) const = 0;
 
     virtual MoveAnswer decodeMove(int status, const std::string &body) const = 0;
 
