LibGateway: Let two nodes read each topic of the store for all

Change: the two nodes that rank first for a topic read it; their digests tell how far and how fresh, the others pull new records from peers and read the store themselves when no fresh reader is heard for 1.2 s. Addresses left in the store are listed every 30 s instead of 10 s.

--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -18,6 +18,9 @@
 /** With many peers the interval grows, so that a node receives about 50 digests a second at the most. */
 constexpr Duration intervalPerPeer = milliseconds(20);
 
+/** Nodes that read the store for all tell how fresh their reads are so often (see PeerTable). */
+constexpr Duration readerInterval = milliseconds(300);
+
 /** Placements are told at once, but a node sends at most about 200 digests a second altogether. */
 constexpr Duration pausePerPeer = milliseconds(5);
 
@@ -53,12 +56,27 @@
     digest.isLeaving = this->parts.drain.isBegun();
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
         digest.nextOffsets[topic] = this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic));
+        const auto *follower = this->followers[topic].load();
+        digest.readAges[topic] = follower == nullptr ? Duration::max() : this->parts.clock.now() - follower->lastReadAt();
     }
     digest.shares = this->parts.book.ownShares();
     digest.peers = this->parts.peers.live(namedPeers);
     return digest;
 }
 
+void PeerExchange::setFollowers(const std::array<const FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads)
+{
+    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        this->followers[topic] = feeds[topic];
+        this->followerThreads[topic] = feedThreads[topic];
+    }
+}
+
+void PeerExchange::recordsRead()
+{
+    this->placed();
+}
+
 void PeerExchange::placed()
 {
     auto *thread = this->sender.load();
@@ -85,7 +103,9 @@
     }
     auto peers = static_cast<int>(targets.size());
     this->earliestNext = (this->parts.clock.now() + pausePerPeer * peers).time_since_epoch().count();
-    return this->parts.clock.now() + std::max<Duration>(shortestInterval, intervalPerPeer * peers);
+    auto interval = std::max<Duration>(shortestInterval, intervalPerPeer * peers);
+    auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
+    return this->parts.clock.now() + (isReader ? std::min(interval, readerInterval) : interval);
 }
 
 void PeerExchange::receive()
@@ -111,7 +131,13 @@
         if (digest.host == this->host) {
             return;
         }
-        if (this->parts.peers.heard(sender, digest.nextOffsets)) {
+        for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+            auto *thread = this->followerThreads[topic].load();
+            if (thread != nullptr && digest.nextOffsets[topic] > this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic))) {
+                thread->wake();
+            }
+        }
+        if (this->parts.peers.heard(sender, digest)) {
             this->parts.events.write("peer", { { "peer", digest.host.value() }, { "address", sender } });
         }
         this->parts.book.applyPeer(digest.host, digest.shares);
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -5,6 +5,7 @@
 #include <LibCore/EventLog.h>
 #include <LibForward/CallerChannel.h>
 #include <LibForward/ForwardParts.h>
+#include <LibGateway/FeedFollower.h>
 #include <LibGateway/FeedMirror.h>
 #include <LibGateway/LoadBook.h>
 #include <LibGateway/PeerDigest.h>
@@ -35,7 +36,7 @@
  * Sends this node's digest to its peers and takes theirs. Digests travel as datagrams: each one holds the whole state, so nothing is repeated,
  * and no connection can go silent. step() sends; a thread of its own receives.
  */
-class PeerExchange final : public PeriodicTask, public PlacementListener
+class PeerExchange final : public PeriodicTask, public PlacementListener, public FeedListener
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
@@ -46,6 +47,7 @@
 
     /** Sends the next digest soon. */
     void placed() override;
+    void recordsRead() override;
 
     /** Set once, before work is placed. */
     void setThread(TaskThread *thread)
@@ -53,6 +55,9 @@
         this->sender = thread;
     }
 
+    /** The followers of the topics in their order, with their threads, which are woken when a peer has newer records. Set once, as above. */
+    void setFollowers(const std::array<const FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads);
+
 private:
     void receive();
     void take(std::string_view bytes, const std::string &sender);
@@ -63,6 +68,8 @@
     Poco::Net::DatagramSocket socket;
     std::atomic<bool> isStopping = false;
     std::atomic<TaskThread *> sender = nullptr;
+    std::array<std::atomic<const FeedFollower *>, feedTopicCount> followers {};
+    std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
     /** No digest is sent before that, however much is placed. */
     std::atomic<Duration::rep> earliestNext = 0;
     std::thread receiver;
--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -81,4 +81,14 @@
     return !this->peers.ahead(topic, offset).empty();
 }
 
+bool PeerPull::isReader(FeedTopic topic) const
+{
+    return this->peers.isReader(topic);
+}
+
+TimePoint PeerPull::coveredUntil(FeedTopic topic) const
+{
+    return this->peers.coveredUntil(topic);
+}
+
 }
--- a/Libraries/LibForward/PeerPull.h
+++ b/Libraries/LibForward/PeerPull.h
@@ -30,6 +30,8 @@
 
     FeedPage pull(FeedTopic topic, std::uint64_t offset) override;
     bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const override;
+    bool isReader(FeedTopic topic) const override;
+    TimePoint coveredUntil(FeedTopic topic) const override;
 
 private:
     const Clock &clock;
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -15,6 +15,9 @@
 /** Pause after a failed read. Peers are asked meanwhile. */
 constexpr Duration pauseAfterFailure = milliseconds(400);
 
+/** A node that relies on its peers looks at what they said so often. */
+constexpr Duration peerCheckPause = milliseconds(400);
+
 /** A store that could not be read for so long may have dropped entries of living upstreams. */
 constexpr Duration outageLength = seconds(1);
 
@@ -42,10 +45,12 @@
 TimePoint FeedFollower::step()
 {
     try {
-        if (this->isListed) {
-            this->follow();
-        } else {
+        if (!this->isListed) {
             this->list();
+        } else if (auto next = this->followPeers()) {
+            return *next;
+        } else {
+            this->follow();
         }
         this->noteSuccess();
         return this->clock.now() + this->pace.pause;
@@ -86,6 +91,30 @@
     }
     this->nextOffset = std::max(this->nextOffset, page.nextOffset);
     this->targets.mirror.advance(this->topic, page.nextOffset);
+    if (!page.records.empty()) {
+        this->targets.listener.recordsRead();
+    }
+}
+
+std::optional<TimePoint> FeedFollower::followPeers()
+{
+    if (this->failingSince || this->peers.isReader(this->topic)) {
+        return std::nullopt;
+    }
+    auto coveredUntil = this->peers.coveredUntil(this->topic);
+    if (coveredUntil <= this->clock.now()) {
+        return std::nullopt;
+    }
+    auto known = this->targets.mirror.nextOffset(this->topic);
+    if (this->peers.isAnyAhead(this->topic, known)) {
+        this->pullFromPeers();
+        if (this->targets.mirror.nextOffset(this->topic) == known) {
+            return std::nullopt;
+        }
+        this->nextOffset = std::max(this->nextOffset, this->targets.mirror.nextOffset(this->topic));
+    }
+    // A digest that shows new records wakes the follower before.
+    return std::min(coveredUntil, this->clock.now() + peerCheckPause);
 }
 
 void FeedFollower::apply(const FeedRecord &record)
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -25,6 +25,10 @@
 
     /** Whether a peer has said that it read the topic further than to the offset. */
     virtual bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const = 0;
+
+    /** See PeerTable. */
+    virtual bool isReader(FeedTopic topic) const = 0;
+    virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
 };
 
 /** How often a topic is read. */
@@ -36,16 +40,26 @@
     Duration pause = Duration(0);
 };
 
+/** Learns that this node has read records that its peers may not have. */
+class FeedListener
+{
+public:
+    virtual ~FeedListener() = default;
+    virtual void recordsRead() = 0;
+};
+
 /** What the records of a feed change. */
 struct FeedTargets
 {
     ConfigHolder &config;
     UpstreamRegistry &registry;
     FeedMirror &mirror;
+    FeedListener &listener;
 };
 
 /**
- * Follows one topic of the platform's store and applies its records. While the store can't be read, records come from peers. Entries that vanish
+ * Follows one topic of the platform's store and applies its records. A few nodes read the store; the others get the records from them, and read
+ * it themselves when those fall silent. While the store can't be read, records come from any peer that has them. Entries that vanish
  * around an outage are kept for a grace time. Answers the load pattern of a store that is down, slow, or turns single nodes away. One thread
  * calls step(); the other functions are safe from any thread.
  */
@@ -75,6 +89,8 @@
 private:
     void list();
     void follow();
+    /** Gets the records from the readers if they are fresh; returns the time of the next look, or nothing if they aren't. */
+    std::optional<TimePoint> followPeers();
     void apply(const FeedRecord &record);
     void applyChange(const FeedChange &change, const FeedRecord &record);
     void removeUnlisted(const FeedPage &page);
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t mostShares = 64;
 constexpr std::size_t mostPeers = 8;
 
+/** Older reads are told as this old. */
+constexpr Duration longestAge = minutes(1);
+
 std::vector<LoadShare> largestShares(std::vector<LoadShare> shares)
 {
     if (shares.size() > mostShares) {
@@ -27,11 +30,15 @@
 std::string encodeDigest(const PeerDigest &digest)
 {
     MessageWriter writer;
-    writer.array(5).text(digest.host.value()).flag(digest.isLeaving);
+    writer.array(6).text(digest.host.value()).flag(digest.isLeaving);
     writer.array(digest.nextOffsets.size());
     for (auto offset : digest.nextOffsets) {
         writer.number(offset);
     }
+    writer.array(digest.readAges.size());
+    for (auto age : digest.readAges) {
+        writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(age, Duration(0), longestAge) / milliseconds(1)));
+    }
     auto shares = largestShares(digest.shares);
     writer.array(shares.size());
     for (const auto &share : shares) {
@@ -53,7 +60,7 @@
     constexpr std::uint64_t mostRuns = 1'000'000;
     MessageReader reader(bytes);
     PeerDigest digest;
-    reader.beginArray(5, mostFields);
+    reader.beginArray(6, mostFields);
     digest.host = HostId(reader.text());
     digest.isLeaving = reader.flag();
     reader.beginArray(digest.nextOffsets.size(), mostFields);
@@ -61,6 +68,11 @@
         offset = reader.number();
     }
     reader.endArray();
+    reader.beginArray(digest.readAges.size(), mostFields);
+    for (auto &age : digest.readAges) {
+        age = milliseconds(reader.number(static_cast<std::uint64_t>(longestAge / milliseconds(1))));
+    }
+    reader.endArray();
     digest.shares.resize(reader.beginArray(0, mostShares));
     for (auto &share : digest.shares) {
         reader.beginArray(4, mostFields);
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -20,6 +20,8 @@
     bool isLeaving = false;
     /** How far the sender has read each topic. */
     std::array<std::uint64_t, feedTopicCount> nextOffsets {};
+    /** Time since the sender's last answer of the store for each topic. */
+    std::array<Duration, feedTopicCount> readAges {};
     std::vector<LoadShare> shares;
     /** "IP:port" of peers that the sender hears, some at a time. */
     std::vector<std::string> peers;
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -1,5 +1,8 @@
 #include <LibGateway/PeerTable.h>
 
+#include <LibMembership/RendezvousHash.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace Lovageward {
@@ -9,6 +12,15 @@
 /** A peer sends several times a second, so three seconds of silence mean that it is gone or cut off. */
 constexpr Duration liveTime = seconds(3);
 
+/** Nodes that read each topic for all; the second one covers the loss of the first. */
+constexpr std::size_t readersPerTopic = 2;
+
+/**
+ * A peer's read is relied on for so long. A reader's read takes up to 600 ms and its digest comes every 300 ms, so an older one means that the
+ * readers are lost or cut off from the store; what is left of the shortest bound on drains (2.5 s) is enough for a read of one's own.
+ */
+constexpr Duration readTrust = milliseconds(1200);
+
 /** Pause between two tries of a silent peer, which may be cut off for a while. */
 constexpr Duration silentTryPause = seconds(2);
 
@@ -17,7 +29,8 @@
 
 }
 
-PeerTable::PeerTable(const Clock &clock, RandomSource &random, std::string ownAddress) : clock(clock), random(random), ownAddress(std::move(ownAddress))
+PeerTable::PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, std::string ownAddress)
+    : clock(clock), random(random), ownHost(std::move(ownHost)), ownAddress(std::move(ownAddress))
 {
 }
 
@@ -29,7 +42,7 @@
     }
 }
 
-bool PeerTable::heard(const std::string &address, const std::array<std::uint64_t, feedTopicCount> &nextOffsets)
+bool PeerTable::heard(const std::string &address, const PeerDigest &digest)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto now = this->clock.now();
@@ -37,10 +50,40 @@
     auto isNew = now >= peer.liveUntil;
     peer.liveUntil = now + liveTime;
     peer.forgetAt = now + forgetTime;
-    peer.nextOffsets = nextOffsets;
+    peer.host = digest.host;
+    peer.isLeaving = digest.isLeaving;
+    peer.nextOffsets = digest.nextOffsets;
+    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        peer.coveredUntil[topic] = now - digest.readAges[topic] + readTrust;
+    }
     return isNew;
 }
 
+bool PeerTable::isReader(FeedTopic topic) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto key = topic == FeedTopic::Operators ? "operators" : "upstreams";
+    auto own = RendezvousHash::score(this->ownHost, key);
+    std::size_t ahead = 0;
+    for (const auto &[address, peer] : this->peers) {
+        auto isCandidate = this->clock.now() < peer.liveUntil && !peer.isLeaving;
+        ahead += isCandidate && RendezvousHash::score(peer.host, key) > own ? 1 : 0;
+    }
+    return ahead < readersPerTopic;
+}
+
+TimePoint PeerTable::coveredUntil(FeedTopic topic) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    TimePoint latest;
+    for (const auto &[address, peer] : this->peers) {
+        if (this->clock.now() < peer.liveUntil) {
+            latest = std::max(latest, peer.coveredUntil[static_cast<std::size_t>(topic)]);
+        }
+    }
+    return latest;
+}
+
 std::vector<std::string> PeerTable::targets()
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -17,16 +17,17 @@
 
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace Lovageward {
 
 namespace {
 
-/** The store holds a read of the operators' topic open for so long. A silent connection is found out when the answer is late. */
-constexpr FeedPace operatorPace { .wait = milliseconds(1500), .pause = milliseconds(20) };
+/** The store holds a read open for so long. It bounds the age that a reader's belief has for its peers (see PeerTable). */
+constexpr FeedPace operatorPace { .wait = milliseconds(600), .pause = milliseconds(10) };
 
-/** Upstreams register several times a second altogether, so a read rarely waits; the pause bounds the calls and the age of a drain. */
-constexpr FeedPace upstreamPace { .wait = milliseconds(1000), .pause = milliseconds(300) };
+/** Entries of upstreams often change together, so a short pause saves reads. */
+constexpr FeedPace upstreamPace { .wait = milliseconds(600), .pause = milliseconds(60) };
 
 /** The balancer stops sending new connections after two missed checks, a second apart; idle connections are kept until then. */
 constexpr Duration idleKeptAfterStop = milliseconds(2600);
@@ -37,8 +38,11 @@
 /** Nodes that share the slack of the retry budget and the cold bound, if fewer are heard: a node that starts hears none. */
 constexpr std::size_t assumedNodes = 8;
 
-/** Pause between two looks at the addresses that the nodes left in the store. */
-constexpr Duration directoryPause = seconds(10);
+/** Pause between two looks at the addresses that the nodes left in the store; peers name each other meanwhile. */
+constexpr Duration directoryPause = seconds(30);
+
+/** Hosts that start together have announced themselves by then. */
+constexpr Duration firstDirectoryPause = seconds(3);
 constexpr Duration directoryRetry = seconds(1);
 constexpr Duration directoryLimit = milliseconds(700);
 
@@ -63,7 +67,8 @@
             for (const auto &peer : this->directory.peerAddresses(this->clock.now() + directoryLimit)) {
                 this->peers.learn(peer);
             }
-            return this->clock.now() + directoryPause;
+            auto isFirst = !std::exchange(this->hasListed, true);
+            return this->clock.now() + (isFirst ? firstDirectoryPause : directoryPause);
         } catch (const Error &error) {
             this->events.write("directory_failed", { { "announced", this->isAnnounced }, { "reason", error.what() } });
             return this->clock.now() + directoryRetry;
@@ -78,6 +83,7 @@
     HostId host;
     std::string address;
     bool isAnnounced = false;
+    bool hasListed = false;
 };
 
 /** Ready once configuration and upstreams are known, until the node stops. */
@@ -120,14 +126,15 @@
         , picker(settings.location, this->random)
         , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, assumedNodes)
         , retries(this->clock, settings.retryBound, assumedNodes)
-        , peers(this->clock, this->random, settings.peerListen)
+        , peers(this->clock, this->random, settings.host, settings.peerListen)
         , peerPull(this->clock, this->peers, portOf(settings.controlListen))
+        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain }, settings.host, settings.peerListen)
         , operators(this->clock,
                     this->events,
                     surroundings.operatorFeed,
                     surroundings.decoder,
                     this->peerPull,
-                    { this->config, this->registry, this->mirror },
+                    { this->config, this->registry, this->mirror, this->exchange },
                     FeedTopic::Operators,
                     operatorPace)
         , upstreams(this->clock,
@@ -135,13 +142,12 @@
                     surroundings.upstreamFeed,
                     surroundings.decoder,
                     this->peerPull,
-                    { this->config, this->registry, this->mirror },
+                    { this->config, this->registry, this->mirror, this->exchange },
                     FeedTopic::Upstreams,
                     upstreamPace)
         , directory(this->clock, this->events, surroundings.directory, this->peers, settings)
         , readiness(this->config, this->upstreams, this->drain)
         , control(this->readiness, this->counters, this->mirror, settings.readyPath)
-        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain }, settings.host, settings.peerListen)
         , parts { this->clock,  this->random, this->events,  this->counters,        this->config, this->registry,
                   this->placer, this->health, this->retries, surroundings.protocol, this->drain,  this->exchange }
         , server(this->parts, settings.listen, settings.maximumConnections)
@@ -174,12 +180,12 @@
     RetryAllowance retries;
     PeerTable peers;
     PeerPull peerPull;
+    PeerExchange exchange;
     FeedFollower operators;
     FeedFollower upstreams;
     DirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer control;
-    PeerExchange exchange;
     ForwardParts parts;
     GatewayServer server;
     /** Last, so that the tasks' threads end before what they use. */
@@ -203,6 +209,7 @@
     run("peers", state.exchange);
     run("directory", state.directory);
     state.exchange.setThread(state.threads[2].get());
+    state.exchange.setFollowers({ &state.operators, &state.upstreams }, { state.threads[0].get(), state.threads[1].get() });
     state.control.listen(state.settings.readyListen);
     state.control.listen(state.settings.controlListen);
     state.server.start();
