LibGateway: Tell near peers of every change of load

Change: peers of the own failure domain, or all if they are few, learn of each placement, first event and end at once; far engines cost more; standby copies only up to 0.35 of an engine's memory and runs up to 1.0.

--- a/Libraries/LibForward/ForwardParts.h
+++ b/Libraries/LibForward/ForwardParts.h
@@ -14,12 +14,12 @@
 
 namespace Lovageward {
 
-/** Learns that this node's load has changed. */
+/** Learns that this node's load has changed: work was placed, its prompt was read, or it ended. */
 class PlacementListener
 {
 public:
     virtual ~PlacementListener() = default;
-    virtual void placed() = 0;
+    virtual void loadChanged() = 0;
 };
 
 /** What the forwarding of requests works with. All references outlive the connections. */
--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -107,6 +107,9 @@
                              { "route", work.route->id.value() },
                              { "team", work.team.value() },
                              { "config", work.config->version().value() },
+                             { "prompt_tokens", work.request.promptTokens.value() },
+                             { "expected_tokens", work.footprint.expectedOutputTokens },
+                             { "maximum_tokens", work.request.maximumOutputTokens.value() },
                              { "time_left_ms", std::chrono::duration_cast<milliseconds>(work.deadline - parts.clock.now()).count() } });
         auto isWhole = this->forward(work, caller, keepsOpen);
         LatencyHistogram(parts.counters, "lovageward_answer_ms", fmt::format("stream=\"{}\"", work.route->isStream))
--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -32,7 +32,8 @@
 
 }
 
-PeerExchange::PeerExchange(const PeerExchangeParts &parts, const HostId &host, const std::string &listenAddress) : parts(parts), host(host)
+PeerExchange::PeerExchange(const PeerExchangeParts &parts, const HostId &host, const FailureDomainId &failureDomain, const std::string &listenAddress)
+    : parts(parts), host(host), failureDomain(failureDomain)
 {
     try {
         this->socket.bind(Poco::Net::SocketAddress(listenAddress), true);
@@ -53,6 +54,7 @@
 {
     PeerDigest digest;
     digest.host = this->host;
+    digest.failureDomain = this->failureDomain;
     digest.isLeaving = this->parts.drain.isBegun();
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
         digest.nextOffsets[topic] = this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic));
@@ -74,10 +76,10 @@
 
 void PeerExchange::recordsRead()
 {
-    this->placed();
+    this->loadChanged();
 }
 
-void PeerExchange::placed()
+void PeerExchange::loadChanged()
 {
     auto *thread = this->sender.load();
     if (thread != nullptr) {
@@ -87,12 +89,26 @@
 
 TimePoint PeerExchange::step()
 {
-    auto earliest = TimePoint(Duration(this->earliestNext.load()));
-    if (this->parts.clock.now() < earliest) {
-        return earliest;
+    auto now = this->parts.clock.now();
+    if (now < this->earliestNext) {
+        return this->earliestNext;
     }
+    auto isForAll = now >= this->allAt;
+    auto targets = isForAll ? this->parts.peers.targets() : this->parts.peers.nearTargets();
+    this->sendTo(targets);
+    auto peers = static_cast<int>(targets.size());
+    this->earliestNext = now + pausePerPeer * peers;
+    if (isForAll) {
+        auto interval = std::max<Duration>(shortestInterval, intervalPerPeer * peers);
+        auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
+        this->allAt = now + (isReader ? std::min(interval, readerInterval) : interval);
+    }
+    return this->allAt;
+}
+
+void PeerExchange::sendTo(const std::vector<std::string> &targets)
+{
     auto bytes = encodeDigest(this->ownDigest());
-    auto targets = this->parts.peers.targets();
     for (const auto &target : targets) {
         try {
             this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(target));
@@ -101,11 +117,6 @@
             this->parts.events.write("digest_not_sent", { { "peer", target }, { "reason", error.displayText() } });
         }
     }
-    auto peers = static_cast<int>(targets.size());
-    this->earliestNext = (this->parts.clock.now() + pausePerPeer * peers).time_since_epoch().count();
-    auto interval = std::max<Duration>(shortestInterval, intervalPerPeer * peers);
-    auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
-    return this->parts.clock.now() + (isReader ? std::min(interval, readerInterval) : interval);
 }
 
 void PeerExchange::receive()
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -40,13 +40,13 @@
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
-    PeerExchange(const PeerExchangeParts &parts, const HostId &host, const std::string &listenAddress);
+    PeerExchange(const PeerExchangeParts &parts, const HostId &host, const FailureDomainId &failureDomain, const std::string &listenAddress);
     ~PeerExchange() override;
 
     TimePoint step() override;
 
     /** Sends the next digest soon. */
-    void placed() override;
+    void loadChanged() override;
     void recordsRead() override;
 
     /** Set once, before work is placed. */
@@ -62,16 +62,20 @@
     void receive();
     void take(std::string_view bytes, const std::string &sender);
     PeerDigest ownDigest() const;
+    void sendTo(const std::vector<std::string> &targets);
 
     PeerExchangeParts parts;
     HostId host;
+    FailureDomainId failureDomain;
     Poco::Net::DatagramSocket socket;
     std::atomic<bool> isStopping = false;
     std::atomic<TaskThread *> sender = nullptr;
     std::array<std::atomic<const FeedFollower *>, feedTopicCount> followers {};
     std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
     /** No digest is sent before that, however much is placed. */
-    std::atomic<Duration::rep> earliestNext = 0;
+    TimePoint earliestNext;
+    /** When all peers get the next digest. */
+    TimePoint allAt;
     std::thread receiver;
 };
 
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -89,7 +89,7 @@
     if (result.outcome != PickOutcome::Picked) {
         return std::nullopt;
     }
-    this->parts.placements.placed();
+    this->parts.placements.loadChanged();
     terms.backupAddress = result.run.upstream.address;
     return std::move(result.run);
 }
@@ -238,6 +238,9 @@
                 throw CallerGone();
             }
             ++this->eventsSent;
+            if (this->eventsSent == 1) {
+                this->parts.placements.loadChanged();
+            }
             this->lastEventAt = this->parts.clock.now();
             if (this->work.pool->engine) {
                 this->place.booking->progress(static_cast<double>(this->eventsSent) * this->work.pool->engine->tokensPerEvent);
@@ -471,7 +474,7 @@
         this->refusedTargets.resize(mostMoveTries);
         return;
     }
-    this->parts.placements.placed();
+    this->parts.placements.loadChanged();
     this->refusedTargets.push_back(result.run.upstream.id);
     try {
         this->move
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -47,7 +47,7 @@
     while (true) {
         auto result = this->parts.placer.place(this->needOf(work, attempts));
         if (result.outcome == PickOutcome::Picked) {
-            this->parts.placements.placed();
+            this->parts.placements.loadChanged();
             return std::move(result.run);
         }
         if (this->parts.clock.now() >= until) {
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -30,7 +30,7 @@
 std::string encodeDigest(const PeerDigest &digest)
 {
     MessageWriter writer;
-    writer.array(6).text(digest.host.value()).flag(digest.isLeaving);
+    writer.array(7).text(digest.host.value()).text(digest.failureDomain.value()).flag(digest.isLeaving);
     writer.array(digest.nextOffsets.size());
     for (auto offset : digest.nextOffsets) {
         writer.number(offset);
@@ -60,8 +60,9 @@
     constexpr std::uint64_t mostRuns = 1'000'000;
     MessageReader reader(bytes);
     PeerDigest digest;
-    reader.beginArray(6, mostFields);
+    reader.beginArray(7, mostFields);
     digest.host = HostId(reader.text());
+    digest.failureDomain = FailureDomainId(reader.text());
     digest.isLeaving = reader.flag();
     reader.beginArray(digest.nextOffsets.size(), mostFields);
     for (auto &offset : digest.nextOffsets) {
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -16,6 +16,7 @@
 struct PeerDigest
 {
     HostId host;
+    FailureDomainId failureDomain;
     /** The sender ends and takes no more work. */
     bool isLeaving = false;
     /** How far the sender has read each topic. */
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -12,6 +12,9 @@
 /** A peer sends several times a second, so three seconds of silence mean that it is gone or cut off. */
 constexpr Duration liveTime = seconds(3);
 
+/** Up to so many peers are all told of each change at once. */
+constexpr std::size_t fewPeers = 12;
+
 /** Nodes that read each topic for all; the second one covers the loss of the first. */
 constexpr std::size_t readersPerTopic = 2;
 
@@ -29,8 +32,8 @@
 
 }
 
-PeerTable::PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, std::string ownAddress)
-    : clock(clock), random(random), ownHost(std::move(ownHost)), ownAddress(std::move(ownAddress))
+PeerTable::PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, FailureDomainId ownDomain, std::string ownAddress)
+    : clock(clock), random(random), ownHost(std::move(ownHost)), ownDomain(std::move(ownDomain)), ownAddress(std::move(ownAddress))
 {
 }
 
@@ -51,6 +54,7 @@
     peer.liveUntil = now + liveTime;
     peer.forgetAt = now + forgetTime;
     peer.host = digest.host;
+    peer.failureDomain = digest.failureDomain;
     peer.isLeaving = digest.isLeaving;
     peer.nextOffsets = digest.nextOffsets;
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
@@ -102,6 +106,23 @@
     return addresses;
 }
 
+std::vector<std::string> PeerTable::nearTargets() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    std::vector<std::string> all;
+    std::vector<std::string> near;
+    for (const auto &[address, peer] : this->peers) {
+        if (now < peer.liveUntil) {
+            all.push_back(address);
+            if (peer.failureDomain == this->ownDomain) {
+                near.push_back(address);
+            }
+        }
+    }
+    return all.size() <= fewPeers ? all : near;
+}
+
 std::vector<std::string> PeerTable::live(std::size_t most) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -19,7 +19,7 @@
 class PeerTable
 {
 public:
-    PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, std::string ownAddress);
+    PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, FailureDomainId ownDomain, std::string ownAddress);
 
     /** An address that was named by the settings, the store or a peer. Known addresses keep their state. */
     void learn(const std::string &address);
@@ -39,6 +39,12 @@
     /** Addresses to send to. A peer that was silent for long is only tried now and then. */
     std::vector<std::string> targets();
 
+    /**
+     * Live peers that are told of each change at once, because they place work on the same engines: those of the own failure domain, or all if
+     * there are few.
+     */
+    std::vector<std::string> nearTargets() const;
+
     /** Some peers that were heard lately, in random order. */
     std::vector<std::string> live(std::size_t most) const;
 
@@ -49,6 +55,7 @@
     struct Peer
     {
         HostId host;
+        FailureDomainId failureDomain;
         bool isLeaving = false;
         TimePoint liveUntil;
         /** Next try of a silent peer. */
@@ -64,6 +71,7 @@
     const Clock &clock;
     RandomSource &random;
     HostId ownHost;
+    FailureDomainId ownDomain;
     std::string ownAddress;
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers;
--- a/Libraries/LibGateway/UpstreamPicker.cpp
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -7,18 +7,18 @@
 namespace {
 
 /** Share of an engine's memory that runs may take at their expected ends. Runs end at different times, so they rarely reach it together. */
-constexpr double fullFill = 1.05;
+constexpr double fullFill = 1;
 
 /** Fill up to which an engine takes standby copies, which only serve interrupted runs. */
-constexpr double fullFillForStandby = 0.8;
+constexpr double fullFillForStandby = 0.35;
 
 /** Load of a memory full of prompts that aren't read yet. Engines read them one after another, so a run waits for all of them. */
 constexpr double unreadCost = 3;
 
 /** Load that a run at another failure domain must save. Transfers between domains are billed by volume. */
-constexpr double otherDomainCost = 0.05;
+constexpr double otherDomainCost = 0.2;
 /** As otherDomainCost, for another region: the link is slow as well. */
-constexpr double otherRegionCost = 0.25;
+constexpr double otherRegionCost = 0.4;
 
 /** Load that equals an upstream which fails every request. */
 constexpr double failureCost = 3;
@@ -27,7 +27,7 @@
 constexpr double runsPerSlot = 3;
 
 /** Transfers between failure domains take twice as long on the links of both engines, which all copies share. */
-constexpr double transferDistanceFactor = 6;
+constexpr double transferDistanceFactor = 1.5;
 
 /** Spread between targets of copies: runs that leave an engine together must not all queue at one target. */
 constexpr double copySpread = 0.3;
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -126,9 +126,12 @@
         , picker(settings.location, this->random)
         , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, assumedNodes)
         , retries(this->clock, settings.retryBound, assumedNodes)
-        , peers(this->clock, this->random, settings.host, settings.peerListen)
+        , peers(this->clock, this->random, settings.host, settings.location.failureDomain, settings.peerListen)
         , peerPull(this->clock, this->peers, portOf(settings.controlListen))
-        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain }, settings.host, settings.peerListen)
+        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain },
+                   settings.host,
+                   settings.location.failureDomain,
+                   settings.peerListen)
         , operators(this->clock,
                     this->events,
                     surroundings.operatorFeed,
