LibGateway: Let a request look at two far engines only when loads are known late

Change: with more than 12 live peers a request looks at all upstreams of its own failure domain and at two others drawn at random.

--- a/Libraries/LibGateway/LoadBook.h
+++ b/Libraries/LibGateway/LoadBook.h
@@ -74,6 +74,9 @@
     /** Peers that were heard lately. */
     std::size_t livePeers() const;
 
+    /** Up to so many peers tell each other of each change at once; beyond it only those of one failure domain do (see PeerTable). */
+    static constexpr std::size_t fewPeers = 12;
+
     /** Peer shares older than this count as gone, in line with the peers' death. */
     static constexpr Duration peerLifetime = seconds(3);
 
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -12,9 +12,6 @@
 /** A peer sends several times a second, so three seconds of silence mean that it is gone or cut off. */
 constexpr Duration liveTime = seconds(3);
 
-/** Up to so many peers are all told of each change at once. */
-constexpr std::size_t fewPeers = 12;
-
 /** Nodes that read each topic for all; the second one covers the loss of the first. */
 constexpr std::size_t readersPerTopic = 2;
 
@@ -120,7 +117,7 @@
             }
         }
     }
-    return all.size() <= fewPeers ? all : near;
+    return all.size() <= LoadBook::fewPeers ? all : near;
 }
 
 std::vector<std::string> PeerTable::live(std::size_t most) const
--- a/Libraries/LibGateway/WorkPlacer.cpp
+++ b/Libraries/LibGateway/WorkPlacer.cpp
@@ -4,14 +4,22 @@
 
 namespace Lovageward {
 
+namespace {
+
+/** Far upstreams that one request looks at. Two choices balance nearly as well as all, without all nodes choosing the same. */
+constexpr std::size_t farChoices = 2;
+
+}
+
 WorkPlacer::WorkPlacer(const Clock &clock,
                        const UpstreamRegistry &registry,
                        LoadBook &book,
                        const UpstreamHealth &health,
                        ColdLimiter &coldLimiter,
                        const UpstreamPicker &picker,
+                       RandomSource &random,
                        std::size_t assumedNodes)
-    : clock(clock), registry(registry), book(book), health(health), coldLimiter(coldLimiter), picker(picker), assumedNodes(assumedNodes)
+    : clock(clock), registry(registry), book(book), health(health), coldLimiter(coldLimiter), picker(picker), random(random), assumedNodes(assumedNodes)
 {
 }
 
@@ -80,10 +88,26 @@
     return route.pools.empty() ? PoolId() : route.pools.back().pool;
 }
 
+void WorkPlacer::thinOutFar(std::vector<UpstreamRecord> &upstreams) const
+{
+    auto farBegin = std::partition(
+        upstreams.begin(), upstreams.end(), [this](const UpstreamRecord &record) { return record.failureDomain == this->picker.place().failureDomain; });
+    auto farCount = static_cast<std::size_t>(upstreams.end() - farBegin);
+    for (std::size_t position = 0; position < std::min(farCount, farChoices); ++position) {
+        auto drawn = position + this->random.below(farCount - position);
+        std::swap(farBegin[static_cast<std::ptrdiff_t>(position)], farBegin[static_cast<std::ptrdiff_t>(drawn)]);
+    }
+    upstreams.erase(farBegin + static_cast<std::ptrdiff_t>(std::min(farCount, farChoices)), upstreams.end());
+}
+
 std::vector<Candidate> WorkPlacer::candidatesFor(const PlacementNeed &need) const
 {
     std::vector<Candidate> candidates;
-    for (auto &record : this->registry.usable(need.pool.id)) {
+    auto upstreams = this->registry.usable(need.pool.id);
+    if (this->book.livePeers() > LoadBook::fewPeers) {
+        this->thinOutFar(upstreams);
+    }
+    for (auto &record : upstreams) {
         auto isExcluded = std::find(need.excluded.begin(), need.excluded.end(), record.id) != need.excluded.end();
         auto region = this->picker.place().regionOf(record.failureDomain);
         auto isAllowed = need.allowedRegions.empty() || std::find(need.allowedRegions.begin(), need.allowedRegions.end(), region) != need.allowedRegions.end();
--- a/Libraries/LibGateway/WorkPlacer.h
+++ b/Libraries/LibGateway/WorkPlacer.h
@@ -44,7 +44,9 @@
 };
 
 /**
- * Places requests on upstreams and books them in one step, so that two threads don't take the same room. Lock order: its own mutex, then the
+ * Places requests on upstreams and books them in one step, so that two threads don't take the same room. With many nodes the loads of far
+ * upstreams are known late; then each request looks at a few of them only, drawn at random, because otherwise all nodes would send to the one
+ * that seems emptiest. Answers the load pattern of an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the
  * leaf locks of the registry, the book, the health scores and the cold limiter.
  */
 class WorkPlacer
@@ -56,6 +58,7 @@
                const UpstreamHealth &health,
                ColdLimiter &coldLimiter,
                const UpstreamPicker &picker,
+               RandomSource &random,
                std::size_t assumedNodes);
 
     PlacementResult place(const PlacementNeed &need);
@@ -68,6 +71,8 @@
 
 private:
     std::vector<Candidate> candidatesFor(const PlacementNeed &need) const;
+    /** Leaves only a few far upstreams, drawn at random, if their loads are known late. */
+    void thinOutFar(std::vector<UpstreamRecord> &upstreams) const;
 
     const Clock &clock;
     const UpstreamRegistry &registry;
@@ -75,6 +80,7 @@
     const UpstreamHealth &health;
     ColdLimiter &coldLimiter;
     const UpstreamPicker &picker;
+    RandomSource &random;
     std::size_t assumedNodes;
     std::mutex mutex;
 };
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -124,7 +124,7 @@
         , health(this->clock)
         , coldLimiter(this->clock)
         , picker(settings.location, this->random)
-        , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, assumedNodes)
+        , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, this->random, assumedNodes)
         , retries(this->clock, settings.retryBound, assumedNodes)
         , peers(this->clock, this->random, settings.host, settings.location.failureDomain, settings.peerListen)
         , peerPull(this->clock, this->peers, portOf(settings.controlListen))
