--- a/Libraries/LibForward/GatewayServer.cpp
+++ b/Libraries/LibForward/GatewayServer.cpp
@@ -65,6 +65,11 @@
     }
 }
 
+std::uint16_t GatewayServer::port() const
+{
+    return this->server ? this->server->port() : 0;
+}
+
 void GatewayServer::stopAccepting()
 {
     if (this->server) {
--- a/Libraries/LibForward/GatewayServer.h
+++ b/Libraries/LibForward/GatewayServer.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,9 @@
     /** Throws Error(InvalidSettings) if the address can't be bound. */
     void start();
 
+    /** Port that the server listens on; 0 before start(). */
+    std::uint16_t port() const;
+
     std::size_t activeRequests() const
     {
         return this->context.activeRequests;
--- a/Libraries/LibGateway/ForwardProtocol.h
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -84,9 +84,6 @@
 
     virtual MoveAnswer decodeMove(int status, const std::string &body) const = 0;
 
-    /** The bytes of a call that frees the memory of a run that was copied but isn't continued. */
-    virtual std::string encodeMemoryRelease(const std::string &handle) const = 0;
-
     /** Name of the field in which answers repeat the request's id. */
     virtual const std::string &requestIdField() const = 0;
 };
--- /dev/null
+++ b/Tests/LibForward/ForwardFixture.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "ScriptedUpstream.h"
+#include "TestProtocol.h"
+
+#include <LibCore/SeededRandom.h>
+#include <LibCore/SystemClock.h>
+#include <LibForward/GatewayServer.h>
+
+#include <condition_variable>
+#include <memory>
+#include <string>
+
+namespace Lovageward {
+
+/** Lets a script wait for the test. */
+class Gate
+{
+public:
+    void open()
+    {
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            this->isOpen = true;
+        }
+        this->changed.notify_all();
+    }
+
+    void await()
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->isOpen; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool isOpen = false;
+};
+
+class IgnoredPlacements final : public PlacementListener
+{
+public:
+    void loadChanged() override
+    {
+    }
+};
+
+/** A gateway on loopback with routes /plain/ (idempotent), /once/ (at most once), /long/ (stream) and /resumable/ (stream). */
+class GatewayWorld
+{
+public:
+    GatewayWorld()
+    {
+        this->config.offer(makeConfig());
+        this->server = std::make_unique<GatewayServer>(this->parts, "127.0.0.1:0", 50);
+        this->server->start();
+    }
+
+    ~GatewayWorld()
+    {
+        this->drain.endIdle();
+    }
+
+    void add(const std::string &id, const ScriptedUpstream &upstream, const std::string &pool = "engines", bool isDraining = false)
+    {
+        UpstreamRecord record;
+        record.id = UpstreamId(id);
+        record.boot = BootId("1");
+        record.pool = PoolId(pool);
+        record.address = upstream.address();
+        record.failureDomain = FailureDomainId("a1");
+        record.slots = 8;
+        record.isDraining = isDraining;
+        this->registry.put(record);
+    }
+
+    static std::shared_ptr<const GatewayConfig> makeConfig(std::uint64_t version = 1)
+    {
+        std::vector<Route> routes;
+        auto add = [&](const std::string &name, const std::string &pool, RepeatRule rule, bool isStream) {
+            Route route;
+            route.id = RouteId(name);
+            route.host = "test";
+            route.pathPrefix = "/" + name + "/";
+            route.repeatRule = rule;
+            route.isStream = isStream;
+            route.isResumable = name == "resumable";
+            route.timeout = seconds(15);
+            route.targetLatency = milliseconds(800);
+            route.maximumAttempts = rule == RepeatRule::Idempotent ? 2 : 1;
+            route.needsKey = false;
+            route.pools = { PoolShare { PoolId(pool), 1 } };
+            routes.push_back(route);
+        };
+        add("plain", "services", RepeatRule::Idempotent, false);
+        add("once", "services", RepeatRule::AtMostOnce, false);
+        add("long", "engines", RepeatRule::AtMostOnce, true);
+        add("resumable", "engines", RepeatRule::Idempotent, true);
+        UpstreamPool services;
+        services.id = PoolId("services");
+        UpstreamPool engines;
+        engines.id = PoolId("engines");
+        EngineTraits traits;
+        traits.memory = TokenCount(30'000);
+        traits.slots = 24;
+        traits.movesRuns = true;
+        traits.keepsBackups = true;
+        engines.engine = traits;
+        CallerLimits limits;
+        limits.maximumBodyBytes = 10'000;
+        return std::make_shared<const GatewayConfig>(
+            ConfigVersion(version), std::move(routes), std::vector<UpstreamPool> { services, engines }, std::vector<GatewayTeam> {}, limits);
+    }
+
+    SystemClock clock;
+    SeededRandom random { 1 };
+    NullEventLog events;
+    Counters counters;
+    ConfigHolder config;
+    DrainNotice drain;
+    UpstreamRegistry registry { clock };
+    LoadBook book { clock };
+    UpstreamHealth health { clock };
+    ColdLimiter coldLimiter { clock };
+    UpstreamPicker picker { Location { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random };
+    WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, 1 };
+    RetryAllowance retries { clock, RetryBound { 0.2, 100, seconds(10) }, 1 };
+    TestProtocol protocol;
+    IgnoredPlacements placements;
+    ForwardParts parts { clock, random, events, counters, config, registry, placer, health, retries, protocol, drain, placements };
+    std::unique_ptr<GatewayServer> server;
+};
+
+/** A caller's connection that sends raw bytes. */
+class RawCaller
+{
+public:
+    explicit RawCaller(const GatewayWorld &world) : socket(Poco::Net::SocketAddress("127.0.0.1", world.server->port()))
+    {
+        this->socket.setReceiveTimeout(Poco::Timespan(20, 0));
+    }
+
+    void send(const std::string &bytes)
+    {
+        this->socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+
+    void request(const std::string &path, const std::string &id, const std::string &fields = {}, const std::string &body = {})
+    {
+        this->send(fmt::format("POST {} HTTP/1.1\r\nHost: test\r\nId: {}\r\n{}Content-Length: {}\r\n\r\n{}", path, id, fields, body.size(), body));
+    }
+
+    /** Everything until the text has arrived or the connection has ended. */
+    const std::string &readUntil(const std::string &text)
+    {
+        while (this->received.find(text) == std::string::npos && this->receive()) {
+        }
+        return this->received;
+    }
+
+    /** Everything until the connection has ended. */
+    const std::string &readAll()
+    {
+        while (this->receive()) {
+        }
+        return this->received;
+    }
+
+    void close()
+    {
+        this->socket.close();
+    }
+
+    const std::string &text() const
+    {
+        return this->received;
+    }
+
+private:
+    bool receive()
+    {
+        char buffer[4096];
+        try {
+            auto count = this->socket.receiveBytes(buffer, sizeof(buffer));
+            this->received.append(buffer, static_cast<std::size_t>(std::max(count, 0)));
+            return count > 0;
+        } catch (const Poco::Exception &) {
+            return false;
+        }
+    }
+
+    Poco::Net::StreamSocket socket;
+    std::string received;
+};
+
+}
--- /dev/null
+++ b/Tests/LibForward/ScriptedUpstream.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Lovageward {
+
+/** One connection to a scripted upstream. */
+class ScriptedConnection
+{
+public:
+    explicit ScriptedConnection(const Poco::Net::StreamSocket &socket) : socket(socket)
+    {
+        this->socket.setReceiveTimeout(Poco::Timespan(20, 0));
+    }
+
+    /** Reads a request with its body. Empty if the caller left. */
+    std::string readRequest()
+    {
+        std::string bytes;
+        while (bytes.find("\r\n\r\n") == std::string::npos) {
+            if (!this->receive(bytes)) {
+                return {};
+            }
+        }
+        auto headEnd = bytes.find("\r\n\r\n") + 4;
+        auto length = std::stoul(field(bytes, "Content-Length", "0"));
+        while (bytes.size() < headEnd + length) {
+            if (!this->receive(bytes)) {
+                return {};
+            }
+        }
+        return bytes;
+    }
+
+    void send(const std::string &bytes)
+    {
+        this->socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+
+    /** Answers with a length and the fields that mark a proper answer. */
+    void answer(int status, const std::string &request, const std::string &body, const std::string &fields = "Mark: m\r\n")
+    {
+        this->send(fmt::format("HTTP/1.1 {} Status\r\nId: {}\r\n{}Content-Length: {}\r\n\r\n{}", status, field(request, "Id"), fields, body.size(), body));
+    }
+
+    void beginStream(const std::string &request)
+    {
+        this->send(
+            fmt::format("HTTP/1.1 200 OK\r\nId: {}\r\nMark: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", field(request, "Id")));
+    }
+
+    void sendEvent(int id)
+    {
+        auto event = fmt::format("id: {}\ndata: e{}\n\n", id, id);
+        this->send(fmt::format("{:x}\r\n{}\r\n", event.size(), event));
+    }
+
+    void endStream()
+    {
+        this->send("0\r\n\r\n");
+    }
+
+    void reset()
+    {
+        this->socket.setLinger(true, 0);
+        this->socket.close();
+    }
+
+    /** Waits until the peer closes or resets the connection. */
+    void awaitEnd()
+    {
+        std::string ignored;
+        while (this->receive(ignored)) {
+        }
+    }
+
+    static std::string field(const std::string &message, const std::string &name, const std::string &otherwise = {})
+    {
+        auto at = message.find("\r\n" + name + ": ");
+        if (at == std::string::npos) {
+            return otherwise;
+        }
+        auto begin = at + name.size() + 4;
+        return message.substr(begin, message.find("\r\n", begin) - begin);
+    }
+
+private:
+    bool receive(std::string &bytes)
+    {
+        char buffer[4096];
+        try {
+            auto count = this->socket.receiveBytes(buffer, sizeof(buffer));
+            bytes.append(buffer, static_cast<std::size_t>(std::max(count, 0)));
+            return count > 0;
+        } catch (const Poco::Exception &) {
+            return false;
+        }
+    }
+
+    Poco::Net::StreamSocket socket;
+};
+
+/** An upstream on loopback whose connections each run a script. */
+class ScriptedUpstream
+{
+public:
+    using Script = std::function<void(ScriptedConnection &connection, const std::string &request)>;
+
+    explicit ScriptedUpstream(Script script) : script(std::move(script)), listener(Poco::Net::SocketAddress("127.0.0.1", 0))
+    {
+        this->acceptor = std::thread([this] { this->accept(); });
+    }
+
+    ~ScriptedUpstream()
+    {
+        this->isStopping = true;
+        this->acceptor.join();
+        for (auto &thread : this->connections) {
+            thread.join();
+        }
+    }
+
+    ScriptedUpstream(const ScriptedUpstream &) = delete;
+    ScriptedUpstream &operator=(const ScriptedUpstream &) = delete;
+
+    std::string address() const
+    {
+        return this->listener.address().toString();
+    }
+
+    std::vector<std::string> requests()
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        return this->received;
+    }
+
+    /** Waits until so many requests have arrived. */
+    void awaitRequests(std::size_t count)
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait(lock, [&] { return this->received.size() >= count; });
+    }
+
+private:
+    void accept()
+    {
+        while (!this->isStopping) {
+            if (this->listener.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+                this->connections.emplace_back([this, socket = this->listener.acceptConnection()] { this->serve(socket); });
+            }
+        }
+    }
+
+    void serve(const Poco::Net::StreamSocket &socket)
+    {
+        ScriptedConnection connection(socket);
+        auto request = connection.readRequest();
+        if (request.empty()) {
+            return;
+        }
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            this->received.push_back(request);
+        }
+        this->changed.notify_all();
+        try {
+            this->script(connection, request);
+        } catch (const Poco::Exception &) { // NOLINT(bugprone-empty-catch): the gateway may close the connection at any time.
+        }
+    }
+
+    Script script;
+    Poco::Net::ServerSocket listener;
+    std::atomic<bool> isStopping = false;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<std::string> received;
+    std::vector<std::thread> connections;
+    std::thread acceptor;
+};
+
+}
--- /dev/null
+++ b/Tests/LibForward/TestBodyDecoder.cpp
@@ -0,0 +1,95 @@
+#include <LibCore/Error.h>
+#include <LibForward/BodyDecoder.h>
+#include <LibForward/HttpHeads.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+namespace {
+
+struct Decoded
+{
+    std::string body;
+    std::string left;
+    BodyDecoder::State state = BodyDecoder::State::NeedsMore;
+};
+
+Decoded decodeInPieces(BodyFraming framing, std::uint64_t length, const std::string &bytes, std::size_t piece)
+{
+    BodyDecoder decoder(framing, length);
+    Decoded decoded;
+    decoded.state = decoder.decode(decoded.left, decoded.body);
+    for (std::size_t from = 0; from < bytes.size() && decoded.state == BodyDecoder::State::NeedsMore; from += piece) {
+        decoded.left += bytes.substr(from, piece);
+        decoded.state = decoder.decode(decoded.left, decoded.body);
+        if (decoded.state != BodyDecoder::State::NeedsMore) {
+            decoded.left += bytes.substr(std::min(bytes.size(), from + piece));
+        }
+    }
+    return decoded;
+}
+
+}
+
+TEST_CASE("A chunked body is decoded whatever pieces it arrives in, and what follows is left")
+{
+    const std::string bytes = "5;x=y\r\nhello\r\n1\r\n \r\nA\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\nNEXT";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        auto decoded = decodeInPieces(BodyFraming::Chunked, 0, bytes, piece);
+        CHECK(decoded.state == BodyDecoder::State::Complete);
+        CHECK(decoded.body == "hello 0123456789");
+        CHECK(decoded.left == "NEXT");
+    }
+}
+
+TEST_CASE("Malformed chunks are refused")
+{
+    for (const std::string bytes : { "x\r\n", "-1\r\n", "5\r\nhelloX\r\n", "\r\n", "ffffffffffffffffff\r\n", "5 x5\r\nhell" }) {
+        CAPTURE(bytes);
+        auto state = decodeInPieces(BodyFraming::Chunked, 0, bytes, bytes.size()).state;
+        CHECK((state == BodyDecoder::State::Malformed || bytes == "5 x5\r\nhell"));
+    }
+}
+
+TEST_CASE("A body of known length ends after it, and one without length with its connection")
+{
+    auto decoded = decodeInPieces(BodyFraming::Length, 4, "bodyNEXT", 3);
+    CHECK(decoded.state == BodyDecoder::State::Complete);
+    CHECK(decoded.body == "body");
+    CHECK(decoded.left == "NEXT");
+    CHECK(decodeInPieces(BodyFraming::None, 0, "NEXT", 4).state == BodyDecoder::State::Complete);
+    CHECK(decodeInPieces(BodyFraming::Length, 0, "", 1).state == BodyDecoder::State::Complete);
+
+    BodyDecoder untilClose(BodyFraming::UntilClose, 0);
+    std::string received = "abc";
+    std::string body;
+    CHECK(untilClose.decode(received, body) == BodyDecoder::State::NeedsMore);
+    CHECK(untilClose.end() == BodyDecoder::State::Complete);
+    BodyDecoder cutOff(BodyFraming::Length, 4);
+    received = "ab";
+    cutOff.decode(received, body);
+    CHECK(cutOff.end() == BodyDecoder::State::Malformed);
+}
+
+TEST_CASE("A request with an ambiguous length is refused")
+{
+    auto framingOf = [](const std::string &fields) { return requestBody(parseRequestHead("POST / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n")).framing; };
+    CHECK(framingOf("") == BodyFraming::None);
+    CHECK(framingOf("Content-Length: 5\r\n") == BodyFraming::Length);
+    CHECK(framingOf("Transfer-Encoding: chunked\r\n") == BodyFraming::Chunked);
+    CHECK_THROWS_AS(framingOf("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), Error);
+    CHECK_THROWS_AS(framingOf("Content-Length: 5\r\nContent-Length: 6\r\n"), Error);
+    CHECK_THROWS_AS(framingOf("Content-Length: 5, 5\r\n"), Error);
+    CHECK_THROWS_AS(framingOf("Content-Length: -1\r\n"), Error);
+    CHECK_THROWS_AS(framingOf("Transfer-Encoding: gzip, chunked\r\n"), Error);
+}
+
+TEST_CASE("Fields of one connection aren't passed on")
+{
+    auto head
+        = parseAnswerHead("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: Keep-Alive, Secret\r\nKeep-Alive: timeout=5\r\nSecret: s\r\nMark: m\r\n\r\n");
+    auto fields = forwardedFields(head);
+    REQUIRE(fields.size() == 1);
+    CHECK(fields.front().first == "Mark");
+}
--- /dev/null
+++ b/Tests/LibForward/TestProtocol.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibGateway/ForwardProtocol.h>
+
+#include <fmt/format.h>
+
+#include <sstream>
+#include <string>
+
+namespace Lovageward {
+
+/** A protocol of the tests' own, so that they don't depend on any deployment's names. */
+class TestProtocol final : public ForwardProtocol
+{
+public:
+    WorkRequest decodeRequest(const Poco::Net::HTTPRequest &head, TimePoint arrivedAt) const override
+    {
+        WorkRequest request;
+        request.id = RequestId(head.get("Id", ""));
+        if (request.id.isEmpty()) {
+            throw Error(ResultCode::BadRequest, RunState::NotRun, "no id");
+        }
+        request.method = head.getMethod();
+        request.target = head.getURI();
+        request.host = head.get("Host", "");
+        request.arrivedAt = arrivedAt;
+        request.deadline = arrivedAt + milliseconds(std::stoi(head.get("Wait-Ms", "20000")));
+        request.promptTokens = TokenCount(1000);
+        request.maximumOutputTokens = TokenCount(1000);
+        for (const auto &[name, value] : head) {
+            if (name != "Content-Length" && name != "Transfer-Encoding" && name != "Connection") {
+                request.forwardedFields.emplace_back(name, value);
+            }
+        }
+        return request;
+    }
+
+    std::string encodeRequest(const WorkRequest &request, const ForwardTerms &terms) const override
+    {
+        auto bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+        for (const auto &[name, value] : request.forwardedFields) {
+            bytes += fmt::format("{}: {}\r\n", name, value);
+        }
+        bytes += fmt::format("Upstream: {}\r\n", terms.upstream.value());
+        if (!terms.backupAddress.empty()) {
+            bytes += fmt::format("Backup: {}\r\n", terms.backupAddress);
+        }
+        if (terms.memory) {
+            bytes += fmt::format("Memory: {}/{}\r\n", terms.memory->address, terms.memory->handle);
+        }
+        if (terms.lastEventId) {
+            bytes += fmt::format("Last-Event-Id: {}\r\n", *terms.lastEventId);
+        }
+        return bytes + fmt::format("Content-Length: {}\r\n\r\n{}", request.body.size(), request.body);
+    }
+
+    AnswerMarks decodeAnswer(const Poco::Net::HTTPResponse &head) const override
+    {
+        AnswerMarks marks;
+        marks.request = RequestId(head.get("Id", ""));
+        marks.isMarked = head.has("Mark");
+        marks.isNotRun = head.has("Not-Run");
+        return marks;
+    }
+
+    std::string encodeMove(const RequestId &request, const std::string &targetAddress) const override
+    {
+        return fmt::format("POST /move HTTP/1.1\r\nId: {}\r\nTarget: {}\r\nContent-Length: 0\r\n\r\n", request.value(), targetAddress);
+    }
+
+    MoveAnswer decodeMove(int status, const std::string &body) const override
+    {
+        return MoveAnswer { status == 200, body };
+    }
+
+    const std::string &requestIdField() const override
+    {
+        static const std::string field = "Id";
+        return field;
+    }
+};
+
+}
--- /dev/null
+++ b/Tests/LibGateway/TestGatewayConfig.cpp
@@ -0,0 +1,68 @@
+#include <LibGateway/ConfigHolder.h>
+#include <LibGateway/GatewayConfig.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+namespace {
+
+Route route(const std::string &id, const std::string &host, const std::string &prefix)
+{
+    Route made;
+    made.id = RouteId(id);
+    made.host = host;
+    made.pathPrefix = prefix;
+    return made;
+}
+
+std::shared_ptr<const GatewayConfig> config(std::uint64_t version)
+{
+    GatewayTeam team;
+    team.id = TeamId("tailors");
+    team.keys = { "key-1", "key-2" };
+    return std::make_shared<const GatewayConfig>(
+        ConfigVersion(version),
+        std::vector<Route> { route("short", "shop.example", "/a/"), route("long", "shop.example", "/a/b/"), route("other", "other.example", "/a/") },
+        std::vector<UpstreamPool> {},
+        std::vector<GatewayTeam> { team },
+        CallerLimits());
+}
+
+}
+
+TEST_CASE("The longest prefix of the path on the request's host selects the route")
+{
+    auto tested = config(1);
+    auto found = [&](const std::string &host, const std::string &path) {
+        const auto *match = tested->findRoute(host, path);
+        return match == nullptr ? std::string() : match->id.value();
+    };
+    CHECK(found("shop.example", "/a/b/c") == "long");
+    CHECK(found("shop.example", "/a/bc") == "short");
+    CHECK(found("SHOP.example:8080", "/a/") == "short");
+    CHECK(found("other.example", "/a/b/c") == "other");
+    CHECK(found("shop.example", "/b/").empty());
+    CHECK(found("unknown.example", "/a/").empty());
+}
+
+TEST_CASE("Each key of a team names the team and no other key does")
+{
+    auto tested = config(1);
+    REQUIRE(tested->findTeam("key-2") != nullptr);
+    CHECK(tested->findTeam("key-2")->id == TeamId("tailors"));
+    CHECK(tested->findTeam("key-3") == nullptr);
+    CHECK(tested->findTeam("") == nullptr);
+}
+
+TEST_CASE("A configuration in force is never replaced by one as old or older")
+{
+    ConfigHolder holder;
+    CHECK(holder.current() == nullptr);
+    CHECK(holder.offer(config(7)));
+    CHECK_FALSE(holder.offer(config(7)));
+    CHECK_FALSE(holder.offer(config(3)));
+    CHECK(holder.current()->version() == ConfigVersion(7));
+    CHECK(holder.offer(config(12)));
+    CHECK(holder.current()->version() == ConfigVersion(12));
+}
--- /dev/null
+++ b/Tests/LibGateway/TestLimits.cpp
@@ -0,0 +1,58 @@
+#include "GatewayFixture.h"
+
+#include <LibGateway/RetryAllowance.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+TEST_CASE("A failing pool: the repeats of all nodes stay within the budget")
+{
+    constexpr std::size_t nodes = 8;
+    const RetryBound bound { 0.2, 50, seconds(10) };
+    std::size_t repeats = 0;
+    std::size_t requests = 0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        ManualClock clock;
+        RetryAllowance allowance(clock, bound, nodes);
+        for (int request = 0; request < 100; ++request) {
+            allowance.countRequest(PoolId("shop"));
+            ++requests;
+            for (int repeat = 0; repeat < 5; ++repeat) {
+                repeats += allowance.tryRepeat(PoolId("shop")) ? 1 : 0;
+            }
+            clock.advance(milliseconds(100));
+        }
+    }
+    CHECK(repeats > 0);
+    CHECK(static_cast<double>(repeats) <= bound.ratio * static_cast<double>(requests) + bound.slack);
+}
+
+TEST_CASE("The budgets of two pools are apart")
+{
+    ManualClock clock;
+    RetryAllowance allowance(clock, RetryBound { 0, 10, seconds(10) }, 8);
+    CHECK(allowance.tryRepeat(PoolId("a")));
+    CHECK_FALSE(allowance.tryRepeat(PoolId("a")));
+    CHECK(allowance.tryRepeat(PoolId("b")));
+}
+
+TEST_CASE("A score of failures fades and a success lowers it")
+{
+    ManualClock clock;
+    UpstreamHealth health(clock);
+    UpstreamId upstream("e1");
+    CHECK(health.failureShare(upstream) == 0);
+    health.failed(upstream, 1);
+    auto afterOne = health.failureShare(upstream);
+    CHECK(afterOne > 0.2);
+    CHECK(afterOne < 0.5);
+    for (int request = 0; request < 10; ++request) {
+        health.failed(upstream, 1);
+    }
+    CHECK(health.failureShare(upstream) > 0.8);
+    health.succeeded(upstream);
+    CHECK(health.failureShare(upstream) < 0.85);
+    clock.advance(seconds(20));
+    CHECK(health.failureShare(upstream) < 0.01);
+}
--- /dev/null
+++ b/Tests/LibGateway/TestLoadBook.cpp
@@ -0,0 +1,110 @@
+#include "GatewayFixture.h"
+
+#include <LibCore/Error.h>
+#include <LibGateway/PeerDigest.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+TEST_CASE("A run counts with its memory at its expected end until it ends")
+{
+    ManualClock clock;
+    LoadBook book(clock);
+    UpstreamId engine("e1");
+    auto run = book.begin(engine, Footprint { 3000, 500, 1000 }, true);
+    CHECK(book.load(engine).runs == 1);
+    CHECK(book.load(engine).peakTokens == Approx(3500));
+    CHECK(book.load(engine).unreadTokens == Approx(3000));
+
+    book.progress(run, 4);
+    CHECK(book.load(engine).unreadTokens == Approx(0));
+    CHECK(book.load(engine).peakTokens == Approx(3500));
+    // Longer than expected, and never longer than the maximum.
+    book.progress(run, 800);
+    CHECK(book.load(engine).peakTokens == Approx(3800));
+    book.progress(run, 1200);
+    CHECK(book.load(engine).peakTokens == Approx(4000));
+
+    book.end(run);
+    book.end(run);
+    CHECK(book.load(engine).runs == 0);
+    CHECK(book.load(engine).peakTokens == Approx(0));
+    CHECK(book.ownShares().empty());
+}
+
+TEST_CASE("A copy of a run has no prompt to be read")
+{
+    ManualClock clock;
+    LoadBook book(clock);
+    UpstreamId engine("e1");
+    BookedRun copy(book, engine, Footprint { 3000, 500, 1000 }, false);
+    CHECK(book.load(engine).unreadTokens == Approx(0));
+    CHECK(book.load(engine).peakTokens == Approx(3500));
+}
+
+TEST_CASE("A peer's share counts until it is replaced or the peer falls silent")
+{
+    ManualClock clock;
+    LoadBook book(clock);
+    UpstreamId engine("e1");
+    book.applyPeer(HostId("p1"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 2, 7000, 3000 } } });
+    book.applyPeer(HostId("p2"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 1, 4000, 0 } } });
+    CHECK(book.load(engine).runs == 3);
+    CHECK(book.load(engine).peakTokens == Approx(11000));
+    CHECK(book.load(engine).unreadTokens == Approx(3000));
+    CHECK(book.livePeers() == 2);
+
+    book.applyPeer(HostId("p1"), {});
+    CHECK(book.load(engine).runs == 1);
+
+    clock.advance(LoadBook::peerLifetime);
+    CHECK(book.load(engine).runs == 0);
+    CHECK(book.livePeers() == 0);
+}
+
+TEST_CASE("A digest keeps its content over the wire")
+{
+    PeerDigest digest;
+    digest.host = HostId("front-1");
+    digest.failureDomain = FailureDomainId("a1");
+    digest.isLeaving = true;
+    digest.nextOffsets = { 17, 4711 };
+    digest.readAges = { milliseconds(250), Duration::max() };
+    digest.shares = { LoadShare { 42, UpstreamLoad { 3, 10'500, 2'000 } } };
+    digest.peers = { "10.0.0.1:7200", "10.0.0.2:7200" };
+    auto decoded = decodeDigest(encodeDigest(digest));
+    CHECK(decoded.host == digest.host);
+    CHECK(decoded.failureDomain == digest.failureDomain);
+    CHECK(decoded.isLeaving);
+    CHECK(decoded.nextOffsets == digest.nextOffsets);
+    CHECK(decoded.readAges[0] == milliseconds(250));
+    CHECK(decoded.readAges[1] >= seconds(10));
+    REQUIRE(decoded.shares.size() == 1);
+    CHECK(decoded.shares[0].upstreamHash == 42);
+    CHECK(decoded.shares[0].load.runs == 3);
+    CHECK(decoded.shares[0].load.peakTokens == Approx(10'500));
+    CHECK(decoded.shares[0].load.unreadTokens == Approx(2'000));
+    CHECK(decoded.peers == digest.peers);
+}
+
+TEST_CASE("A digest of a busy node fits one datagram and keeps the largest shares")
+{
+    PeerDigest digest;
+    digest.host = HostId("front-1");
+    for (std::uint64_t upstream = 0; upstream < 4000; ++upstream) {
+        digest.shares.push_back(LoadShare { upstream, UpstreamLoad { 1, static_cast<double>(upstream), 0 } });
+    }
+    auto bytes = encodeDigest(digest);
+    CHECK(bytes.size() < 2048);
+    for (const auto &share : decodeDigest(bytes).shares) {
+        CHECK(share.load.peakTokens >= 3900);
+    }
+}
+
+TEST_CASE("Bytes that aren't a digest are refused")
+{
+    for (const std::string bytes : { "", "x", "\x93\x01\x02\x03" }) {
+        CHECK_THROWS_AS(decodeDigest(bytes), Error);
+    }
+}
--- /dev/null
+++ b/Tests/LibGateway/TestUpstreamRegistry.cpp
@@ -0,0 +1,84 @@
+#include "GatewayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Lovageward;
+
+TEST_CASE("An upstream that drains, was removed or stands in a drained domain gets no new work")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    CHECK(registry.put(upstreamRecord("e1", "a1")));
+    CHECK(registry.put(upstreamRecord("e2", "a2")));
+    CHECK(registry.put(upstreamRecord("e3", "a2")));
+    CHECK(registry.usable(PoolId("engines")).size() == 3);
+    CHECK(registry.usable(PoolId("others")).empty());
+
+    auto draining = upstreamRecord("e1", "a1");
+    draining.isDraining = true;
+    CHECK(registry.put(draining));
+    CHECK_FALSE(registry.isUsable(UpstreamId("e1")));
+
+    registry.setDrained(FailureDomainId("a2"), true);
+    CHECK(registry.usable(PoolId("engines")).empty());
+    registry.setDrained(FailureDomainId("a2"), false);
+    CHECK(registry.usable(PoolId("engines")).size() == 2);
+
+    registry.remove(UpstreamId("e2"));
+    CHECK_FALSE(registry.isUsable(UpstreamId("e2")));
+    CHECK(registry.usable(PoolId("engines")).size() == 1);
+}
+
+TEST_CASE("A heartbeat that changes nothing is told apart from a change")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    CHECK(registry.put(upstreamRecord("e1")));
+    CHECK_FALSE(registry.put(upstreamRecord("e1")));
+    auto restarted = upstreamRecord("e1");
+    restarted.boot = BootId("2");
+    CHECK(registry.put(restarted));
+}
+
+TEST_CASE("Running work learns whether its upstream leaves or was replaced by another process")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    registry.put(upstreamRecord("e1"));
+    CHECK(registry.leaveReason(UpstreamId("e1"), BootId("1")) == LeaveReason::None);
+    CHECK(registry.leaveReason(UpstreamId("e1"), BootId("0")) == LeaveReason::Restarted);
+    auto draining = upstreamRecord("e1");
+    draining.isDraining = true;
+    registry.put(draining);
+    CHECK(registry.leaveReason(UpstreamId("e1"), BootId("1")) == LeaveReason::Draining);
+    registry.remove(UpstreamId("e1"));
+    CHECK(registry.leaveReason(UpstreamId("e1"), BootId("1")) == LeaveReason::Draining);
+}
+
+TEST_CASE("An entry that vanished around an outage stays usable for the grace time only")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    registry.put(upstreamRecord("returns"));
+    registry.put(upstreamRecord("gone"));
+    auto until = clock.now() + seconds(2);
+    registry.removeUnlessReturned(UpstreamId("returns"), until);
+    registry.removeUnlessReturned(UpstreamId("gone"), until);
+    CHECK(registry.isUsable(UpstreamId("gone")));
+    clock.advance(seconds(1));
+    registry.put(upstreamRecord("returns"));
+    clock.advance(milliseconds(1001));
+    CHECK(registry.isUsable(UpstreamId("returns")));
+    CHECK_FALSE(registry.isUsable(UpstreamId("gone")));
+}
+
+TEST_CASE("Entries that a complete listing lacks are found")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    registry.put(upstreamRecord("e1"));
+    registry.put(upstreamRecord("e2"));
+    auto missing = registry.missingFrom({ UpstreamId("e2"), UpstreamId("e3") });
+    REQUIRE(missing.size() == 1);
+    CHECK(missing.front() == UpstreamId("e1"));
+}
--- /dev/null
+++ b/Tests/LibGateway/TestWorkPlacer.cpp
@@ -0,0 +1,112 @@
+#include "GatewayFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Lovageward;
+
+TEST_CASE("A placement is booked at once, so that the next one sees it")
+{
+    PlacementWorld world;
+    world.registry.put(upstreamRecord("e1"));
+    world.registry.put(upstreamRecord("e2"));
+    std::vector<PlacementResult> placed;
+    std::map<std::string, int> runs;
+    for (int run = 0; run < 14; ++run) {
+        placed.push_back(world.placer.place(world.need()));
+        REQUIRE(placed.back().outcome == PickOutcome::Picked);
+        ++runs[placed.back().run.upstream.id.value()];
+    }
+    CHECK(runs["e1"] == 7);
+    CHECK(runs["e2"] == 7);
+    // 7 runs of 3,900 tokens fill an engine of 30,000.
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::NoRoom);
+    placed.pop_back();
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::Picked);
+}
+
+TEST_CASE("Excluded upstreams and regions that aren't allowed are passed over")
+{
+    PlacementWorld world;
+    world.registry.put(upstreamRecord("near", "a1"));
+    world.registry.put(upstreamRecord("abroad", "b1"));
+    auto need = world.need();
+    need.excluded = { UpstreamId("near") };
+    CHECK(world.placer.place(need).run.upstream.id == UpstreamId("abroad"));
+    need.allowedRegions = { RegionId("a") };
+    CHECK(world.placer.place(need).outcome == PickOutcome::NoUpstream);
+    need.excluded.clear();
+    CHECK(world.placer.place(need).run.upstream.id == UpstreamId("near"));
+}
+
+TEST_CASE("Capacity that returns cold: the sum over all nodes stays below what a cold upstream withstands")
+{
+    constexpr std::size_t nodes = 8;
+    constexpr double bound = 30;
+    std::size_t sent = 0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        PlacementWorld world;
+        world.pool.coldRequestsPerSecond = bound;
+        auto cold = upstreamRecord("cold");
+        cold.coldUntil = world.clock.now() + seconds(10);
+        world.registry.put(cold);
+        world.addPeers(nodes - 1);
+        for (int tick = 0; tick < 1000; ++tick) {
+            sent += world.placer.place(world.need(10, 1)).outcome == PickOutcome::Picked ? 1 : 0;
+            world.clock.advance(milliseconds(1));
+        }
+    }
+    CHECK(sent > 0);
+    CHECK(static_cast<double>(sent) <= bound);
+}
+
+TEST_CASE("A cold upstream that has its share is no reason to say that there is no upstream")
+{
+    PlacementWorld world;
+    world.pool.coldRequestsPerSecond = 1;
+    auto cold = upstreamRecord("cold");
+    cold.coldUntil = world.clock.now() + seconds(10);
+    world.registry.put(cold);
+    auto first = world.placer.place(world.need());
+    CHECK(first.outcome == PickOutcome::Picked);
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::NoRoom);
+    world.clock.advance(seconds(10));
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::Picked);
+}
+
+TEST_CASE("An engine joins empty while the others are busy: nodes with late loads don't all send to it")
+{
+    constexpr int nodes = 60;
+    int toEmpty = 0;
+    for (int node = 0; node < nodes; ++node) {
+        PlacementWorld world;
+        world.random.next();
+        SeededRandom random(static_cast<std::uint64_t>(node) + 100);
+        WorkPlacer placer(world.clock, world.registry, world.book, world.health, world.coldLimiter, world.picker, random, 8);
+        world.addPeers(nodes - 1);
+        std::vector<LoadShare> busy;
+        for (int engine = 0; engine < 40; ++engine) {
+            auto id = fmt::format("busy-{}", engine);
+            world.registry.put(upstreamRecord(id, engine < 8 ? "a1" : "b1"));
+            busy.push_back(LoadShare { LoadBook::hashOf(UpstreamId(id)), UpstreamLoad { 5, 20'000, 0 } });
+        }
+        world.registry.put(upstreamRecord("empty", "b1"));
+        world.book.applyPeer(HostId("peer-0"), busy);
+        auto placed = placer.place(world.need());
+        REQUIRE(placed.outcome == PickOutcome::Picked);
+        toEmpty += placed.run.upstream.id == UpstreamId("empty") ? 1 : 0;
+    }
+    // Each node looks at two of 33 far engines.
+    CHECK(toEmpty < nodes / 4);
+}
+
+TEST_CASE("A pool is chosen by the weights of the route")
+{
+    Route route = streamRoute();
+    route.pools = { PoolShare { PoolId("old"), 90 }, PoolShare { PoolId("new"), 10 } };
+    CHECK(WorkPlacer::choosePool(route, 0) == PoolId("old"));
+    CHECK(WorkPlacer::choosePool(route, 0.89) == PoolId("old"));
+    CHECK(WorkPlacer::choosePool(route, 0.91) == PoolId("new"));
+    CHECK(WorkPlacer::choosePool(route, 0.9999) == PoolId("new"));
+}
--- /dev/null
+++ b/Tests/LibNode/TestGatewaySettings.cpp
@@ -0,0 +1,61 @@
+#include <LibCore/Error.h>
+#include <LibNode/GatewaySettings.h>
+
+#include <catch2/catch.hpp>
+
+#include <cstring>
+
+using namespace Lovageward;
+
+namespace {
+
+const EnvironmentLookup noEnvironment = [](const std::string & /*name*/) { return nullptr; };
+
+}
+
+TEST_CASE("The settings file, the environment and the flags are read in this order")
+{
+    auto environment = [](const std::string &name) -> const char * { return name == "LOVAGEWARD_STORE" ? "10.0.0.3:1" : nullptr; };
+    const std::string file = "# comment\n\n"
+                             "host = front-1\n"
+                             "store = 10.0.0.1:1\n"
+                             "grace-seconds = 9\n"
+                             "unknown = ignored\n"
+                             "domains = a1:a, b1:b\n"
+                             "failure-domain = a1\n"
+                             "seeds = 10.0.0.7:8748,10.0.0.8:8748\n"
+                             "peer-listen = 10.0.0.9:7200\n"
+                             "retry-slack = 52.5\n";
+    auto settings = readGatewaySettings(file, { "--grace-seconds=5" }, environment);
+    CHECK(settings.host == HostId("front-1"));
+    CHECK(settings.store == "10.0.0.3:1");
+    CHECK(settings.graceTime == seconds(5));
+    CHECK(settings.location.regionOf(FailureDomainId("b1")) == RegionId("b"));
+    CHECK(settings.location.regionOf(FailureDomainId("c1")).isEmpty());
+    CHECK(settings.seeds == std::vector<std::string> { "10.0.0.7:7200", "10.0.0.8:7200" });
+    CHECK(settings.retryBound.slack == Approx(52.5));
+}
+
+TEST_CASE("Every wrong setting is named at once")
+{
+    std::string problems;
+    try {
+        readGatewaySettings("store = nowhere\ndomains = a1\nretry-ratio = -1\nseeds = x\n", {}, noEnvironment);
+    } catch (const Error &error) {
+        CHECK(error.code() == ResultCode::InvalidSettings);
+        problems = error.what();
+    }
+    for (const auto *name : { "--store", "--domains", "--retry-ratio", "--seeds" }) {
+        CAPTURE(name);
+        CHECK(problems.find(name) != std::string::npos);
+    }
+    CHECK_THROWS_AS(readGatewaySettings("no separator", {}, noEnvironment), Error);
+}
+
+TEST_CASE("Memory and descriptors bound the connections")
+{
+    auto small = readGatewaySettings("memory-megabytes = 88\ndescriptors = 4100\n", {}, noEnvironment);
+    auto large = readGatewaySettings("memory-megabytes = 512\ndescriptors = 8192\n", {}, noEnvironment);
+    CHECK(small.maximumConnections < large.maximumConnections);
+    CHECK(large.maximumConnections <= 8192 / 3);
+}
--- /dev/null
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -0,0 +1,216 @@
+#include <LibCore/Error.h>
+#include <LibCore/SystemClock.h>
+#include <platform/PlatformStore.h>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <mutex>
+
+using namespace Lovageward;
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/** A stand-in for the store that answers each call as a test says and keeps what it got. */
+class StoreStandIn
+{
+public:
+    struct Reply
+    {
+        int status = 200;
+        std::string body;
+    };
+
+    using Script = std::function<Reply(const std::string &target)>;
+
+    explicit StoreStandIn(Script script) : script(std::move(script)), socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    {
+        this->server = std::make_unique<Poco::Net::HTTPServer>(
+            Poco::Net::HTTPRequestHandlerFactory::Ptr(new Factory(*this)), this->socket, Poco::Net::HTTPServerParams::Ptr(new Poco::Net::HTTPServerParams));
+        this->server->start();
+    }
+
+    ~StoreStandIn()
+    {
+        this->server->stopAll(true);
+    }
+
+    std::string address() const
+    {
+        return this->socket.address().toString();
+    }
+
+    std::vector<std::string> targets;
+    std::vector<std::string> bodies;
+
+private:
+    class Handler final : public Poco::Net::HTTPRequestHandler
+    {
+    public:
+        explicit Handler(StoreStandIn &owner) : owner(owner)
+        {
+        }
+
+        void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+        {
+            std::string body;
+            if (request.getMethod() == "POST") {
+                Poco::StreamCopier::copyToString(request.stream(), body);
+            }
+            std::lock_guard<std::mutex> guard(this->owner.mutex);
+            this->owner.targets.push_back(request.getMethod() + " " + request.getURI());
+            this->owner.bodies.push_back(body);
+            auto reply = this->owner.script(request.getURI());
+            response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(reply.status));
+            response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
+            response.send() << reply.body;
+        }
+
+    private:
+        StoreStandIn &owner;
+    };
+
+    class Factory final : public Poco::Net::HTTPRequestHandlerFactory
+    {
+    public:
+        explicit Factory(StoreStandIn &owner) : owner(owner)
+        {
+        }
+
+        Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest & /*request*/) override
+        {
+            return new Handler(this->owner);
+        }
+
+    private:
+        StoreStandIn &owner;
+    };
+
+    Script script;
+    std::mutex mutex;
+    Poco::Net::ServerSocket socket;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+std::string bigEndian(std::uint64_t number, int bytes)
+{
+    std::string text;
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+        text += static_cast<char>(number >> static_cast<unsigned>(shift));
+    }
+    return text;
+}
+
+std::string wireRecord(const std::string &key, const std::string &value)
+{
+    auto content = bigEndian(key.size(), 1) + key + value;
+    return bigEndian(content.size(), 4) + content;
+}
+
+constexpr Duration limit = seconds(10);
+
+}
+
+TEST_CASE("A read of the log yields keyed records with their offsets and the next offset")
+{
+    StoreStandIn standIn([](const std::string & /*target*/) {
+        return StoreStandIn::Reply { 200, bigEndian(42, 8) + bigEndian(3, 8) + wireRecord("config", "{}") + wireRecord("evacuate/surat-a", "") };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto page = store.readFrom(FeedTopic::Operators, 40, milliseconds(600), clock.now() + limit);
+    CHECK(standIn.targets.front() == "GET /-/log-read?topic=keyed.op&part=0&fromRev=40&waitMs=600");
+    REQUIRE(page.records.size() == 2);
+    CHECK(page.records[0].key == "config");
+    CHECK(page.records[0].value == "{}");
+    CHECK(page.records[0].offset == 40);
+    CHECK(page.records[1].key == "evacuate/surat-a");
+    CHECK(page.records[1].value.empty());
+    CHECK(page.records[1].offset == 41);
+    CHECK(page.nextOffset == 42);
+}
+
+TEST_CASE("Records that are no longer kept are told apart from a store that fails")
+{
+    int status = 410;
+    StoreStandIn standIn([&](const std::string & /*target*/) { return StoreStandIn::Reply { status, R"({"first":90})" }; });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto failureOf = [&] {
+        try {
+            store.readFrom(FeedTopic::Upstreams, 0, Duration(0), clock.now() + limit);
+        } catch (const Error &error) {
+            return error.code();
+        }
+        return ResultCode::Ok;
+    };
+    CHECK(failureOf() == ResultCode::RecordsExpired);
+    for (int failing : { 503, 429, 500 }) {
+        status = failing;
+        CHECK(failureOf() == ResultCode::LogUnavailable);
+    }
+}
+
+TEST_CASE("A cut off or malformed answer of the store is a failure and not an empty page")
+{
+    const std::vector<std::string> bodies
+        = { "", "short", bigEndian(9, 8) + bigEndian(0, 8) + bigEndian(100, 4) + "x", bigEndian(9, 8) + bigEndian(0, 8) + bigEndian(2, 4) + "\x05x" };
+    for (const auto &body : bodies) {
+        StoreStandIn standIn([&](const std::string & /*target*/) { return StoreStandIn::Reply { 200, body }; });
+        SystemClock clock;
+        PlatformStore store(clock, standIn.address());
+        CHECK_THROWS_AS(store.readFrom(FeedTopic::Operators, 0, Duration(0), clock.now() + limit), Error);
+    }
+}
+
+TEST_CASE("The newest records come in pages, and reading goes on from the end of the first one")
+{
+    StoreStandIn standIn([](const std::string &target) {
+        if (target.find("after=") == std::string::npos) {
+            return StoreStandIn::Reply { 200, R"({"items":[{"key":"i-1","value":"YWJj","offset":4}],"hasMore":true,"end":6})" };
+        }
+        return StoreStandIn::Reply { 200, R"({"items":[{"key":"i-2","value":"ZGVm","offset":7}],"hasMore":false,"end":8})" };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto page = store.listNewest(FeedTopic::Upstreams, clock.now() + limit);
+    REQUIRE(page.records.size() == 2);
+    CHECK(page.records[0].value == "abc");
+    CHECK(page.records[1].value == "def");
+    CHECK(page.nextOffset == 6);
+    CHECK(standIn.targets[1] == "GET /-/log-newest?topic=keyed.servers&part=0&after=i-1");
+}
+
+TEST_CASE("A node leaves its address under its name and lists the others")
+{
+    StoreStandIn standIn([](const std::string &target) {
+        return StoreStandIn::Reply { 200,
+                                     target.find("log-append") != std::string::npos
+                                         ? R"({"offset":0,"end":1})"
+                                         : R"({"items":[{"key":"front-1","value":"MTAuMC4wLjE6NzIwMA==","offset":0}],"hasMore":false,"end":1})" };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    store.announce(HostId("front-1"), "10.0.0.1:7200", clock.now() + limit);
+    CHECK(standIn.targets.front().starts_with("POST /-/log-append?topic=keyed."));
+    CHECK(standIn.bodies.front() == wireRecord("front-1", "10.0.0.1:7200"));
+    CHECK(store.peerAddresses(clock.now() + limit) == std::vector<std::string> { "10.0.0.1:7200" });
+}
+
+TEST_CASE("A store that can't be reached is unavailable")
+{
+    SystemClock clock;
+    PlatformStore store(clock, "127.0.0.1:1");
+    CHECK_THROWS_AS(store.listNewest(FeedTopic::Operators, clock.now() + limit), Error);
+}
