LibGateway: Learn output lengths and weigh callers' estimates by their errors

New records reached far peers only with the next digest.

Change: the expected output is the log-normal mean of estimate and learned lengths of the route, weighed by their spreads; a node that reads new records tells all peers at once.

--- a/Libraries/LibForward/ForwardParts.h
+++ b/Libraries/LibForward/ForwardParts.h
@@ -7,6 +7,7 @@
 #include <LibForward/CallerChannel.h>
 #include <LibGateway/ConfigHolder.h>
 #include <LibGateway/ForwardProtocol.h>
+#include <LibGateway/OutputForecast.h>
 #include <LibGateway/RetryAllowance.h>
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamRegistry.h>
@@ -34,6 +35,7 @@
     WorkPlacer &placer;
     UpstreamHealth &health;
     RetryAllowance &retries;
+    OutputForecast &forecast;
     const ForwardProtocol &protocol;
     const DrainNotice &drain;
     /** Told when work was placed, so that peers learn of it at once. */
--- a/Libraries/LibForward/GatewayConnection.h
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -15,7 +15,7 @@
 /** State that the connections of a gateway share. */
 struct GatewayContext
 {
-    explicit GatewayContext(const ForwardParts &parts) : parts(parts), admission(parts.random), plain(parts), streams(parts)
+    explicit GatewayContext(const ForwardParts &parts) : parts(parts), admission(parts.random, parts.forecast), plain(parts), streams(parts)
     {
     }
 
--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -76,6 +76,8 @@
 
 void PeerExchange::recordsRead()
 {
+    // A drain must reach far peers as soon as near ones.
+    this->tellsAll = true;
     this->loadChanged();
 }
 
@@ -93,7 +95,7 @@
     if (now < this->earliestNext) {
         return this->earliestNext;
     }
-    auto isForAll = now >= this->allAt;
+    auto isForAll = now >= this->allAt || this->tellsAll.exchange(false);
     auto targets = isForAll ? this->parts.peers.targets() : this->parts.peers.nearTargets();
     this->sendTo(targets);
     auto peers = static_cast<int>(targets.size());
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -74,6 +74,7 @@
     std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
     /** No digest is sent before that, however much is placed. */
     TimePoint earliestNext;
+    std::atomic<bool> tellsAll = false;
     /** When all peers get the next digest. */
     TimePoint allAt;
     std::thread receiver;
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -257,11 +257,20 @@
 {
     if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->eventsSent > 0) {
         this->parts.health.succeeded(this->place.upstream.id);
+        this->learnLength();
         return this->caller.endStream() ? Step::Complete : Step::CutOff;
     }
     return this->recover(this->call->problem().empty() ? "the stream ended within an event" : this->call->problem());
 }
 
+void StreamRelay::learnLength()
+{
+    if (this->work.pool->engine) {
+        auto length = static_cast<double>(this->eventsSent) * this->work.pool->engine->tokensPerEvent;
+        this->parts.forecast.learn(this->work.route->id, this->work.request.expectedOutputTokens, length);
+    }
+}
+
 Error StreamRelay::brokenError(const std::string &reason) const
 {
     return Error(ResultCode::UpstreamConnectionLost, RunState::Unknown, reason);
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -55,6 +55,7 @@
     ForwardTerms baseTerms() const;
     bool sendEvent(const WholeEvent &event);
     bool isSilent() const;
+    void learnLength();
     Error brokenError(const std::string &reason) const;
 
     const ForwardParts &parts;
--- a/Libraries/LibGateway/RequestAdmission.cpp
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -14,9 +14,6 @@
 /** Time until a node that starts has read its configuration. */
 constexpr Duration startRetryAfter = milliseconds(500);
 
-/** Part of the maximum that an output takes on average when the caller gives no estimate. */
-constexpr double assumedOutputShare = 0.5;
-
 [[noreturn]] void refuse(ResultCode code, const std::string &message)
 {
     throw Error(code, RunState::NotRun, message);
@@ -40,16 +37,15 @@
     return both.empty() ? std::nullopt : std::optional(both);
 }
 
-Footprint footprintOf(const WorkRequest &request, const UpstreamPool &pool)
+}
+
+Footprint RequestAdmission::footprintOf(const WorkRequest &request, const Route &route, const UpstreamPool &pool) const
 {
     if (!pool.engine) {
         return {};
     }
-    auto maximum = static_cast<double>(request.maximumOutputTokens.value());
-    auto expected = request.expectedOutputTokens ? static_cast<double>(request.expectedOutputTokens->value()) : maximum * assumedOutputShare;
-    return Footprint { static_cast<double>(request.promptTokens.value()), maximum > 0 ? std::min(expected, maximum) : expected, maximum };
-}
-
+    auto expected = this->forecast.expect(route.id, request.expectedOutputTokens, request.maximumOutputTokens);
+    return Footprint { static_cast<double>(request.promptTokens.value()), expected, static_cast<double>(request.maximumOutputTokens.value()) };
 }
 
 AdmittedWork RequestAdmission::admit(WorkRequest request, std::shared_ptr<const GatewayConfig> config) const
@@ -78,7 +74,7 @@
     }
     work.allowedRegions = *regions;
     work.deadline = std::min(request.deadline, request.arrivedAt + work.route->timeout);
-    work.footprint = footprintOf(request, *work.pool);
+    work.footprint = this->footprintOf(request, *work.route, *work.pool);
     work.request = std::move(request);
     work.config = std::move(config);
     return work;
--- a/Libraries/LibGateway/RequestAdmission.h
+++ b/Libraries/LibGateway/RequestAdmission.h
@@ -3,6 +3,7 @@
 #include <LibCore/RandomSource.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadBook.h>
+#include <LibGateway/OutputForecast.h>
 #include <LibGateway/WorkRequest.h>
 
 #include <memory>
@@ -31,7 +32,7 @@
 class RequestAdmission
 {
 public:
-    explicit RequestAdmission(RandomSource &random) : random(random)
+    RequestAdmission(RandomSource &random, const OutputForecast &forecast) : random(random), forecast(forecast)
     {
     }
 
@@ -42,7 +43,10 @@
     AdmittedWork admit(WorkRequest request, std::shared_ptr<const GatewayConfig> config) const;
 
 private:
+    Footprint footprintOf(const WorkRequest &request, const Route &route, const UpstreamPool &pool) const;
+
     RandomSource &random;
+    const OutputForecast &forecast;
 };
 
 }
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -151,8 +151,8 @@
         , directory(this->clock, this->events, surroundings.directory, this->peers, settings)
         , readiness(this->config, this->upstreams, this->drain)
         , control(this->readiness, this->counters, this->mirror, settings.readyPath)
-        , parts { this->clock,  this->random, this->events,  this->counters,        this->config, this->registry,
-                  this->placer, this->health, this->retries, surroundings.protocol, this->drain,  this->exchange }
+        , parts { this->clock,  this->random,  this->events,   this->counters,        this->config, this->registry, this->placer,
+                  this->health, this->retries, this->forecast, surroundings.protocol, this->drain,  this->exchange }
         , server(this->parts, settings.listen, settings.maximumConnections)
     {
         for (const auto &seed : settings.seeds) {
@@ -181,6 +181,7 @@
     UpstreamPicker picker;
     WorkPlacer placer;
     RetryAllowance retries;
+    OutputForecast forecast;
     PeerTable peers;
     PeerPull peerPull;
     PeerExchange exchange;
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -126,9 +126,10 @@
     UpstreamPicker picker { Location { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random };
     WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, 1 };
     RetryAllowance retries { clock, RetryBound { 0.2, 100, seconds(10) }, 1 };
+    OutputForecast forecast;
     TestProtocol protocol;
     IgnoredPlacements placements;
-    ForwardParts parts { clock, random, events, counters, config, registry, placer, health, retries, protocol, drain, placements };
+    ForwardParts parts { clock, random, events, counters, config, registry, placer, health, retries, forecast, protocol, drain, placements };
     std::unique_ptr<GatewayServer> server;
 };
 
