--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -1,6 +1,5 @@
 #include <LibForward/GatewayConnection.h>
 
-#include <LibCore/LatencyHistogram.h>
 #include <LibForward/HttpHeads.h>
 #include <LibHttp/ErrorBody.h>
 
@@ -112,8 +111,8 @@
                              { "maximum_tokens", work.request.maximumOutputTokens.value() },
                              { "time_left_ms", std::chrono::duration_cast<milliseconds>(work.deadline - parts.clock.now()).count() } });
         auto isWhole = this->forward(work, caller, keepsOpen);
-        LatencyHistogram(parts.counters, "lovageward_answer_ms", fmt::format("stream=\"{}\"", work.route->isStream))
-            .observe(parts.clock.now() - received.arrivedAt);
+        auto &times = work.route->isStream ? this->context.streamTimes : this->context.plainTimes;
+        times.observe(parts.clock.now() - received.arrivedAt);
         return isWhole && keepsOpen;
     } catch (const CallerGone &) {
         parts.counters.counter("lovageward_callers_gone_total").add();
--- a/Libraries/LibForward/GatewayConnection.h
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/LatencyHistogram.h>
 #include <LibForward/CallerChannel.h>
 #include <LibForward/ForwardParts.h>
 #include <LibForward/PlainForwarder.h>
@@ -15,7 +16,13 @@
 /** State that the connections of a gateway share. */
 struct GatewayContext
 {
-    explicit GatewayContext(const ForwardParts &parts) : parts(parts), admission(parts.random, parts.forecast), plain(parts), streams(parts)
+    explicit GatewayContext(const ForwardParts &parts)
+        : parts(parts)
+        , admission(parts.random, parts.forecast)
+        , plain(parts)
+        , streams(parts)
+        , plainTimes(parts.counters, "lovageward_answer_ms", "stream=\"false\"")
+        , streamTimes(parts.counters, "lovageward_answer_ms", "stream=\"true\"")
     {
     }
 
@@ -23,6 +30,9 @@
     RequestAdmission admission;
     PlainForwarder plain;
     StreamForwarder streams;
+    /** Time from a request's arrival to the end of its answer. */
+    LatencyHistogram plainTimes;
+    LatencyHistogram streamTimes;
     std::atomic<std::size_t> activeRequests = 0;
 };
 
--- a/Libraries/LibForward/PlainForwarder.cpp
+++ b/Libraries/LibForward/PlainForwarder.cpp
@@ -21,6 +21,21 @@
 
 }
 
+std::string_view PlainForwarder::endingName(Ending ending)
+{
+    switch (ending) {
+    case Ending::Answered:
+        return "answered";
+    case Ending::NotRun:
+        return "not_run";
+    case Ending::Broken:
+        return "broken";
+    case Ending::TimedOut:
+        break;
+    }
+    return "timed_out";
+}
+
 WholeAnswer PlainForwarder::forward(const AdmittedWork &work, CallerChannel &caller) const
 {
     AttemptState attempts;
@@ -79,7 +94,7 @@
                                      { { "request", work.request.id.value() },
                                        { "upstream", run.place.upstream.id.value() },
                                        { "status", call.hasHead() ? static_cast<int>(call.head().getStatus()) : 0 },
-                                       { "ending", static_cast<int>(ending) },
+                                       { "ending", endingName(ending) },
                                        { "problem", call.problem() } });
             return ending;
         }
--- a/Libraries/LibForward/PlainForwarder.h
+++ b/Libraries/LibForward/PlainForwarder.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Lovageward {
 
@@ -35,6 +36,9 @@
         TimedOut,
     };
 
+    /** As the log says it. */
+    static std::string_view endingName(Ending ending);
+
     Ending await(const AdmittedWork &work, OpenedRun &run, TimePoint attemptDeadline, CallerChannel &caller) const;
     Ending judge(const AdmittedWork &work, const OpenedRun &run) const;
     TimePoint attemptDeadline(const AdmittedWork &work, const AttemptState &attempts) const;
--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Error.h>
 
 #include <Poco/NumberParser.h>
-#include <Poco/StringTokenizer.h>
 #include <fmt/format.h>
 
 namespace Lovageward {
@@ -16,12 +15,6 @@
 /** Memory that a connection's thread and buffers take at the most. */
 constexpr std::int64_t connectionsPerMegabyte = 8;
 
-std::vector<std::string> splitAtCommas(const std::string &text)
-{
-    Poco::StringTokenizer parts(text, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-    return { parts.begin(), parts.end() };
-}
-
 [[noreturn]] void reject(const std::string &reason)
 {
     throw Error(ResultCode::InvalidSettings, RunState::NotRun, reason);
@@ -37,7 +30,7 @@
 
 void domainList(const std::string &text)
 {
-    for (const auto &entry : splitAtCommas(text)) {
+    for (const auto &entry : splitSettingList(text)) {
         auto colon = entry.find(':');
         if (colon == std::string::npos || colon == 0 || colon + 1 == entry.size()) {
             reject(fmt::format("'{}' is not domain:region", entry));
@@ -47,7 +40,7 @@
 
 void addressList(const std::string &text)
 {
-    for (const auto &entry : splitAtCommas(text)) {
+    for (const auto &entry : splitSettingList(text)) {
         SettingChecks::address(entry);
     }
 }
@@ -55,7 +48,7 @@
 std::map<FailureDomainId, RegionId> domainsOf(const std::string &text)
 {
     std::map<FailureDomainId, RegionId> domains;
-    for (const auto &entry : splitAtCommas(text)) {
+    for (const auto &entry : splitSettingList(text)) {
         auto colon = entry.find(':');
         domains[FailureDomainId(entry.substr(0, colon))] = RegionId(entry.substr(colon + 1));
     }
@@ -67,7 +60,7 @@
 {
     std::vector<std::string> seeds;
     auto port = peerListen.substr(peerListen.rfind(':'));
-    for (const auto &entry : splitAtCommas(text)) {
+    for (const auto &entry : splitSettingList(text)) {
         seeds.push_back(entry.substr(0, entry.rfind(':')) + port);
     }
     return seeds;
--- a/Libraries/LibNode/NodeSettings.cpp
+++ b/Libraries/LibNode/NodeSettings.cpp
@@ -35,17 +35,6 @@
     }
 }
 
-std::vector<std::string> splitAtCommas(const std::string &text)
-{
-    std::vector<std::string> parts;
-    std::stringstream stream(text);
-    std::string part;
-    while (std::getline(stream, part, ',')) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 void checkCombination(const NodeSettings &settings)
 {
     std::string problems;
@@ -104,7 +93,7 @@
     settings.hostsFile = reader.text("hosts-file");
     settings.logLevel = parseLogLevel(reader.text("log-level"));
     settings.resumeKey = reader.text("resume-key");
-    settings.administrationKeys = splitAtCommas(reader.text("admin-keys"));
+    settings.administrationKeys = splitSettingList(reader.text("admin-keys"));
     settings.shutdownLimit = seconds(reader.number("shutdown-seconds"));
     settings.tokenGapLimit = seconds(reader.number("gap-seconds"));
     settings.linkBytesPerSecond = static_cast<double>(reader.number("link-megabits")) * bytesPerMegabit;
--- a/Libraries/LibNode/SettingsReader.cpp
+++ b/Libraries/LibNode/SettingsReader.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/IPAddress.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -77,6 +78,12 @@
 
 }
 
+std::vector<std::string> splitSettingList(const std::string &text)
+{
+    Poco::StringTokenizer parts(text, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    return { parts.begin(), parts.end() };
+}
+
 SettingsReader::SettingsReader(std::vector<SettingDefinition> definitions) : definitions(std::move(definitions))
 {
     for (const auto &definition : this->definitions) {
--- a/Libraries/LibNode/SettingsReader.h
+++ b/Libraries/LibNode/SettingsReader.h
@@ -37,6 +37,9 @@
 
 }
 
+/** Entries of a comma-separated setting without blanks around them; empty entries are left out. */
+std::vector<std::string> splitSettingList(const std::string &text);
+
 /** Values of settings after the flags and the environment were read and checked. A flag goes before its variable. */
 class SettingsReader
 {
