LibGateway: Tell refused callers to return late where the cause lasts for seconds

Change: ReturnAdvice tells 1.0 to 1.3 s where no configuration or upstream is known, and 0.2 to 0.9 s where upstreams are full.

--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -1,5 +1,7 @@
 #include <LibForward/UpstreamDialer.h>
 
+#include <LibGateway/ReturnAdvice.h>
+
 #include <Poco/Exception.h>
 #include <fmt/format.h>
 
@@ -21,19 +23,16 @@
 /** Pause between two looks for room. */
 constexpr Duration roomCheckPause = milliseconds(15);
 
-/** Bounds of the time after which a refused caller should return. An engine that is full finishes a run a few times a second. */
-constexpr Duration shortestReturn = milliseconds(200);
-constexpr Duration longestReturn = milliseconds(900);
-
 /** Failures of a connection count double, since nothing at all worked. */
 constexpr double connectionFailureWeight = 2;
 
 }
 
-Error UpstreamDialer::refusal(const AdmittedWork & /*work*/, const std::string &message) const
+Error UpstreamDialer::refusal(PickOutcome outcome, const std::string &message) const
 {
-    auto spread = std::chrono::duration_cast<Duration>((longestReturn - shortestReturn) * this->parts.random.unit());
-    return Error(ResultCode::NoCapacity, RunState::NotRun, message, shortestReturn + spread);
+    ReturnAdvice advice(this->parts.random);
+    auto retryAfter = outcome == PickOutcome::NoUpstream ? advice.whenUnknown() : advice.whenFull();
+    return Error(ResultCode::NoCapacity, RunState::NotRun, message, retryAfter);
 }
 
 PlacementNeed UpstreamDialer::needOf(const AdmittedWork &work, const AttemptState &attempts) const
@@ -58,7 +57,7 @@
                                        { "reason", reason },
                                        { "candidates", result.candidates },
                                        { "peak_tokens", work.footprint.peak(0) } });
-            throw this->refusal(work, reason);
+            throw this->refusal(result.outcome, reason);
         }
         ChannelWaiter waiter;
         waiter.add(caller.descriptor());
@@ -75,7 +74,7 @@
         auto place = this->awaitPlace(work, attempts, caller);
         auto isRepeat = attempts.arrivals > 0;
         if (isRepeat && !this->parts.retries.tryRepeat(work.pool->id)) {
-            throw Error(ResultCode::RetryBudgetExhausted, RunState::NotRun, "the retry budget is used up", longestReturn);
+            throw Error(ResultCode::RetryBudgetExhausted, RunState::NotRun, "the retry budget is used up", ReturnAdvice(this->parts.random).whenFull());
         }
         try {
             auto completeTerms = terms;
@@ -94,7 +93,7 @@
             break;
         }
     }
-    throw this->refusal(work, "no upstream can be connected");
+    throw this->refusal(PickOutcome::NoUpstream, "no upstream can be connected");
 }
 
 std::unique_ptr<UpstreamCall> UpstreamDialer::sendTo(const AdmittedWork &work, const PlacedRun &place, ForwardTerms terms, AttemptState &attempts) const
--- a/Libraries/LibForward/UpstreamDialer.h
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -56,8 +56,8 @@
 
     PlacementNeed needOf(const AdmittedWork &work, const AttemptState &attempts) const;
 
-    /** Refusal for lack of room, with a time to come back that is spread so that callers don't return together. */
-    Error refusal(const AdmittedWork &work, const std::string &message) const;
+    /** Refusal of a request that found no place, with a time to come back. */
+    Error refusal(PickOutcome outcome, const std::string &message) const;
 
 private:
     PlacedRun awaitPlace(const AdmittedWork &work, const AttemptState &attempts, CallerChannel &caller) const;
--- a/Libraries/LibGateway/RequestAdmission.cpp
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/RequestAdmission.h>
 
 #include <LibCore/Error.h>
+#include <LibGateway/ReturnAdvice.h>
 #include <LibGateway/WorkPlacer.h>
 
 #include <fmt/format.h>
@@ -11,9 +12,6 @@
 
 namespace {
 
-/** Time until a node that starts has read its configuration. */
-constexpr Duration startRetryAfter = milliseconds(500);
-
 [[noreturn]] void refuse(ResultCode code, const std::string &message)
 {
     throw Error(code, RunState::NotRun, message);
@@ -51,7 +49,7 @@
 AdmittedWork RequestAdmission::admit(WorkRequest request, std::shared_ptr<const GatewayConfig> config) const
 {
     if (!config) {
-        throw Error(ResultCode::NodeStarting, RunState::NotRun, "the node hasn't read its configuration", startRetryAfter);
+        throw Error(ResultCode::NodeStarting, RunState::NotRun, "the node hasn't read its configuration", ReturnAdvice(this->random).whenUnknown());
     }
     AdmittedWork work;
     work.route = config->findRoute(request.host, pathOf(request.target));
--- /dev/null
+++ b/Libraries/LibGateway/ReturnAdvice.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibCore/RandomSource.h>
+#include <LibCore/Time.h>
+
+namespace Lovageward {
+
+/**
+ * When a refused caller should come back. Times are spread, so that callers that were refused together don't return together. Callers have few
+ * tries, so where the cause lasts for seconds they are told to come back late. Answers the load patterns of full engines and of a restart of all
+ * nodes, after which upstreams register anew.
+ */
+class ReturnAdvice
+{
+public:
+    explicit ReturnAdvice(RandomSource &random) : random(random)
+    {
+    }
+
+    /** All upstreams are full: an engine ends a run a few times a second. */
+    Duration whenFull() const;
+
+    /** No configuration or no upstream is known: both come back within about two seconds of the store's return. */
+    Duration whenUnknown() const;
+
+private:
+    Duration between(Duration shortest, Duration longest) const;
+
+    RandomSource &random;
+};
+
+}
--- a/Tests/LibGateway/TestLimits.cpp
+++ b/Tests/LibGateway/TestLimits.cpp
@@ -1,9 +1,12 @@
 #include "GatewayFixture.h"
 
 #include <LibGateway/RetryAllowance.h>
+#include <LibGateway/ReturnAdvice.h>
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace Lovageward;
 
 TEST_CASE("A failing pool: the repeats of all nodes stay within the budget")
@@ -56,3 +59,22 @@
     clock.advance(seconds(20));
     CHECK(health.failureShare(upstream) < 0.01);
 }
+
+TEST_CASE("Callers that are refused together are told to return apart, and late where the cause lasts for seconds")
+{
+    SeededRandom random(3);
+    ReturnAdvice advice(random);
+    std::array<int, 10> full {};
+    for (int caller = 0; caller < 1000; ++caller) {
+        auto whenFull = advice.whenFull();
+        CHECK(whenFull >= milliseconds(200));
+        CHECK(whenFull < milliseconds(900));
+        ++full[static_cast<std::size_t>((whenFull - milliseconds(200)) / milliseconds(70))];
+        CHECK(advice.whenUnknown() >= seconds(1));
+        // A third of the shortest wait that callers of the sheets have, four seconds.
+        CHECK(advice.whenUnknown() <= milliseconds(1333));
+    }
+    for (auto callers : full) {
+        CHECK(callers < 200);
+    }
+}
