LibGateway: Let a peer count as gone by the interval of its digests

Cause: with more than 150 peers a digest comes less often than every 3 s, after which a peer counted as gone: loads and the number of nodes would flicker, and with them the shares of the cold bound. Found by arithmetic for docs/CAPACITY.md.

Change: interval and lifetime of digests are functions of the number of peers, beside the digest; a peer counts as gone after three missed digests, at the earliest after 3 s.

Measured: a test for 5, 65 and 340 peers; nothing changes for up to 50 peers.

--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-/** Interval of digests: a placement should see what its peers placed before the engine has read the prompt. */
-constexpr Duration shortestInterval = milliseconds(250);
-
-/** With many peers the interval grows, so that a node receives about 50 digests a second at the most. */
-constexpr Duration intervalPerPeer = milliseconds(20);
-
 /** Nodes that read the store for all tell how fresh their reads are so often (see PeerTable). */
 constexpr Duration readerInterval = milliseconds(300);
 
@@ -101,7 +95,7 @@
     auto peers = static_cast<int>(targets.size());
     this->earliestNext = now + pausePerPeer * peers;
     if (isForAll) {
-        auto interval = std::max<Duration>(shortestInterval, intervalPerPeer * peers);
+        auto interval = digestInterval(targets.size());
         auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
         this->allAt = now + (isReader ? std::min(interval, readerInterval) : interval);
     }
@@ -153,7 +147,7 @@
         if (this->parts.peers.heard(sender, digest)) {
             this->parts.events.write("peer", { { "peer", digest.host.value() }, { "address", sender } });
         }
-        this->parts.book.applyPeer(digest.host, digest.shares);
+        this->parts.book.applyPeer(digest.host, digest.shares, this->parts.peers.heardUntil());
         for (const auto &address : digest.peers) {
             this->parts.peers.learn(address);
         }
--- a/Libraries/LibGateway/LoadBook.cpp
+++ b/Libraries/LibGateway/LoadBook.cpp
@@ -92,11 +92,13 @@
     return shares;
 }
 
-void LoadBook::applyPeer(const HostId &peer, const std::vector<LoadShare> &shares)
+void LoadBook::applyPeer(const HostId &peer, const std::vector<LoadShare> &shares, TimePoint validUntil)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    std::erase_if(this->peers, [&](const auto &known) { return now >= known.second.validUntil; });
     auto &entry = this->peers[peer];
-    entry.validUntil = this->clock.now() + peerLifetime;
+    entry.validUntil = validUntil;
     entry.loads.clear();
     for (const auto &share : shares) {
         entry.loads[share.upstreamHash] = share.load;
--- a/Libraries/LibGateway/LoadBook.h
+++ b/Libraries/LibGateway/LoadBook.h
@@ -68,8 +68,8 @@
     /** Load of this node alone, upstreams without work left out. */
     std::vector<LoadShare> ownShares() const;
 
-    /** Replaces what the peer said before. */
-    void applyPeer(const HostId &peer, const std::vector<LoadShare> &shares);
+    /** Replaces what the peer said before. It counts until `validUntil`. */
+    void applyPeer(const HostId &peer, const std::vector<LoadShare> &shares, TimePoint validUntil);
 
     /** Peers that were heard lately. */
     std::size_t livePeers() const;
@@ -77,9 +77,6 @@
     /** Up to so many peers tell each other of each change at once; beyond it only those of one failure domain do (see PeerTable). */
     static constexpr std::size_t fewPeers = 12;
 
-    /** Peer shares older than this count as gone, in line with the peers' death. */
-    static constexpr Duration peerLifetime = seconds(3);
-
     static std::uint64_t hashOf(const UpstreamId &upstream);
 
 private:
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -13,6 +13,13 @@
 constexpr std::size_t mostShares = 64;
 constexpr std::size_t mostPeers = 8;
 
+/** A placement should see what its peers placed before the engine has read the prompt. */
+constexpr Duration shortestInterval = milliseconds(250);
+constexpr Duration intervalPerPeer = milliseconds(20);
+
+/** Shortest time after which a silent peer counts as gone. */
+constexpr Duration shortestLifetime = seconds(3);
+
 /** Older reads are told as this old. */
 constexpr Duration longestAge = minutes(1);
 
@@ -27,6 +34,16 @@
 
 }
 
+Duration digestInterval(std::size_t peers)
+{
+    return std::max<Duration>(shortestInterval, intervalPerPeer * static_cast<int>(peers));
+}
+
+Duration digestLifetime(std::size_t peers)
+{
+    return std::max<Duration>(shortestLifetime, 3 * digestInterval(peers));
+}
+
 std::string encodeDigest(const PeerDigest &digest)
 {
     MessageWriter writer;
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -28,6 +28,12 @@
     std::vector<std::string> peers;
 };
 
+/** Pause between two digests to all of so many peers: it grows, so that a node receives about 50 digests a second at the most. */
+Duration digestInterval(std::size_t peers);
+
+/** A peer that wasn't heard for so long is gone or cut off; two digests may be lost before. */
+Duration digestLifetime(std::size_t peers);
+
 /** msgpack, at most one datagram. */
 std::string encodeDigest(const PeerDigest &digest);
 
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** A peer sends several times a second, so three seconds of silence mean that it is gone or cut off. */
-constexpr Duration liveTime = seconds(3);
-
 /** Nodes that read each topic for all; the second one covers the loss of the first. */
 constexpr std::size_t readersPerTopic = 2;
 
@@ -48,7 +45,7 @@
     auto now = this->clock.now();
     auto &peer = this->peers[address];
     auto isNew = now >= peer.liveUntil;
-    peer.liveUntil = now + liveTime;
+    peer.liveUntil = now + digestLifetime(this->peers.size());
     peer.forgetAt = now + forgetTime;
     peer.host = digest.host;
     peer.failureDomain = digest.failureDomain;
@@ -120,6 +117,12 @@
     return all.size() <= LoadBook::fewPeers ? all : near;
 }
 
+TimePoint PeerTable::heardUntil() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->clock.now() + digestLifetime(this->peers.size());
+}
+
 std::vector<std::string> PeerTable::live(std::size_t most) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -45,6 +45,9 @@
      */
     std::vector<std::string> nearTargets() const;
 
+    /** What was heard from a peer now counts until then. */
+    TimePoint heardUntil() const;
+
     /** Some peers that were heard lately, in random order. */
     std::vector<std::string> live(std::size_t most) const;
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -92,7 +92,7 @@
     void addPeers(std::size_t count)
     {
         for (std::size_t peer = 0; peer < count; ++peer) {
-            this->book.applyPeer(HostId(fmt::format("peer-{}", peer)), {});
+            this->book.applyPeer(HostId(fmt::format("peer-{}", peer)), {}, this->clock.now() + seconds(100));
         }
     }
 };
--- a/Tests/LibGateway/TestLoadBook.cpp
+++ b/Tests/LibGateway/TestLoadBook.cpp
@@ -48,17 +48,18 @@
     ManualClock clock;
     LoadBook book(clock);
     UpstreamId engine("e1");
-    book.applyPeer(HostId("p1"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 2, 7000, 3000 } } });
-    book.applyPeer(HostId("p2"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 1, 4000, 0 } } });
+    auto until = clock.now() + seconds(3);
+    book.applyPeer(HostId("p1"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 2, 7000, 3000 } } }, until);
+    book.applyPeer(HostId("p2"), { LoadShare { LoadBook::hashOf(engine), UpstreamLoad { 1, 4000, 0 } } }, until);
     CHECK(book.load(engine).runs == 3);
     CHECK(book.load(engine).peakTokens == Approx(11000));
     CHECK(book.load(engine).unreadTokens == Approx(3000));
     CHECK(book.livePeers() == 2);
 
-    book.applyPeer(HostId("p1"), {});
+    book.applyPeer(HostId("p1"), {}, until);
     CHECK(book.load(engine).runs == 1);
 
-    clock.advance(LoadBook::peerLifetime);
+    clock.advance(seconds(3));
     CHECK(book.load(engine).runs == 0);
     CHECK(book.livePeers() == 0);
 }
@@ -108,3 +109,12 @@
         CHECK_THROWS_AS(decodeDigest(bytes), Error);
     }
 }
+
+TEST_CASE("Many nodes: digests come seldom, and a peer counts as gone only after it missed some")
+{
+    for (std::size_t peers : { 5, 65, 340 }) {
+        CHECK(digestLifetime(peers) >= 2 * digestInterval(peers));
+        CHECK(static_cast<double>(peers) / std::chrono::duration<double>(digestInterval(peers)).count() <= 50.1);
+    }
+    CHECK(digestLifetime(7) == seconds(3));
+}
--- a/Tests/LibGateway/TestWorkPlacer.cpp
+++ b/Tests/LibGateway/TestWorkPlacer.cpp
@@ -92,7 +92,7 @@
             busy.push_back(LoadShare { LoadBook::hashOf(UpstreamId(id)), UpstreamLoad { 5, 20'000, 0 } });
         }
         world.registry.put(upstreamRecord("empty", "b1"));
-        world.book.applyPeer(HostId("peer-0"), busy);
+        world.book.applyPeer(HostId("peer-0"), busy, world.clock.now() + seconds(100));
         auto placed = placer.place(world.need());
         REQUIRE(placed.outcome == PickOutcome::Picked);
         toEmpty += placed.run.upstream.id == UpstreamId("empty") ? 1 : 0;
