LibForward: Never write an answer into a stream that has begun

Change: a caller's channel that streams closes instead of writing another answer.

Measured: a test on the channel itself.

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -191,6 +191,10 @@
 
 bool CallerChannel::sendAnswer(int status, const std::string &reason, const HeaderFields &fields, const std::string &body, bool keepsOpen)
 {
+    if (this->isStreaming) {
+        this->abort();
+        return false;
+    }
     auto bytes = answerHead(status, reason, fields);
     fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n{}\r\n", body.size(), keepsOpen ? "" : "Connection: close\r\n");
     bytes += body;
@@ -199,6 +203,7 @@
 
 bool CallerChannel::beginStream(int status, const std::string &reason, const HeaderFields &fields, bool keepsOpen)
 {
+    this->isStreaming = true;
     auto bytes = answerHead(status, reason, fields);
     fmt::format_to(std::back_inserter(bytes), "Transfer-Encoding: chunked\r\n{}\r\n", keepsOpen ? "" : "Connection: close\r\n");
     return this->channel.write(bytes, this->clock.now() + writeLimit);
@@ -214,6 +219,7 @@
 
 bool CallerChannel::endStream()
 {
+    this->isStreaming = false;
     return this->channel.write("0\r\n\r\n", this->clock.now() + writeLimit);
 }
 
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -69,7 +69,7 @@
     /** True if the caller closed its connection. Doesn't wait. */
     bool isGone();
 
-    /** Writes a whole answer. Returns false if the caller is gone. */
+    /** Writes a whole answer. Returns false if the caller is gone, or if a stream has begun, into which no other answer may be written. */
     bool sendAnswer(int status, const std::string &reason, const HeaderFields &fields, const std::string &body, bool keepsOpen);
 
     /** Begins an answer of unknown length, which endStream() completes. */
@@ -98,6 +98,8 @@
     const DrainNotice &drain;
     SocketChannel channel;
     bool hasEnded = false;
+    /** Between beginStream() and endStream(). */
+    bool isStreaming = false;
 };
 
 }
--- a/Tests/LibForward/TestStreamForwarding.cpp
+++ b/Tests/LibForward/TestStreamForwarding.cpp
@@ -297,3 +297,22 @@
     ended.await();
     CHECK(engine.requests().size() == 1);
 }
+
+TEST_CASE("No answer can be written into a stream that has begun")
+{
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::StreamSocket caller(listener.address());
+    SystemClock clock;
+    ConfigHolder config;
+    DrainNotice drain;
+    CallerChannel channel(clock, config, drain, listener.acceptConnection());
+    CHECK(channel.beginStream(200, "OK", {}, true));
+    CHECK_FALSE(channel.sendAnswer(502, "Bad Gateway", {}, "failure", true));
+    std::string received(4096, '\0');
+    std::string all;
+    while (auto count = caller.receiveBytes(received.data(), static_cast<int>(received.size()))) {
+        all.append(received, 0, static_cast<std::size_t>(count));
+    }
+    CHECK(all.find("failure") == std::string::npos);
+    CHECK_FALSE(all.ends_with("0\r\n\r\n"));
+}
