LibForward: Refuse requests that a stopping node could not answer

Change: a stopping node refuses, as not run, what could not be answered within three target latencies before it ends; streams were refused so before.

--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -16,6 +16,9 @@
 /** Time to the first token of such a stream. */
 constexpr Duration timeToFirstToken = milliseconds(800);
 
+/** A whole answer is there after so many target latencies, also when a second upstream is tried. */
+constexpr int plainTargets = 3;
+
 /** A caller that is refused by a node that ends finds another node at once. */
 constexpr Duration shutdownRetryAfter = milliseconds(50);
 
@@ -78,11 +81,12 @@
 void GatewayConnection::checkShutdown(const AdmittedWork &work) const
 {
     const auto &drain = this->context.parts.drain;
-    if (!drain.isBegun() || !work.route->isStream) {
+    if (!drain.isBegun()) {
         return;
     }
     auto tokens = work.footprint.expectedOutputTokens;
-    auto needed = timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * tokens);
+    auto forStream = timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * tokens);
+    auto needed = work.route->isStream ? forStream : plainTargets * work.route->targetLatency;
     if (this->context.parts.clock.now() + needed > drain.endsAt()) {
         throw Error(ResultCode::ShuttingDown, RunState::NotRun, "the node ends before the answer would", shutdownRetryAfter);
     }
--- a/Tests/LibForward/TestPlainForwarding.cpp
+++ b/Tests/LibForward/TestPlainForwarding.cpp
@@ -229,3 +229,19 @@
     CHECK(answer.find("ShuttingDown") != std::string::npos);
     CHECK(answer.find("Retry-After") != std::string::npos);
 }
+
+// Found by a hunt on evcilkare, copies-that-are-missing seed 849932746356: LOST, a lookup taken 7.1 s after SIGTERM was cut at the end.
+TEST_CASE("A draining node refuses a request that it could not answer before it ends")
+{
+    ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) { connection.answer(200, request, "done"); });
+    GatewayWorld world;
+    world.add("s1", upstream, "services");
+    // The route's target latency is 800 ms.
+    world.drain.begin(world.clock.now() + milliseconds(1000));
+    RawCaller caller(world);
+    caller.request("/plain/look", "r1");
+    auto answer = caller.readAll();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("\"not_run\"") != std::string::npos);
+    CHECK(upstream.requests().empty());
+}
