LibHttp: Bound the whole exchange by its deadline

Cause: POCO's timeouts start anew with each receive, so a head or a chunk size that arrives byte by byte outlived the deadline. Change: DeadlineSocket, a socket implementation that asks the clock before each send and receive; ClientSession sets its deadline once a call. Test: TestDeadlineSocket; 'The deadline of an exchange bounds its whole head' failed before (no exception) and passes now.

--- a/Libraries/LibHttp/ClientSession.cpp
+++ b/Libraries/LibHttp/ClientSession.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Lovageward {
 
@@ -23,7 +24,8 @@
     return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(time.count()));
 }
 
-ClientSession::ClientSession(const Clock &clock, const Poco::Net::StreamSocket &connected) : Poco::Net::HTTPClientSession(connected), clock(clock)
+ClientSession::ClientSession(const Clock &clock, Poco::AutoPtr<DeadlineSocket> connected)
+    : Poco::Net::HTTPClientSession(Poco::Net::StreamSocket(connected.duplicate())), clock(clock), connection(std::move(connected))
 {
     this->setKeepAlive(true);
     this->setKeepAliveTimeout(Poco::Timespan(longestKeepAliveSeconds, 0));
@@ -31,22 +33,15 @@
 
 std::unique_ptr<ClientSession> ClientSession::connect(const Clock &clock, const std::string &address, TimePoint deadline)
 {
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(address), toTimespan(std::max(deadline - clock.now(), shortestWait)));
-    socket.setNoDelay(true);
-    return std::make_unique<ClientSession>(clock, socket);
-}
-
-void ClientSession::limitWaits(TimePoint deadline)
-{
-    auto timeout = toTimespan(std::max(deadline - this->clock.now(), shortestWait));
-    this->socket().setSendTimeout(timeout);
-    this->socket().setReceiveTimeout(timeout);
+    Poco::AutoPtr<DeadlineSocket> connection(new DeadlineSocket(clock));
+    connection->connect(Poco::Net::SocketAddress(address), toTimespan(std::max(deadline - clock.now(), shortestWait)));
+    connection->setNoDelay(true);
+    return std::make_unique<ClientSession>(clock, std::move(connection));
 }
 
 std::istream &ClientSession::exchange(Poco::Net::HTTPRequest &request, const std::string &body, Poco::Net::HTTPResponse &response, TimePoint deadline)
 {
-    this->limitWaits(deadline);
+    this->connection->setDeadline(deadline);
     request.setKeepAlive(true);
     auto &output = this->sendRequest(request);
     output.write(body.data(), static_cast<std::streamsize>(body.size()));
@@ -54,13 +49,12 @@
     if (!output.good()) {
         throw Poco::Net::ConnectionResetException("the connection broke while the request was written");
     }
-    this->limitWaits(deadline);
     return this->receiveResponse(response);
 }
 
 bool ClientSession::readSome(std::istream &stream, std::string &target, TimePoint deadline)
 {
-    this->limitWaits(deadline);
+    this->connection->setDeadline(deadline);
     this->clearException();
     stream.clear();
     if (stream.peek() == std::istream::traits_type::eof()) {
--- a/Libraries/LibHttp/ClientSession.h
+++ b/Libraries/LibHttp/ClientSession.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibHttp/DeadlineSocket.h>
 
+#include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -16,15 +18,15 @@
 Poco::Timespan toTimespan(Duration time);
 
 /**
- * POCO's client session on one connection, with a deadline before each wait. It knows no host, so POCO can't reconnect and send a request
- * twice by itself. The deadline counts for each receive: bytes that arrive drop by drop within a message head or a chunk's size can extend it.
+ * POCO's client session on one connection, with a deadline for each call as a whole, however its bytes arrive. It knows no host, so POCO can't
+ * reconnect and send a request twice by itself.
  *
  * All functions throw Poco::TimeoutException when the deadline has passed, and another Poco::Exception when the connection broke.
  */
 class ClientSession final : public Poco::Net::HTTPClientSession
 {
 public:
-    ClientSession(const Clock &clock, const Poco::Net::StreamSocket &connected);
+    ClientSession(const Clock &clock, Poco::AutoPtr<DeadlineSocket> connected);
 
     /** Connects to "IP:port". */
     static std::unique_ptr<ClientSession> connect(const Clock &clock, const std::string &address, TimePoint deadline);
@@ -48,10 +50,8 @@
     bool isUnusable();
 
 private:
-    /** Lets the next waits end at the deadline. */
-    void limitWaits(TimePoint deadline);
-
     const Clock &clock;
+    Poco::AutoPtr<DeadlineSocket> connection;
 };
 
 }
