LibPeer: Close connections away from request threads

Cause: nng 1.5.2 can block for ever in nng_close when an answer arrives while the socket closes; its reaper thread then waits for an operation that nobody completes, and every later close waits for the reaper. Request threads closed failed connections at once, so all of them ended up in the same wait, and a shutdown waited for them. Change: DelayedCloser closes sockets on a thread of its own, 2 s after their last use, and its stop is bounded. Workers no longer depend on the close of their socket to end. Conclusion: the fault is in the library and can still block a close; then closes are abandoned with an error line and nothing else waits.

--- a/Libraries/LibPeer/NngPeerTransport.cpp
+++ b/Libraries/LibPeer/NngPeerTransport.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Error.h>
+#include <LibPeer/DelayedCloser.h>
 #include <LibPeer/NngPeerTransport.h>
 #include <LibPeer/PeerEnvelope.h>
 
@@ -7,6 +8,7 @@
 #include <nng/protocol/reqrep0/req.h>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -19,6 +21,12 @@
 // A restarted peer should be reachable within one probe period.
 constexpr nng_duration minimumReconnectMilliseconds = 50;
 constexpr nng_duration maximumReconnectMilliseconds = 200;
+// An answer that arrives while nng closes its socket can block the close for ever, so a socket is closed only when late answers are unlikely.
+constexpr auto closeDelay = seconds(2);
+// Bound of the closes at a stop; nng closes a socket in far less than a millisecond unless it is blocked.
+constexpr auto stopLimit = seconds(2);
+// A worker whose socket doesn't close ends after this time.
+constexpr nng_duration workerCheckMilliseconds = 1'000;
 // nng counts its own headers against the limit.
 constexpr std::size_t receiveLimit = maximumPeerMessageBytes + 64;
 
@@ -126,11 +134,11 @@
 
 }
 
-/** One socket with one dialer. The socket is closed when its last user is done. */
+/** One socket with one dialer. The closer gets the socket when its last user is done. */
 class NngPeerTransport::Connection
 {
 public:
-    explicit Connection(const PeerAddress &address)
+    Connection(const PeerAddress &address, const Clock &clock, DelayedCloser &closer) : clock(clock), closer(closer)
     {
         check(nng_req0_open(&this->socket), ResultCode::PeerUnreachable, "no nng socket");
         nng_socket_set_size(this->socket, NNG_OPT_RECVMAXSZ, receiveLimit);
@@ -150,7 +158,7 @@
 
     ~Connection()
     {
-        nng_close(this->socket);
+        this->closer.runAt(this->clock.now() + closeDelay, [socket = this->socket] { nng_close(socket); });
     }
 
     nng_socket handle() const
@@ -159,6 +167,8 @@
     }
 
 private:
+    const Clock &clock;
+    DelayedCloser &closer;
     nng_socket socket = NNG_SOCKET_INITIALIZER;
 };
 
@@ -166,7 +176,7 @@
 {
 public:
     Implementation(const Clock &clock, LogSink &sink, PeerRouter &router, const NngPeerTransportOptions &options)
-        : clock(clock), logger(sink, "peer"), router(router), options(options)
+        : clock(clock), logger(sink, "peer"), router(router), options(options), closer(clock, sink)
     {
     }
 
@@ -188,17 +198,21 @@
 
     void stop()
     {
+        if (this->isStopped.exchange(true)) {
+            return;
+        }
         if (this->isListening) {
-            this->isListening = false;
-            nng_close(this->server);
+            this->closer.runAt(this->clock.now(), [server = this->server] { nng_close(server); });
         }
         for (auto &worker : this->workers) {
             worker.join();
         }
         this->workers.clear();
-        std::map<PeerAddress, Cached> closing;
-        std::lock_guard<std::mutex> guard(this->mutex);
-        closing.swap(this->connections);
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            this->connections.clear();
+        }
+        this->closer.stop(this->clock.now() + stopLimit);
     }
 
     std::string request(const PeerAddress &address, const PeerMessage &message, TimePoint deadline)
@@ -245,7 +259,7 @@
 
     std::shared_ptr<Connection> connectionTo(const PeerAddress &address)
     {
-        // An evicted connection is closed after the lock is released.
+        // The lock is not held while an evicted connection is handed to the closer.
         std::shared_ptr<Connection> evicted;
         std::lock_guard<std::mutex> guard(this->mutex);
         auto found = this->connections.find(address);
@@ -253,7 +267,7 @@
             if (this->connections.size() >= this->options.maximumConnections) {
                 evicted = this->takeLeastRecentlyUsed();
             }
-            found = this->connections.emplace(address, Cached { std::make_shared<Connection>(address), 0 }).first;
+            found = this->connections.emplace(address, Cached { std::make_shared<Connection>(address, this->clock, this->closer), 0 }).first;
         }
         found->second.lastUse = ++this->uses;
         return found->second.connection;
@@ -283,7 +297,7 @@
         try {
             Context context(this->server);
             Operation operation;
-            while (this->answerOne(context, operation)) {
+            while (!this->isStopped && this->answerOne(context, operation)) {
             }
         } catch (const Error &error) {
             this->logger.error("a worker stopped: {}", error.what());
@@ -293,10 +307,13 @@
     /** False once the socket is closed. */
     bool answerOne(const Context &context, Operation &operation)
     {
-        auto result = operation.receive(context.handle(), NNG_DURATION_INFINITE);
+        auto result = operation.receive(context.handle(), workerCheckMilliseconds);
         if (result == NNG_ECLOSED || result == NNG_ECANCELED) {
             return false;
         }
+        if (result == NNG_ETIMEDOUT) {
+            return true;
+        }
         if (result != 0) {
             this->logger.warning("can't receive: {}", nng_strerror(result));
             return true;
@@ -318,6 +335,8 @@
     std::uint64_t uses = 0;
     nng_socket server = NNG_SOCKET_INITIALIZER;
     bool isListening = false;
+    std::atomic<bool> isStopped = false;
+    DelayedCloser closer;
     std::vector<std::thread> workers;
 };
 
--- a/Libraries/LibPeer/NngPeerTransport.h
+++ b/Libraries/LibPeer/NngPeerTransport.h
@@ -23,7 +23,8 @@
 /**
  * PeerTransport over nng req/rep contexts on TCP. Every peer has a connection of its own, so a silent peer delays no other.
  * A connection whose request failed is dropped at once: the next request to that peer opens a new one, because a TCP
- * connection may stay silent for ever although new ones work. Requests are never sent twice by the transport.
+ * connection may stay silent for ever although new ones work. Requests are never sent twice by the transport. Sockets are closed by a thread of
+ * their own (DelayedCloser), because nng can block in a close; no requesting thread does.
  * Lock order: the mutex guards the connections only and is held for no I/O.
  */
 class NngPeerTransport final : public PeerTransport
@@ -38,7 +39,7 @@
      */
     PeerAddress listen(const PeerAddress &address);
 
-    /** Stops answering, waits for running handlers and closes all idle connections. Also done by the destructor. */
+    /** Stops answering, waits for running handlers and closes all connections within a bounded time. Also done by the destructor. */
     void stop();
 
     std::string request(const PeerAddress &address, const PeerMessage &message, TimePoint deadline) override;
--- a/Tests/LibPeer/TestNngPeerTransport.cpp
+++ b/Tests/LibPeer/TestNngPeerTransport.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <latch>
+#include <semaphore>
 #include <thread>
 
 using namespace Lovageward;
@@ -170,3 +171,24 @@
     CHECK(a.transport.connectionCount() == 8);
     CHECK(a.ask(peers.front()->address, "8", patience) == "p:a:8");
 }
+
+TEST_CASE("Requests that time out while answers arrive leave no thread in a close", "[peer]")
+{
+    constexpr std::size_t threads = 8;
+    constexpr int rounds = 400;
+    // Left behind if the check fails, because threads that never return still use them.
+    auto a = std::make_shared<Endpoint>("a");
+    auto b = std::make_shared<Endpoint>("b");
+    auto done = std::make_shared<std::counting_semaphore<threads>>(0);
+    for (std::size_t thread = 0; thread < threads; ++thread) {
+        std::thread([a, b, done] {
+            for (int round = 0; round < rounds; ++round) {
+                a->failure(b->address, "x", milliseconds(1 + round % 3));
+            }
+            done->release();
+        }).detach();
+    }
+    for (std::size_t thread = 0; thread < threads; ++thread) {
+        REQUIRE(done->try_acquire_for(patience));
+    }
+}
