LibNode: Watch the settings file in a class of its own

Cause: the reload had no test; its reading and comparing were part of the service's main file, and most settings that need a restart were not named. Change: SettingsWatch reads and compares, GatewayNode takes over seeds and grace time; all other changed settings are named in the reload line, a broken file in a reload_rejected line. Test: TestSettingsWatch.

--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -245,15 +245,20 @@
     return left == 0;
 }
 
-void GatewayNode::reload(const GatewaySettings &changed)
+void GatewayNode::settingsChanged(const GatewaySettings &changed)
 {
     auto &state = *this->implementation;
-    auto needsRestart = changed.listen != state.settings.listen || changed.host != state.settings.host || changed.store != state.settings.store;
     for (const auto &seed : changed.seeds) {
         state.peers.learn(seed);
     }
     state.settings.graceTime = changed.graceTime;
-    state.events.write("reload", { { "needs_restart", needsRestart }, { "seeds", changed.seeds.size() } });
+    auto needsRestart = settingsThatNeedRestart(state.settings, changed);
+    state.events.write("reload", { { "needs_restart", fmt::format("{}", fmt::join(needsRestart, ", ")) }, { "seeds", changed.seeds.size() } });
+}
+
+void GatewayNode::settingsRejected(const std::string &reason)
+{
+    this->implementation->events.write("reload_rejected", { { "reason", reason } });
 }
 
 }
--- a/Libraries/LibNode/GatewayNode.h
+++ b/Libraries/LibNode/GatewayNode.h
@@ -4,6 +4,7 @@
 #include <LibGateway/HostDirectory.h>
 #include <LibGateway/StateFeed.h>
 #include <LibNode/GatewaySettings.h>
+#include <LibNode/SettingsWatch.h>
 
 #include <memory>
 
@@ -20,12 +21,12 @@
 };
 
 /** A node that forwards callers' requests to upstreams: all parts wired together. */
-class GatewayNode
+class GatewayNode final : public SettingsListener
 {
 public:
     /** Throws Error(InvalidSettings) if an address can't be bound. */
     GatewayNode(const GatewaySettings &settings, const GatewaySurroundings &surroundings);
-    ~GatewayNode();
+    ~GatewayNode() override;
 
     GatewayNode(const GatewayNode &) = delete;
     GatewayNode &operator=(const GatewayNode &) = delete;
@@ -39,8 +40,9 @@
      */
     bool stop();
 
-    /** Takes over settings that can change while the node runs, and logs what needs a restart. */
-    void reload(const GatewaySettings &changed);
+    /** Takes over the seeds and the grace time, and logs what needs a restart. */
+    void settingsChanged(const GatewaySettings &changed) override;
+    void settingsRejected(const std::string &reason) override;
 
 private:
     class Implementation;
--- a/Services/lovageward/GatewayMain.cpp
+++ b/Services/lovageward/GatewayMain.cpp
@@ -1,8 +1,8 @@
 #include "GatewayMain.h"
 
-#include <LibCore/Error.h>
 #include <LibCore/SystemClock.h>
 #include <LibNode/GatewayNode.h>
+#include <LibNode/SettingsWatch.h>
 #include <platform/PlatformDecoder.h>
 #include <platform/PlatformProtocol.h>
 #include <platform/PlatformStore.h>
@@ -12,9 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
-#include <fstream>
 #include <pthread.h>
-#include <sstream>
 
 namespace Lovageward {
 
@@ -23,24 +21,10 @@
 /** The settings file is compared so often, because it may change without a signal. */
 constexpr time_t settingsCheckSeconds = 1;
 
-std::string readSettingsFile()
+SettingsWatch watchSettings(const std::vector<std::string> &arguments)
 {
     const auto *path = std::getenv("LOVAGEWARD_CONFIG");
-    if (path == nullptr) {
-        return {};
-    }
-    std::ifstream file(path);
-    if (!file) {
-        throw Error(ResultCode::InvalidSettings, RunState::NotRun, fmt::format("the settings file {} can't be read", path));
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-GatewaySettings settingsOf(const std::string &file, const std::vector<std::string> &arguments)
-{
-    return readGatewaySettings(file, arguments, [](const std::string &name) { return std::getenv(name.c_str()); });
+    return { path == nullptr ? "" : path, arguments, [](const std::string &name) { return std::getenv(name.c_str()); } };
 }
 
 sigset_t blockSignals()
@@ -54,22 +38,8 @@
     return signals;
 }
 
-void reloadIfChanged(GatewayNode &node, std::string &file, const std::vector<std::string> &arguments)
-{
-    try {
-        auto current = readSettingsFile();
-        if (current != file) {
-            node.reload(settingsOf(current, arguments));
-            file = std::move(current);
-        }
-    } catch (const Error &error) {
-        // The file may be read while it is written; the node goes on with what it has.
-        fmt::print(stderr, "gateway: the changed settings are not used: {}\n", error.what());
-    }
-}
-
 /** Returns when the process is told to stop. */
-void waitForStop(const sigset_t &signals, GatewayNode &node, std::string &file, const std::vector<std::string> &arguments)
+void waitForStop(const sigset_t &signals, GatewayNode &node, SettingsWatch &settings)
 {
     while (true) {
         timespec pause { settingsCheckSeconds, 0 };
@@ -77,7 +47,7 @@
         if (received == SIGTERM || received == SIGINT) {
             return;
         }
-        reloadIfChanged(node, file, arguments);
+        settings.check(node);
     }
 }
 
@@ -85,8 +55,8 @@
 
 int runGateway(const std::vector<std::string> &arguments, bool isCheckOnly)
 {
-    auto file = readSettingsFile();
-    auto settings = settingsOf(file, arguments);
+    auto watch = watchSettings(arguments);
+    auto settings = watch.readFirst();
     if (isCheckOnly) {
         fmt::print("The settings are valid.\n");
         return 0;
@@ -101,7 +71,7 @@
     PlatformStore directoryStore(clock, settings.store);
     GatewayNode node(settings, { protocol, decoder, operatorStore, upstreamStore, directoryStore });
     node.start();
-    waitForStop(signals, node, file, arguments);
+    waitForStop(signals, node, watch);
     node.stop();
     // Connections that are idle or whose request was cut still have threads. Nothing is kept on disk, so the process ends without waiting for them.
     std::fflush(nullptr);
