LibForward: Log the first event and the longest pause of each stream

Cause: a late stream's log lines didn't say whether its first event or a pause made it late. Change: stream_end bears first_ms, longest_pause_ms and the event before which the pause was.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -31,7 +31,7 @@
 }
 
 StreamRelay::StreamRelay(const ForwardParts &parts, const UpstreamDialer &dialer, const AdmittedWork &work, CallerChannel &caller, bool keepsOpen)
-    : parts(parts), dialer(dialer), work(work), caller(caller), keepsOpen(keepsOpen), events(maximumEventBytes)
+    : parts(parts), dialer(dialer), work(work), caller(caller), keepsOpen(keepsOpen), events(maximumEventBytes), pace(parts.clock, work.request.arrivedAt)
 {
     if (work.request.lastEventId) {
         this->events.continueAfter(*work.request.lastEventId);
@@ -53,8 +53,11 @@
         this->parts.events.write("stream_end",
                                  { { "request", this->work.request.id.value() },
                                    { "upstream", this->place.upstream.id.value() },
-                                   { "events", this->eventsSent },
-                                   { "whole", outcome == Step::Complete } });
+                                   { "events", this->pace.events() },
+                                   { "whole", outcome == Step::Complete },
+                                   { "first_ms", this->pace.firstAfter() / milliseconds(1) },
+                                   { "longest_pause_ms", this->pace.longestPause() / milliseconds(1) },
+                                   { "pause_before_event", this->pace.longestPauseBefore() } });
         return outcome == Step::Complete ? StreamEnd::Complete : StreamEnd::CutOff;
     }
 }
@@ -143,7 +146,7 @@
 bool StreamRelay::isSilent() const
 {
     auto canContinue = this->backup.has_value() || this->work.route->isResumable;
-    return canContinue && this->eventsSent > 0 && this->parts.clock.now() - this->lastEventAt > silenceLimit;
+    return canContinue && this->pace.events() > 0 && this->parts.clock.now() - this->lastEventAt > silenceLimit;
 }
 
 void StreamRelay::awaitChange()
@@ -227,13 +230,13 @@
                 this->call->cancel();
                 throw CallerGone();
             }
-            ++this->eventsSent;
-            if (this->eventsSent == 1) {
+            this->pace.eventSent();
+            if (this->pace.events() == 1) {
                 this->parts.placements.loadChanged();
             }
             this->lastEventAt = this->parts.clock.now();
             if (this->work.pool->engine) {
-                this->place.booking->progress(static_cast<double>(this->eventsSent) * this->work.pool->engine->tokensPerEvent);
+                this->place.booking->progress(static_cast<double>(this->pace.events()) * this->work.pool->engine->tokensPerEvent);
             }
         }
     } catch (const Error &error) {
@@ -245,7 +248,7 @@
 
 StreamRelay::Step StreamRelay::finishCall()
 {
-    if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->eventsSent > 0) {
+    if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->pace.events() > 0) {
         this->parts.health.succeeded(this->place.upstream.id);
         this->learnLength();
         return this->caller.endStream() ? Step::Complete : Step::CutOff;
@@ -256,7 +259,7 @@
 void StreamRelay::learnLength()
 {
     if (this->work.pool->engine) {
-        auto length = static_cast<double>(this->eventsSent) * this->work.pool->engine->tokensPerEvent;
+        auto length = static_cast<double>(this->pace.events()) * this->work.pool->engine->tokensPerEvent;
         this->parts.forecast.learn(this->work.route->id, this->work.request.expectedOutputTokens, length);
     }
 }
@@ -273,7 +276,7 @@
                              { { "request", this->work.request.id.value() },
                                { "upstream", this->place.upstream.id.value() },
                                { "reason", reason },
-                               { "events", this->eventsSent },
+                               { "events", this->pace.events() },
                                { "has_backup", this->backup.has_value() },
                                { "leaving", this->leavingSince.has_value() } });
     this->call->cancel();
@@ -293,7 +296,7 @@
 
 bool StreamRelay::continueFromCopy()
 {
-    if (!this->backup || this->eventsSent == 0) {
+    if (!this->backup || this->pace.events() == 0) {
         return false;
     }
     auto target = std::move(*this->backup);
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/RunMove.h>
 #include <LibForward/StreamForwarder.h>
+#include <LibForward/StreamPace.h>
 #include <LibForward/UpstreamDialer.h>
 #include <LibGateway/EventSequence.h>
 
@@ -91,7 +92,8 @@
     bool hasJudgedHead = false;
     /** The caller got the head of the answer. */
     bool hasBegun = false;
-    std::uint64_t eventsSent = 0;
+    StreamPace pace;
+    /** Last event, or the time from which the present call may be silent. */
     TimePoint lastEventAt;
     /** Since when the upstream is known to leave. */
     std::optional<TimePoint> leavingSince;
--- a/Libraries/LibForward/StreamRelayCarryOver.cpp
+++ b/Libraries/LibForward/StreamRelayCarryOver.cpp
@@ -32,7 +32,7 @@
         this->leavingSince = this->parts.clock.now();
     }
     // A run that has produced nothing has no memory to carry over.
-    if (this->eventsSent == 0 || this->move || this->takeover || this->askBackup()) {
+    if (this->pace.events() == 0 || this->move || this->takeover || this->askBackup()) {
         return Step::GoOn;
     }
     if (this->refusedTargets.size() < mostMoveTries) {
@@ -132,7 +132,7 @@
                              { { "request", this->work.request.id.value() },
                                { "from", this->place.upstream.id.value() },
                                { "to", isPlaced ? result.run.upstream.id.value() : std::string() },
-                               { "events", this->eventsSent } });
+                               { "events", this->pace.events() } });
     if (!isPlaced) {
         this->refusedTargets.resize(mostMoveTries);
         return;
