LibGateway: Tell new records of the store to all peers at once

Cause: a node that had just sent its digest to all peers kept the next one back for 5 ms a peer, 320 ms at 64 peers, although it told of an engine that leaves within 2 s. Change: DigestPacer decides who is told when; new records don't wait for the bound on changes of load.

--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-/** Nodes that read the store for all tell how fresh their reads are so often (see PeerTable). */
-constexpr Duration readerInterval = milliseconds(300);
-
-/** Placements are told at once, but a node sends at most about 200 digests a second altogether. */
-constexpr Duration pausePerPeer = milliseconds(5);
-
 /** The receiver looks so often whether it is to stop. */
 constexpr Duration receiveWait = seconds(1);
 
@@ -70,12 +64,17 @@
 
 void PeerExchange::recordsRead()
 {
-    // A drain must reach far peers as soon as near ones.
-    this->tellsAll = true;
-    this->loadChanged();
+    this->pacer.recordsRead();
+    this->wakeSender();
 }
 
 void PeerExchange::loadChanged()
+{
+    this->pacer.loadChanged();
+    this->wakeSender();
+}
+
+void PeerExchange::wakeSender()
 {
     auto *thread = this->sender.load();
     if (thread != nullptr) {
@@ -86,20 +85,14 @@
 TimePoint PeerExchange::step()
 {
     auto now = this->parts.clock.now();
-    if (now < this->earliestNext) {
-        return this->earliestNext;
-    }
-    auto isForAll = now >= this->allAt || this->tellsAll.exchange(false);
-    auto targets = isForAll ? this->parts.peers.targets() : this->parts.peers.nearTargets();
-    this->sendTo(targets);
-    auto peers = static_cast<int>(targets.size());
-    this->earliestNext = now + pausePerPeer * peers;
-    if (isForAll) {
-        auto interval = digestInterval(targets.size());
+    auto audience = this->pacer.due(now);
+    if (audience != DigestAudience::Nobody) {
+        auto targets = audience == DigestAudience::All ? this->parts.peers.targets() : this->parts.peers.nearTargets();
+        this->sendTo(targets);
         auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
-        this->allAt = now + (isReader ? std::min(interval, readerInterval) : interval);
+        this->pacer.sent(now, audience, targets.size(), isReader);
     }
-    return this->allAt;
+    return this->pacer.next();
 }
 
 void PeerExchange::sendTo(const std::vector<std::string> &targets)
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -5,6 +5,7 @@
 #include <LibCore/EventLog.h>
 #include <LibForward/CallerChannel.h>
 #include <LibForward/ForwardParts.h>
+#include <LibGateway/DigestPacer.h>
 #include <LibGateway/FeedFollower.h>
 #include <LibGateway/FeedMirror.h>
 #include <LibGateway/LoadBook.h>
@@ -63,6 +64,7 @@
     void take(std::string_view bytes, const std::string &sender);
     PeerDigest ownDigest() const;
     void sendTo(const std::vector<std::string> &targets);
+    void wakeSender();
 
     PeerExchangeParts parts;
     HostId host;
@@ -72,11 +74,7 @@
     std::atomic<TaskThread *> sender = nullptr;
     std::array<std::atomic<const FeedFollower *>, feedTopicCount> followers {};
     std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
-    /** No digest is sent before that, however much is placed. */
-    TimePoint earliestNext;
-    std::atomic<bool> tellsAll = false;
-    /** When all peers get the next digest. */
-    TimePoint allAt;
+    DigestPacer pacer;
     std::thread receiver;
 };
 
