LibGateway: Send new records of the store along with digests

Cause: after a digest that showed new records, 64 nodes pulled them from the reader at once; its control server has three threads, and kept-alive connections held them, so pulls timed out after 500 ms and nodes learned of an engine's leave up to 0.6 s after the reader, of 2 s notice. Change: records that a reader has just read travel with its digests in pieces of 1,200 bytes; followers apply them if none is missing before them, and pull only behind a gap. The control server closes a connection after its answer.

--- a/Libraries/LibForward/ControlServer.cpp
+++ b/Libraries/LibForward/ControlServer.cpp
@@ -120,6 +120,8 @@
         socket.listen(listenBacklog);
         Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
         params->setMaxThreads(threadsPerAddress);
+        // A connection that waits for its next request would hold one of the few threads.
+        params->setKeepAlive(false);
         ControlSources sources { this->readiness, this->counters, this->mirror, this->readinessPath };
         Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new ControlHandlerFactory(sources));
         this->servers.push_back(std::make_unique<Poco::Net::HTTPServer>(factory, socket, params));
--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -15,7 +15,6 @@
 /** The receiver looks so often whether it is to stop. */
 constexpr Duration receiveWait = seconds(1);
 
-constexpr std::size_t largestDatagram = 2048;
 constexpr std::size_t namedPeers = 4;
 
 }
@@ -54,7 +53,7 @@
     return digest;
 }
 
-void PeerExchange::setFollowers(const std::array<const FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads)
+void PeerExchange::setFollowers(const std::array<FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads)
 {
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
         this->followers[topic] = feeds[topic];
@@ -62,8 +61,14 @@
     }
 }
 
-void PeerExchange::recordsRead()
+void PeerExchange::recordsRead(const FeedPiece &piece)
 {
+    {
+        std::lock_guard<std::mutex> guard(this->piecesMutex);
+        for (auto &part : cutToSize(piece, largestPieceBytes)) {
+            this->pieces.push_back(std::move(part));
+        }
+    }
     this->pacer.recordsRead();
     this->wakeSender();
 }
@@ -88,16 +93,39 @@
     auto audience = this->pacer.due(now);
     if (audience != DigestAudience::Nobody) {
         auto targets = audience == DigestAudience::All ? this->parts.peers.targets() : this->parts.peers.nearTargets();
-        this->sendTo(targets);
+        for (const auto &digest : this->nextDigests()) {
+            this->sendTo(targets, digest);
+        }
         auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
         this->pacer.sent(now, audience, targets.size(), isReader);
     }
     return this->pacer.next();
 }
 
-void PeerExchange::sendTo(const std::vector<std::string> &targets)
+std::vector<PeerDigest> PeerExchange::nextDigests()
 {
-    auto bytes = encodeDigest(this->ownDigest());
+    std::vector<FeedPiece> unsent;
+    {
+        std::lock_guard<std::mutex> guard(this->piecesMutex);
+        unsent.swap(this->pieces);
+    }
+    auto state = this->ownDigest();
+    if (unsent.empty()) {
+        return { state };
+    }
+    std::vector<PeerDigest> digests;
+    for (auto &piece : unsent) {
+        // Peers don't ask for what comes with the digests after this one.
+        state.nextOffsets[static_cast<std::size_t>(piece.topic)] = piece.page.nextOffset;
+        state.piece = std::move(piece);
+        digests.push_back(state);
+    }
+    return digests;
+}
+
+void PeerExchange::sendTo(const std::vector<std::string> &targets, const PeerDigest &digest)
+{
+    auto bytes = encodeDigest(digest);
     for (const auto &target : targets) {
         try {
             this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(target));
@@ -110,7 +138,7 @@
 
 void PeerExchange::receive()
 {
-    std::array<char, largestDatagram> bytes {};
+    std::array<char, largestDigestBytes> bytes {};
     while (!this->isStopping) {
         try {
             Poco::Net::SocketAddress sender;
@@ -131,6 +159,12 @@
         if (digest.host == this->host) {
             return;
         }
+        if (digest.piece) {
+            auto *follower = this->followers[static_cast<std::size_t>(digest.piece->topic)].load();
+            if (follower != nullptr) {
+                follower->receive(std::move(*digest.piece));
+            }
+        }
         for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
             auto *thread = this->followerThreads[topic].load();
             if (thread != nullptr && digest.nextOffsets[topic] > this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic))) {
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -35,7 +35,8 @@
 
 /**
  * Sends this node's digest to its peers and takes theirs. Digests travel as datagrams: each one holds the whole state, so nothing is repeated,
- * and no connection can go silent. step() sends; a thread of its own receives.
+ * and no connection can go silent. Records of the store that this node has just read travel with them. step() sends; a thread of its own
+ * receives. Lock order: its mutex is a leaf lock.
  */
 class PeerExchange final : public PeriodicTask, public PlacementListener, public FeedListener
 {
@@ -48,7 +49,7 @@
 
     /** Sends the next digest soon. */
     void loadChanged() override;
-    void recordsRead() override;
+    void recordsRead(const FeedPiece &piece) override;
 
     /** Set once, before work is placed. */
     void setThread(TaskThread *thread)
@@ -57,13 +58,15 @@
     }
 
     /** The followers of the topics in their order, with their threads, which are woken when a peer has newer records. Set once, as above. */
-    void setFollowers(const std::array<const FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads);
+    void setFollowers(const std::array<FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads);
 
 private:
     void receive();
     void take(std::string_view bytes, const std::string &sender);
     PeerDigest ownDigest() const;
-    void sendTo(const std::vector<std::string> &targets);
+    /** One digest, or one for each piece of the records that were read. */
+    std::vector<PeerDigest> nextDigests();
+    void sendTo(const std::vector<std::string> &targets, const PeerDigest &digest);
     void wakeSender();
 
     PeerExchangeParts parts;
@@ -72,9 +75,12 @@
     Poco::Net::DatagramSocket socket;
     std::atomic<bool> isStopping = false;
     std::atomic<TaskThread *> sender = nullptr;
-    std::array<std::atomic<const FeedFollower *>, feedTopicCount> followers {};
+    std::array<std::atomic<FeedFollower *>, feedTopicCount> followers {};
     std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
     DigestPacer pacer;
+    std::mutex piecesMutex;
+    /** Records that the peers aren't told of yet. */
+    std::vector<FeedPiece> pieces;
     std::thread receiver;
 };
 
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -24,6 +24,9 @@
 /** Entries that lapsed during an outage are registered again within two seconds of its end. */
 constexpr Duration returnGrace = milliseconds(2300);
 
+/** Pieces that wait for the next step; more come only if a step is stuck at the store, and then the peers are asked. */
+constexpr std::size_t mostReceived = 64;
+
 std::string_view topicName(FeedTopic topic)
 {
     return topic == FeedTopic::Operators ? "operators" : "upstreams";
@@ -42,8 +45,45 @@
     return TimePoint(Duration(this->readAt.load()));
 }
 
+void FeedFollower::receive(FeedPiece piece)
+{
+    std::lock_guard<std::mutex> guard(this->receivedMutex);
+    if (this->received.size() < mostReceived) {
+        this->received.push_back(std::move(piece));
+    }
+}
+
+void FeedFollower::applyReceived()
+{
+    std::vector<FeedPiece> pieces;
+    {
+        std::lock_guard<std::mutex> guard(this->receivedMutex);
+        pieces.swap(this->received);
+    }
+    std::sort(pieces.begin(), pieces.end(), [](const auto &left, const auto &right) { return left.firstOffset < right.firstOffset; });
+    for (const auto &piece : pieces) {
+        auto known = this->targets.mirror.nextOffset(this->topic);
+        // Behind a gap only the sender's whole list shows what is missing.
+        if (this->isListed && piece.firstOffset <= known && known < piece.page.nextOffset) {
+            this->applyPage(piece.page);
+            this->events.write("peer_records",
+                               { { "topic", topicName(this->topic) }, { "records", piece.page.records.size() }, { "offset", piece.page.nextOffset } });
+        }
+    }
+}
+
+void FeedFollower::applyPage(const FeedPage &page)
+{
+    for (const auto &record : page.records) {
+        this->apply(record);
+    }
+    this->targets.mirror.advance(this->topic, page.nextOffset);
+    this->nextOffset = std::max(this->nextOffset, page.nextOffset);
+}
+
 TimePoint FeedFollower::step()
 {
+    this->applyReceived();
     try {
         if (!this->isListed) {
             this->list();
@@ -84,15 +124,13 @@
 
 void FeedFollower::follow()
 {
-    auto page = this->feed.readFrom(this->topic, this->nextOffset, this->pace.wait, this->clock.now() + this->pace.wait + answerLimit);
+    auto firstOffset = this->nextOffset;
+    auto page = this->feed.readFrom(this->topic, firstOffset, this->pace.wait, this->clock.now() + this->pace.wait + answerLimit);
     this->noteSuccess();
-    for (const auto &record : page.records) {
-        this->apply(record);
-    }
-    this->nextOffset = std::max(this->nextOffset, page.nextOffset);
-    this->targets.mirror.advance(this->topic, page.nextOffset);
-    if (!page.records.empty()) {
-        this->targets.listener.recordsRead();
+    auto isNews = page.nextOffset > this->targets.mirror.nextOffset(this->topic);
+    this->applyPage(page);
+    if (isNews && !page.records.empty()) {
+        this->targets.listener.recordsRead(FeedPiece { this->topic, firstOffset, page });
     }
 }
 
@@ -111,7 +149,6 @@
         if (this->targets.mirror.nextOffset(this->topic) == known) {
             return std::nullopt;
         }
-        this->nextOffset = std::max(this->nextOffset, this->targets.mirror.nextOffset(this->topic));
     }
     // A digest that shows new records wakes the follower before.
     return std::min(coveredUntil, this->clock.now() + peerCheckPause);
@@ -231,10 +268,7 @@
     try {
         auto known = this->targets.mirror.nextOffset(this->topic);
         auto page = this->peers.pull(this->topic, known);
-        for (const auto &record : page.records) {
-            this->apply(record);
-        }
-        this->targets.mirror.advance(this->topic, page.nextOffset);
+        this->applyPage(page);
         this->isRead = this->isRead || page.nextOffset > 0;
         this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
     } catch (const Error &error) {
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -4,6 +4,7 @@
 #include <LibCore/EventLog.h>
 #include <LibGateway/ConfigHolder.h>
 #include <LibGateway/FeedMirror.h>
+#include <LibGateway/FeedPiece.h>
 #include <LibGateway/StateFeed.h>
 #include <LibGateway/UpstreamRegistry.h>
 #include <LibMembership/PeriodicTask.h>
@@ -45,7 +46,7 @@
 {
 public:
     virtual ~FeedListener() = default;
-    virtual void recordsRead() = 0;
+    virtual void recordsRead(const FeedPiece &piece) = 0;
 };
 
 /** What the records of a feed change. */
@@ -61,7 +62,7 @@
  * Follows one topic of the platform's store and applies its records. A few nodes read the store; the others get the records from them, and read
  * it themselves when those fall silent. While the store can't be read, records come from any peer that has them. Entries that vanish
  * around an outage are kept for a grace time. Answers the load pattern of a store that is down, slow, or turns single nodes away. One thread
- * calls step(); the other functions are safe from any thread.
+ * calls step(); the other functions are safe from any thread. Lock order: its mutex is a leaf lock.
  */
 class FeedFollower final : public PeriodicTask
 {
@@ -77,6 +78,9 @@
 
     TimePoint step() override;
 
+    /** Records from a peer. The next step applies them, if none is missing before them. */
+    void receive(FeedPiece piece);
+
     /** True once the topic was read whole, from the store or from a peer. */
     bool hasRead() const
     {
@@ -89,6 +93,8 @@
 private:
     void list();
     void follow();
+    void applyReceived();
+    void applyPage(const FeedPage &page);
     /** Gets the records from the readers if they are fresh; returns the time of the next look, or nothing if they aren't. */
     std::optional<TimePoint> followPeers();
     void apply(const FeedRecord &record);
@@ -115,6 +121,8 @@
     std::optional<TimePoint> failingSince;
     /** Removals before that time are doubtful. */
     TimePoint doubtfulUntil;
+    std::mutex receivedMutex;
+    std::vector<FeedPiece> received;
 };
 
 }
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -32,6 +32,42 @@
     return shares;
 }
 
+/** An empty array stands for no piece. */
+void writePiece(MessageWriter &writer, const std::optional<FeedPiece> &piece)
+{
+    if (!piece) {
+        writer.array(0);
+        return;
+    }
+    writer.array(4).number(static_cast<std::uint64_t>(piece->topic)).number(piece->firstOffset).number(piece->page.nextOffset);
+    writer.array(piece->page.records.size());
+    for (const auto &record : piece->page.records) {
+        writer.array(3).text(record.key).bytes(record.value).number(record.offset);
+    }
+}
+
+std::optional<FeedPiece> readPiece(MessageReader &reader)
+{
+    std::optional<FeedPiece> piece;
+    if (reader.beginArray(0, 4) == 4) {
+        piece.emplace();
+        piece->topic = static_cast<FeedTopic>(reader.number(feedTopicCount - 1));
+        piece->firstOffset = reader.number();
+        piece->page.nextOffset = reader.number();
+        piece->page.records.resize(reader.beginArray(0, largestPieceBytes));
+        for (auto &record : piece->page.records) {
+            reader.beginArray(3, 3);
+            record.key = reader.text(largestPieceBytes);
+            record.value = reader.bytes(largestPieceBytes);
+            record.offset = reader.number();
+            reader.endArray();
+        }
+        reader.endArray();
+    }
+    reader.endArray();
+    return piece;
+}
+
 }
 
 Duration digestInterval(std::size_t peers)
@@ -47,7 +83,7 @@
 std::string encodeDigest(const PeerDigest &digest)
 {
     MessageWriter writer;
-    writer.array(7).text(digest.host.value()).text(digest.failureDomain.value()).flag(digest.isLeaving);
+    writer.array(8).text(digest.host.value()).text(digest.failureDomain.value()).flag(digest.isLeaving);
     writer.array(digest.nextOffsets.size());
     for (auto offset : digest.nextOffsets) {
         writer.number(offset);
@@ -68,6 +104,7 @@
     for (std::size_t position = 0; position < peers; ++position) {
         writer.text(digest.peers[position]);
     }
+    writePiece(writer, digest.piece);
     return writer.encoded();
 }
 
@@ -77,7 +114,7 @@
     constexpr std::uint64_t mostRuns = 1'000'000;
     MessageReader reader(bytes);
     PeerDigest digest;
-    reader.beginArray(7, mostFields);
+    reader.beginArray(8, mostFields);
     digest.host = HostId(reader.text());
     digest.failureDomain = FailureDomainId(reader.text());
     digest.isLeaving = reader.flag();
@@ -106,6 +143,7 @@
         peer = reader.text();
     }
     reader.endArray();
+    digest.piece = readPiece(reader);
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibGateway/FeedPiece.h>
 #include <LibGateway/LoadBook.h>
-#include <LibGateway/StateFeed.h>
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,8 +27,14 @@
     std::vector<LoadShare> shares;
     /** "IP:port" of peers that the sender hears, some at a time. */
     std::vector<std::string> peers;
+    /** Records that the sender has just read from the store, at most largestPieceBytes. */
+    std::optional<FeedPiece> piece;
 };
 
+/** Records in one digest, in bytes, so that a digest with the most shares fits a datagram of largestDigestBytes. */
+inline constexpr std::size_t largestPieceBytes = 1200;
+inline constexpr std::size_t largestDigestBytes = 4096;
+
 /** Pause between two digests to all of so many peers: it grows, so that a node receives about 50 digests a second at the most. */
 Duration digestInterval(std::size_t peers);
 
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -127,12 +127,14 @@
 class CountingListener final : public FeedListener
 {
 public:
-    void recordsRead() override
+    void recordsRead(const FeedPiece &piece) override
     {
         ++this->calls;
+        this->last = piece;
     }
 
     int calls = 0;
+    FeedPiece last;
 };
 
 struct FollowerWorld
@@ -303,3 +305,77 @@
     CHECK(world.feed.calls > calls);
     CHECK(world.config.current()->version() == ConfigVersion(12));
 }
+
+TEST_CASE("Records that a reader sends are applied without a question to a peer or the store")
+{
+    FollowerWorld reader(FeedTopic::Upstreams);
+    FollowerWorld other(FeedTopic::Upstreams);
+    for (auto *world : { &reader, &other }) {
+        world->feed.write("e1", "1");
+        world->feed.write("e2", "1");
+        world->follower.step();
+    }
+    other.peers.reads = false;
+    other.peers.source = &reader.mirror;
+    other.peers.covered = other.clock.now() + minutes(1);
+    auto calls = other.feed.calls;
+
+    reader.feed.write("e1", "draining");
+    reader.follower.step();
+    REQUIRE(reader.listener.calls == 1);
+    auto first = reader.listener.last;
+    other.follower.receive(first);
+    other.follower.step();
+    CHECK(other.registry.leaveReason(UpstreamId("e1"), upstreamRecord("e1").boot) == LeaveReason::Draining);
+    CHECK(other.peers.pulls == 0);
+
+    // What comes behind a gap is asked for.
+    reader.feed.write("e2", "draining");
+    reader.follower.step();
+    reader.feed.write("e3", "1");
+    reader.follower.step();
+    other.follower.receive(reader.listener.last);
+    other.follower.step();
+    CHECK(other.peers.pulls == 1);
+    CHECK(other.registry.leaveReason(UpstreamId("e2"), upstreamRecord("e2").boot) == LeaveReason::Draining);
+    CHECK(other.registry.isUsable(UpstreamId("e3")));
+
+    // A late copy changes nothing.
+    other.follower.receive(first);
+    other.follower.step();
+    CHECK(other.registry.leaveReason(UpstreamId("e2"), upstreamRecord("e2").boot) == LeaveReason::Draining);
+    CHECK(other.feed.calls == calls);
+}
+
+TEST_CASE("A reader that got the records from the other reader doesn't send them again")
+{
+    FollowerWorld first(FeedTopic::Upstreams);
+    FollowerWorld second(FeedTopic::Upstreams);
+    for (auto *world : { &first, &second }) {
+        world->follower.step();
+        world->feed.write("e1", "1");
+    }
+    first.follower.step();
+    second.follower.receive(first.listener.last);
+    second.follower.step();
+    CHECK(first.listener.calls == 1);
+    CHECK(second.listener.calls == 0);
+    CHECK(second.registry.isUsable(UpstreamId("e1")));
+}
+
+TEST_CASE("Records are cut to pieces without a gap, up to one that is too large")
+{
+    FeedPiece piece { FeedTopic::Upstreams, 7, {} };
+    for (std::uint64_t offset = 8; offset < 14; ++offset) {
+        piece.page.records.push_back({ "k", std::string(offset == 12 ? 200 : 39, 'x'), offset });
+    }
+    piece.page.nextOffset = 15;
+    auto pieces = cutToSize(piece, 100);
+    REQUIRE(pieces.size() == 2);
+    CHECK(pieces[0].firstOffset == 7);
+    CHECK(pieces[0].page.records.size() == 2);
+    CHECK(pieces[0].page.nextOffset == pieces[1].firstOffset);
+    CHECK(pieces[1].page.records.size() == 2);
+    CHECK(pieces[1].page.nextOffset == 12);
+    CHECK(cutToSize(piece, 1000).front().page.nextOffset == 15);
+}
--- a/Tests/LibGateway/TestLoadBook.cpp
+++ b/Tests/LibGateway/TestLoadBook.cpp
@@ -74,7 +74,17 @@
     digest.readAges = { milliseconds(250), Duration::max() };
     digest.shares = { LoadShare { 42, UpstreamLoad { 3, 10'500, 2'000 } } };
     digest.peers = { "10.0.0.1:7200", "10.0.0.2:7200" };
+    CHECK_FALSE(decodeDigest(encodeDigest(digest)).piece);
+    digest.piece = FeedPiece { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
     auto decoded = decodeDigest(encodeDigest(digest));
+    REQUIRE(decoded.piece);
+    CHECK(decoded.piece->topic == FeedTopic::Upstreams);
+    CHECK(decoded.piece->firstOffset == 5);
+    CHECK(decoded.piece->page.nextOffset == 8);
+    REQUIRE(decoded.piece->page.records.size() == 2);
+    CHECK(decoded.piece->page.records[0].key == "e1");
+    CHECK(decoded.piece->page.records[0].value == std::string("\0x", 2));
+    CHECK(decoded.piece->page.records[1].offset == 7);
     CHECK(decoded.host == digest.host);
     CHECK(decoded.failureDomain == digest.failureDomain);
     CHECK(decoded.isLeaving);
@@ -98,6 +108,8 @@
     }
     auto bytes = encodeDigest(digest);
     CHECK(bytes.size() < 2048);
+    digest.piece = FeedPiece { FeedTopic::Upstreams, 0, { { { "e1", std::string(largestPieceBytes - 2, 'x'), 0 } }, 1 } };
+    CHECK(encodeDigest(digest).size() < largestDigestBytes);
     for (const auto &share : decodeDigest(bytes).shares) {
         CHECK(share.load.peakTokens >= 3900);
     }
