LibForward: Refuse streams of unknown length that may outlast a stopping node

Cause: a stopping node took streams whose expected end lay within its time; for a pool without engine traits the expectation was no tokens at all. Change: such a stream is taken only if its deadline lies before the end of the node.

--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -38,6 +38,19 @@
     return fields;
 }
 
+/** Until then the answer should be whole. */
+TimePoint wholeBy(const AdmittedWork &work, TimePoint now)
+{
+    if (!work.route->isStream) {
+        return now + plainTargets * work.route->targetLatency;
+    }
+    if (!work.pool->engine) {
+        // Nothing is known of the stream's length.
+        return work.deadline;
+    }
+    return now + timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * work.footprint.expectedOutputTokens);
+}
+
 bool wantsKeptOpen(const Poco::Net::HTTPRequest &head)
 {
     if (head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0) {
@@ -84,10 +97,7 @@
     if (!drain.isBegun()) {
         return;
     }
-    auto tokens = work.footprint.expectedOutputTokens;
-    auto forStream = timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * tokens);
-    auto needed = work.route->isStream ? forStream : plainTargets * work.route->targetLatency;
-    if (this->context.parts.clock.now() + needed > drain.endsAt()) {
+    if (wholeBy(work, this->context.parts.clock.now()) > drain.endsAt()) {
         throw Error(ResultCode::ShuttingDown, RunState::NotRun, "the node ends before the answer would", shutdownRetryAfter);
     }
 }
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -46,7 +46,8 @@
     }
 };
 
-/** A gateway on loopback with routes /plain/ (idempotent), /once/ (at most once), /long/ (stream) and /resumable/ (stream). */
+/** A gateway on loopback with routes /plain/ (idempotent), /once/ (at most once), /feed/ (stream of a plain service), /long/ (stream) and /resumable/ (stream).
+ */
 class GatewayWorld
 {
 public:
@@ -95,6 +96,7 @@
         };
         add("plain", "services", RepeatRule::Idempotent, false);
         add("once", "services", RepeatRule::AtMostOnce, false);
+        add("feed", "services", RepeatRule::AtMostOnce, true);
         add("long", "engines", RepeatRule::AtMostOnce, true);
         add("resumable", "engines", RepeatRule::Idempotent, true);
         UpstreamPool services;
--- a/Tests/LibForward/TestPlainForwarding.cpp
+++ b/Tests/LibForward/TestPlainForwarding.cpp
@@ -230,6 +230,18 @@
     CHECK(answer.find("Retry-After") != std::string::npos);
 }
 
+// Found by the soak, seed 3: a stream that was taken 6.5 s after SIGTERM was cut off.
+TEST_CASE("A draining node refuses a stream of unknown length that may outlast it")
+{
+    GatewayWorld world;
+    world.drain.begin(world.clock.now() + seconds(10));
+    RawCaller caller(world);
+    caller.request("/feed/plan", "r1");
+    auto answer = caller.readAll();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("ShuttingDown") != std::string::npos);
+}
+
 // Found by a hunt on evcilkare, copies-that-are-missing seed 849932746356: LOST, a lookup taken 7.1 s after SIGTERM was cut at the end.
 TEST_CASE("A draining node refuses a request that it could not answer before it ends")
 {
