LibGateway: Rank work by its team before its route

Cause: the urgency of a generation followed the route's rank only, while the platform lets a team's rank go before it. Change: AdmittedWork bears the rank that counts, the team's if it has one; the relay takes the urgency from it. Test: 'The rank of a team goes before the rank of the route'; the decoder's test checks the team's rank.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -20,7 +20,7 @@
 /** A stream that stays silent for so long after an event has lost its upstream, or its engine has preempted it. */
 constexpr Duration silenceLimit = milliseconds(1500);
 
-/** Urgency of generations by the priority of their route: engines admit the more urgent ones first and never preempt them for others. */
+/** Urgency of generations by the rank of their work: engines admit the more urgent ones first and never preempt them for others. */
 constexpr std::uint32_t urgencyOfFirstPriority = 3;
 constexpr std::uint32_t lowestUrgency = 9;
 
@@ -66,7 +66,7 @@
 {
     ForwardTerms terms;
     if (this->work.pool->engine) {
-        terms.urgency = std::min(urgencyOfFirstPriority + this->work.route->priority, lowestUrgency);
+        terms.urgency = std::min(urgencyOfFirstPriority + this->work.priority, lowestUrgency);
     }
     terms.lastEventId = this->events.lastId();
     return terms;
--- a/Libraries/LibGateway/GatewayConfig.h
+++ b/Libraries/LibGateway/GatewayConfig.h
@@ -87,7 +87,8 @@
 struct GatewayTeam
 {
     TeamId id;
-    std::uint32_t priority = 0;
+    /** Rank of the team's work, 0 first. Goes before the rank of the route. */
+    std::optional<std::uint32_t> priority;
     std::vector<std::string> keys;
     /** As Route::allowedRegions; both bind. */
     std::vector<RegionId> allowedRegions;
--- a/Libraries/LibGateway/RequestAdmission.cpp
+++ b/Libraries/LibGateway/RequestAdmission.cpp
@@ -56,6 +56,7 @@
     if (work.route == nullptr) {
         refuse(ResultCode::NotFound, "no route matches host and path");
     }
+    work.priority = work.route->priority;
     std::vector<RegionId> teamRegions;
     if (config->hasTeams() && work.route->needsKey) {
         const auto *team = config->findTeam(request.key);
@@ -63,6 +64,7 @@
             refuse(ResultCode::Unauthenticated, "the key belongs to no team");
         }
         work.team = team->id;
+        work.priority = team->priority.value_or(work.route->priority);
         teamRegions = team->allowedRegions;
     }
     auto regions = intersect(work.route->allowedRegions, teamRegions);
--- a/Libraries/LibGateway/RequestAdmission.h
+++ b/Libraries/LibGateway/RequestAdmission.h
@@ -22,6 +22,8 @@
     const UpstreamPool *pool = nullptr;
     /** Empty if the route needs no key. */
     TeamId team;
+    /** Rank of the work, 0 first: the team's, or the route's if the team has none. */
+    std::uint32_t priority = 0;
     /** The answer is due by then, for the caller's and the route's sake. */
     TimePoint deadline;
     std::vector<RegionId> allowedRegions;
--- a/Tests/LibGateway/TestRequestAdmission.cpp
+++ b/Tests/LibGateway/TestRequestAdmission.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 
-std::shared_ptr<const GatewayConfig> config(const Route &route, const std::vector<RegionId> &teamRegions = {})
+std::shared_ptr<const GatewayConfig>
+config(const Route &route, const std::vector<RegionId> &teamRegions = {}, std::optional<std::uint32_t> teamPriority = std::nullopt)
 {
     GatewayTeam team;
     team.id = TeamId("tailors");
     team.keys = { "key" };
     team.allowedRegions = teamRegions;
+    team.priority = teamPriority;
     return std::make_shared<const GatewayConfig>(
         ConfigVersion(1), std::vector<Route> { route }, std::vector<UpstreamPool> { enginePool() }, std::vector<GatewayTeam> { team }, CallerLimits());
 }
@@ -77,6 +79,20 @@
     CHECK(admission.admit(hurried, config(streamRoute())).deadline == hurried.arrivedAt + seconds(2));
 }
 
+TEST_CASE("The rank of a team goes before the rank of the route")
+{
+    SeededRandom random(1);
+    OutputForecast forecast;
+    RequestAdmission admission(random, forecast);
+    auto route = streamRoute();
+    route.priority = 1;
+    CHECK(admission.admit(request(), config(route)).priority == 1);
+    CHECK(admission.admit(request(), config(route, {}, 0)).priority == 0);
+    CHECK(admission.admit(request(), config(route, {}, 3)).priority == 3);
+    route.needsKey = false;
+    CHECK(admission.admit(request(), config(route, {}, 3)).priority == 1);
+}
+
 TEST_CASE("Where route and team both name regions, both bind")
 {
     SeededRandom random(1);
--- a/Tests/platform/TestPlatformDecoder.cpp
+++ b/Tests/platform/TestPlatformDecoder.cpp
@@ -63,6 +63,7 @@
     CHECK(engines->coldRequestsPerSecond == Approx(38));
     CHECK_FALSE(config->findPool(PoolId("wuno96b"))->engine);
     CHECK(config->findTeam("k2")->id == TeamId("huka270"));
+    CHECK(config->findTeam("k2")->priority == 1);
     CHECK(config->findTeam("k2")->allowedRegions == std::vector<RegionId> { RegionId("east") });
     CHECK(config->limits().idleTimeout == seconds(15));
 }
