Tests: Add a fault soak with real processes

Cause: the users ask for a randomized soak that disturbs the real programs from outside. Change: Tests/platform/soak with Meta/soak: a store, upstreams and nodes as processes, proxies on the links, callers that keep connections open, faults drawn by a seed, and a ledger that holds what callers and upstreams saw against the promises.

--- a/Libraries/LibPeer/DelayedCloser.cpp
+++ b/Libraries/LibPeer/DelayedCloser.cpp
@@ -21,6 +21,10 @@
 
 struct DelayedCloser::State
 {
+    explicit State(const Clock &clock) : clock(clock)
+    {
+    }
+
     /** Called with the mutex held. */
     bool hasWork() const
     {
--- /dev/null
+++ b/Tests/platform/soak/Caller.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Ledger.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lovageward::Soak {
+
+/** What a caller needs to know of the deployment. */
+struct CallerSettings
+{
+    std::string name;
+    std::uint64_t seed = 0;
+    /** "IP:port" of the nodes. */
+    std::vector<std::string> nodes;
+    std::string host;
+    std::string key;
+};
+
+/** Sends one request after the other and keeps its connection open until it breaks. Used by one thread. */
+class Caller
+{
+public:
+    Caller(const Clock &clock, Ledger &ledger, CallerSettings settings);
+
+    /** Returns once told to stop and the running request has ended. */
+    void run(const std::atomic<bool> &isStopping);
+
+private:
+    void callOnce(RequestKind kind, const std::string &id);
+    void readPlain(std::istream &input, std::int64_t length, Outcome &outcome) const;
+    void readStream(std::istream &input, Outcome &outcome) const;
+
+    const Clock &clock;
+    Ledger &ledger;
+    CallerSettings settings;
+    std::unique_ptr<Poco::Net::HTTPClientSession> session;
+    std::uint64_t node = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/platform/soak/Deployment.cpp
@@ -0,0 +1,390 @@
+#include "Deployment.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <future>
+#include <stdexcept>
+
+namespace Lovageward::Soak {
+
+namespace {
+
+constexpr int callerPort = 8480;
+constexpr int readyPort = 8481;
+constexpr int controlPort = 7201;
+constexpr int peerPort = 7200;
+constexpr int graceSeconds = 8;
+/** A node ends within its grace time, and this much more for the process itself. */
+constexpr Duration stopSlack = seconds(1);
+/** An upstream that drains goes on for the platform's bound on drains and for its longest answer. */
+constexpr Duration drainTime = milliseconds(5000);
+constexpr Duration startLimit = seconds(20);
+constexpr auto startPause = milliseconds(20);
+constexpr long storeAnswerSeconds = 1;
+
+const std::string operatorTopic = "keyed.op";
+const std::string upstreamTopic = "keyed.servers";
+
+std::string bigEndian32(std::size_t number)
+{
+    std::string text;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        text += static_cast<char>(number >> static_cast<unsigned>(shift) & 0xFFU);
+    }
+    return text;
+}
+
+}
+
+const std::string &Deployment::host()
+{
+    static const std::string name = "soak.example";
+    return name;
+}
+
+const std::string &Deployment::key()
+{
+    static const std::string text = "key-of-the-team";
+    return text;
+}
+
+Deployment::Deployment(const Clock &clock, Ledger &ledger, DeploymentSettings settings)
+    : clock(clock)
+    , ledger(ledger)
+    , settings(std::move(settings))
+    , nodeLog(this->settings.logs + "/nodes.log")
+    , nodes(this->settings.nodes)
+    , upstreams(this->settings.upstreams)
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        this->nodes[index].ip = fmt::format("127.{}.{}.{}", this->settings.network / 250 + 10, this->settings.network % 250, index + 1);
+        this->nodes[index].callers = std::make_unique<LinkProxy>(fmt::format("{}:{}", this->nodes[index].ip, callerPort));
+    }
+    for (std::size_t index = 0; index < this->upstreams.size(); ++index) {
+        this->upstreams[index].id = fmt::format("u{}", index);
+        this->upstreams[index].domain = fmt::format("d{}", index % 2);
+        this->upstreams[index].pool = index % 4 < 2 ? "services" : "engines";
+        this->upstreams[index].link = std::make_unique<LinkProxy>("127.0.0.1:1");
+    }
+}
+
+Deployment::~Deployment()
+{
+    // Paused processes can be killed as well; all are killed before the proxies end.
+    for (auto &node : this->nodes) {
+        node.process.reset();
+    }
+    for (auto &upstream : this->upstreams) {
+        upstream.process.reset();
+    }
+    this->store.reset();
+}
+
+std::vector<std::string> Deployment::nodeAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &node : this->nodes) {
+        addresses.push_back(node.callers->address());
+    }
+    return addresses;
+}
+
+std::unique_ptr<ChildProcess> Deployment::startRole(const std::vector<std::string> &arguments, const std::string &upstream, int &port)
+{
+    auto announced = std::make_shared<std::promise<int>>();
+    auto announcement = announced->get_future();
+    std::vector<std::string> command { this->settings.soakProgram };
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    auto process = std::make_unique<ChildProcess>(command, [this, announced, upstream](const std::string &line) {
+        auto space = line.find(' ');
+        auto word = line.substr(0, space);
+        auto rest = line.substr(space + 1);
+        if (word == "port") {
+            announced->set_value(std::stoi(rest));
+        } else if (word == "run") {
+            this->ledger.runStarted(upstream, rest);
+        } else if (word == "continued") {
+            this->ledger.runContinued();
+        } else if (word == "refused") {
+            this->ledger.refusedByUpstream(rest);
+        }
+    });
+    if (announcement.wait_for(startLimit) != std::future_status::ready) {
+        throw std::runtime_error("a stand-in announced no port");
+    }
+    port = announcement.get();
+    return process;
+}
+
+void Deployment::start()
+{
+    int port = 0;
+    this->store = this->startRole({ "store" }, {}, port);
+    this->storeAddress = fmt::format("127.0.0.1:{}", port);
+    this->storeLink = std::make_unique<LinkProxy>(this->storeAddress);
+    this->writeConfig();
+    for (auto &upstream : this->upstreams) {
+        this->startUpstream(upstream);
+    }
+    for (auto &node : this->nodes) {
+        this->startNode(node);
+    }
+    auto giveUpAt = this->clock.now() + startLimit;
+    for (const auto &node : this->nodes) {
+        while (!this->isReady(node)) {
+            if (this->clock.now() >= giveUpAt) {
+                throw std::runtime_error("a node did not become ready");
+            }
+            std::this_thread::sleep_for(startPause);
+        }
+    }
+}
+
+void Deployment::startUpstream(Upstream &upstream)
+{
+    ++upstream.life;
+    int port = 0;
+    upstream.process = this->startRole({ "upstream", "--id", upstream.id }, upstream.id, port);
+    upstream.link->setTarget(fmt::format("127.0.0.1:{}", port));
+    this->ledger.coldBegins(upstream.id);
+    this->writeUpstream(upstream, false);
+}
+
+void Deployment::startNode(Node &node)
+{
+    ++node.life;
+    this->writeSettings(node, graceSeconds);
+    std::vector<std::string> command {
+        "/usr/bin/env", fmt::format("LOVAGEWARD_CONFIG={}/{}.settings", this->settings.logs, node.ip), this->settings.program, "gateway"
+    };
+    node.process = std::make_unique<ChildProcess>(command, [this, &node, life = node.life](const std::string &line) { this->takeNodeLine(node, life, line); });
+}
+
+void Deployment::takeNodeLine(Node &node, int life, const std::string &line)
+{
+    {
+        std::lock_guard<std::mutex> guard(this->logMutex);
+        this->nodeLog << node.ip << ' ' << life << ' ' << line << '\n' << std::flush;
+    }
+    static const std::string versionField = "\"version\":";
+    auto version = line.find(versionField);
+    if (line.find("\"event\":\"config\"") != std::string::npos && line.find("\"in_force\":true") != std::string::npos && version != std::string::npos) {
+        this->ledger.configInForce(fmt::format("{} life {}", node.ip, life), std::stoull(line.substr(version + versionField.size())));
+    }
+}
+
+void Deployment::writeSettings(const Node &node, int graceSeconds) const
+{
+    std::ofstream file(fmt::format("{}/{}.settings", this->settings.logs, node.ip));
+    file << fmt::format("host = {0}\nregion = r\nfailure-domain = d0\ndomains = d0:r,d1:r\nlisten = {0}:{1}\nready-listen = {0}:{2}\ncontrol-listen = {0}:{3}\n"
+                        "peer-listen = {0}:{4}\nseeds = {5}:{4}\nstore = {6}\ngrace-seconds = {7}\nready-path = /ready\nlog-lines = 2000\n",
+                        node.ip,
+                        callerPort,
+                        readyPort,
+                        controlPort,
+                        peerPort,
+                        this->nodes.front().ip,
+                        this->storeLink->address(),
+                        graceSeconds);
+}
+
+bool Deployment::isReady(const Node &node) const
+{
+    try {
+        Poco::Net::HTTPClientSession session(node.ip, readyPort);
+        session.setTimeout(Poco::Timespan(storeAnswerSeconds, 0));
+        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, "/ready");
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+void Deployment::writeRecord(const std::string &topic, const std::string &key, const std::string &value)
+{
+    auto content = std::string(1, static_cast<char>(key.size())) + key + value;
+    while (true) {
+        try {
+            // Operators and upstreams reach the store on a link of their own.
+            Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(this->storeAddress) };
+            session.setTimeout(Poco::Timespan(storeAnswerSeconds, 0));
+            Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, "/-/log-append?topic=" + topic + "&part=0");
+            auto body = bigEndian32(content.size()) + content;
+            request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+            session.sendRequest(request) << body;
+            Poco::Net::HTTPResponse response;
+            session.receiveResponse(response);
+            return;
+        } catch (const Poco::Exception &) {
+            // The store is paused. A record that is written twice says the same twice.
+            std::this_thread::sleep_for(startPause);
+        }
+    }
+}
+
+void Deployment::writeUpstream(const Upstream &upstream, bool isDraining)
+{
+    this->writeRecord(upstreamTopic,
+                      upstream.id,
+                      fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":40,"state":"{}","born":{},"coldLeftMs":{}}})",
+                                  upstream.pool,
+                                  upstream.link->address(),
+                                  upstream.domain,
+                                  isDraining ? "draining" : "ready",
+                                  upstream.life,
+                                  isDraining ? 0 : toMilliseconds(TimePoint(coldTime))));
+}
+
+void Deployment::writeConfig()
+{
+    auto route = [](const std::string &path, const std::string &pool, const std::string &kind) {
+        return fmt::format(R"({{"name":"r{0}","host":"{1}","pathPrefix":"{0}","service":"{2}","maxAttempts":3,"timeoutMs":5500,"targetLatencyMs":1000,{3}}})",
+                           path,
+                           host(),
+                           pool,
+                           kind);
+    };
+    auto routes = fmt::format("{},{},{},{}",
+                              route("/book", "services", R"("kind":"non_idempotent")"),
+                              route("/look", "services", R"("kind":"idempotent")"),
+                              route("/plan", "engines", R"("kind":"streaming")"),
+                              route("/draft", "engines", R"("kind":"streaming","resumable":true)"));
+    auto pools = fmt::format(R"({{"name":"services","coldPerS":{0}}},{{"name":"engines","coldPerS":{0},"engine":{1}}})",
+                             coldRequestsPerSecond,
+                             R"({"kvTokens":40000,"slots":24,"stride":1,"moves":true})");
+    this->writeRecord(
+        operatorTopic,
+        "config",
+        fmt::format(
+            R"({{"version":{},"routes":[{}],"services":[{}],"tenants":[{{"name":"team","apiKeys":["{}"]}}]}})", ++this->configVersion, routes, pools, key()));
+}
+
+void Deployment::sleep(Duration length)
+{
+    std::this_thread::sleep_for(length);
+}
+
+void Deployment::pause(ChildProcess &process, Duration length)
+{
+    process.signal(SIGSTOP);
+    this->sleep(length);
+    process.signal(SIGCONT);
+}
+
+void Deployment::stopNode(Node &node)
+{
+    auto begunAt = this->clock.now();
+    node.process->signal(SIGTERM);
+    node.process->await();
+    if (this->clock.now() - begunAt > seconds(graceSeconds) + stopSlack) {
+        this->ledger.report(fmt::format("{} life {}: took {} ms to stop", node.ip, node.life, toMilliseconds(TimePoint(this->clock.now() - begunAt))));
+    }
+    this->startNode(node);
+}
+
+void Deployment::drainUpstream(Upstream &upstream, Duration length)
+{
+    this->writeUpstream(upstream, true);
+    this->ledger.drained(upstream.id);
+    this->sleep(std::max(length, drainTime));
+    this->ledger.drainEnded(upstream.id);
+    this->writeRecord(upstreamTopic, upstream.id, "");
+    upstream.process.reset();
+    this->startUpstream(upstream);
+}
+
+void Deployment::disturbLink(const Fault &fault, Duration length)
+{
+    auto &link = fault.link == LinkKind::NodeToStore ? *this->storeLink
+        : fault.link == LinkKind::CallerToNode       ? *this->nodes[fault.target % this->nodes.size()].callers
+                                                     : *this->upstreams[fault.target % this->upstreams.size()].link;
+    if (fault.kind == FaultKind::ResetLink) {
+        link.resetConnections();
+        return;
+    }
+    link.setState(fault.kind == FaultKind::DelayLink ? LinkState::Delayed : fault.kind == FaultKind::SilenceLink ? LinkState::Silent : LinkState::OneWay);
+    this->sleep(length);
+    link.setState(LinkState::Open);
+}
+
+void Deployment::carryOut(const Fault &fault)
+{
+    auto length = fault.endsAt - fault.startsAt;
+    auto &node = this->nodes[fault.target % this->nodes.size()];
+    auto &upstream = this->upstreams[fault.target % this->upstreams.size()];
+    // A process that is being stopped or replaced isn't disturbed a second time; links and configuration are at any time.
+    std::unique_lock<std::mutex> nodeLock(*node.inUse, std::defer_lock);
+    std::unique_lock<std::mutex> upstreamLock(*upstream.inUse, std::defer_lock);
+    auto isForNode
+        = fault.kind == FaultKind::StopNode || fault.kind == FaultKind::ReloadNode || fault.kind == FaultKind::KillNode || fault.kind == FaultKind::PauseNode;
+    auto isForUpstream = fault.kind == FaultKind::DrainUpstream || fault.kind == FaultKind::KillUpstream || fault.kind == FaultKind::PauseUpstream;
+    if ((isForNode && !nodeLock.try_lock()) || (isForUpstream && !upstreamLock.try_lock())) {
+        return;
+    }
+    auto number = isPlanned(fault.kind) ? 0 : this->ledger.faultBegins();
+    switch (fault.kind) {
+    case FaultKind::StopNode:
+        this->stopNode(node);
+        break;
+    case FaultKind::ReloadNode:
+        this->writeSettings(node, graceSeconds - 1);
+        node.process->signal(SIGHUP);
+        break;
+    case FaultKind::DrainUpstream:
+        this->drainUpstream(upstream, length);
+        break;
+    case FaultKind::DrainDomain: {
+        std::lock_guard<std::mutex> guard(this->domainMutex);
+        this->writeRecord(operatorTopic, "evacuate/d1", "1");
+        this->sleep(length);
+        this->writeRecord(operatorTopic, "evacuate/d1", "");
+        break;
+    }
+    case FaultKind::ChangeConfig:
+        this->writeConfig();
+        break;
+    case FaultKind::KillNode:
+        node.process->signal(SIGKILL);
+        node.process->await();
+        this->sleep(length);
+        this->startNode(node);
+        break;
+    case FaultKind::PauseNode:
+        this->pause(*node.process, length);
+        break;
+    case FaultKind::KillUpstream:
+        upstream.process->signal(SIGKILL);
+        upstream.process->await();
+        this->sleep(length);
+        this->startUpstream(upstream);
+        break;
+    case FaultKind::PauseUpstream:
+        this->pause(*upstream.process, length);
+        break;
+    case FaultKind::PauseStore: {
+        std::lock_guard<std::mutex> guard(this->storeMutex);
+        this->pause(*this->store, length);
+        break;
+    }
+    case FaultKind::DelayLink:
+    case FaultKind::ResetLink:
+    case FaultKind::SilenceLink:
+    case FaultKind::CutLinkOneWay:
+        this->disturbLink(fault, length);
+        break;
+    }
+    if (!isPlanned(fault.kind)) {
+        this->ledger.faultEnds(number);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/platform/soak/Deployment.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "ChildProcess.h"
+#include "FaultPlan.h"
+#include "Ledger.h"
+#include "LinkProxy.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Lovageward::Soak {
+
+struct DeploymentSettings
+{
+    /** The programs: the product and this soak. */
+    std::string program;
+    std::string soakProgram;
+    /** Directory for the logs of the nodes. */
+    std::string logs;
+    /** Tells deployments on one machine apart: addresses 127.N.x.y. */
+    std::uint32_t network = 0;
+    std::size_t nodes = 3;
+    std::size_t upstreams = 4;
+};
+
+/** The processes of one run: a store, upstreams and nodes, with proxies on the links between them. All functions are safe from any thread. */
+class Deployment
+{
+public:
+    Deployment(const Clock &clock, Ledger &ledger, DeploymentSettings settings);
+    ~Deployment();
+
+    /** "IP:port" for callers of each node. */
+    std::vector<std::string> nodeAddresses() const;
+
+    /** Starts all and waits until every node has read its configuration. Throws std::runtime_error if one doesn't. */
+    void start();
+
+    /** Carries a fault out from its start to its end; returns when it is over. */
+    void carryOut(const Fault &fault);
+
+    static const std::string &host();
+    static const std::string &key();
+
+private:
+    struct Node
+    {
+        std::string ip;
+        std::unique_ptr<LinkProxy> callers;
+        std::unique_ptr<ChildProcess> process;
+        /** Number of the process among all that this node had. */
+        int life = 0;
+        std::unique_ptr<std::mutex> inUse = std::make_unique<std::mutex>();
+    };
+    struct Upstream
+    {
+        std::string id;
+        std::string domain;
+        std::string pool;
+        std::unique_ptr<LinkProxy> link;
+        std::unique_ptr<ChildProcess> process;
+        int life = 0;
+        std::unique_ptr<std::mutex> inUse = std::make_unique<std::mutex>();
+    };
+
+    /** Starts a stand-in and returns its port. */
+    std::unique_ptr<ChildProcess> startRole(const std::vector<std::string> &arguments, const std::string &upstream, int &port);
+    void startNode(Node &node);
+    void startUpstream(Upstream &upstream);
+    void takeNodeLine(Node &node, int life, const std::string &line);
+    void writeSettings(const Node &node, int graceSeconds) const;
+    /** Appends a record to a topic of the store; an empty value removes the key. Tries again until the store answers. */
+    void writeRecord(const std::string &topic, const std::string &key, const std::string &value);
+    void writeUpstream(const Upstream &upstream, bool isDraining);
+    void writeConfig();
+    void drainUpstream(Upstream &upstream, Duration length);
+    void stopNode(Node &node);
+    void disturbLink(const Fault &fault, Duration length);
+    void pause(ChildProcess &process, Duration length);
+    void sleep(Duration length);
+    bool isReady(const Node &node) const;
+    std::string addressOfControl(const Node &node) const;
+
+    const Clock &clock;
+    Ledger &ledger;
+    DeploymentSettings settings;
+    std::mutex logMutex;
+    std::ofstream nodeLog;
+    std::string storeAddress;
+    std::unique_ptr<LinkProxy> storeLink;
+    std::unique_ptr<ChildProcess> store;
+    std::vector<Node> nodes;
+    std::vector<Upstream> upstreams;
+    std::atomic<std::uint64_t> configVersion = 0;
+    std::mutex storeMutex;
+    std::mutex domainMutex;
+};
+
+}
--- /dev/null
+++ b/Tests/platform/soak/EngineRole.cpp
@@ -0,0 +1,139 @@
+#include "EngineRole.h"
+#include "RoleServer.h"
+
+#include <platform/WireNames.h>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace Lovageward::Soak {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr auto workTime = std::chrono::milliseconds(20);
+constexpr auto copyTime = std::chrono::milliseconds(120);
+constexpr auto eventPause = std::chrono::milliseconds(25);
+constexpr std::uint64_t fewestEvents = 10;
+constexpr std::uint64_t eventSpread = 50;
+/** Every so many-th request finds the upstream full, so that refusals are part of each run. */
+constexpr std::size_t refuseEvery = 40;
+
+class EngineHandler final : public RoleHandler
+{
+public:
+    explicit EngineHandler(std::string id) : id(std::move(id))
+    {
+    }
+
+    void handle(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        if (request.getURI() == "/-/kv-move") {
+            this->copyRun(request, response);
+            return;
+        }
+        auto requestId = request.get(WireNames::requestId, "");
+        response.set(WireNames::mark, this->id);
+        response.set(WireNames::requestId, requestId);
+        auto isOther = request.get(WireNames::expectedUpstream, "") != this->id;
+        auto source = request.get(WireNames::memorySource, "");
+        auto handle = source.substr(source.find('/') + 1);
+        auto isUsed = !source.empty() && !this->useHandle(handle);
+        if (isOther || isUsed || std::hash<std::string>()(requestId + this->id) % refuseEvery == 0) {
+            fmt::print("refused {}\n", requestId);
+            std::fflush(stdout);
+            response.set(WireNames::notRun, "1");
+            response.setStatus(isOther ? HTTPServerResponse::HTTP_MISDIRECTED_REQUEST : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
+            response.setContentLength(0);
+            response.send();
+            return;
+        }
+        // A run that goes on from its memory is the same run.
+        auto run = source.empty() ? fmt::format("{}-{}", this->id, ++this->runs) : handle;
+        fmt::print("{} {}\n", source.empty() ? "run" : "continued", requestId);
+        std::fflush(stdout);
+        std::this_thread::sleep_for(workTime);
+        if (request.getURI().starts_with("/plan") || request.getURI().starts_with("/draft")) {
+            this->stream(request, response, requestId, run);
+            return;
+        }
+        auto body = "answer of " + requestId;
+        response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        response.send() << body;
+    }
+
+private:
+    /** Copies the memory of a run to another upstream, which here needs nothing but the handle. The run goes on. */
+    void copyRun(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        Poco::JSON::Parser parser;
+        auto object = parser.parse(request.stream()).extract<Poco::JSON::Object::Ptr>();
+        std::this_thread::sleep_for(copyTime);
+        std::string body;
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            auto found = this->streams.find(object->getValue<std::string>("id"));
+            if (found == this->streams.end()) {
+                response.setStatus(HTTPServerResponse::HTTP_NOT_FOUND);
+            } else {
+                body = fmt::format(R"({{"handle":"{}","createdRev":0}})", found->second);
+            }
+        }
+        response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        response.send() << body;
+    }
+
+    bool useHandle(const std::string &handle)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        return this->usedHandles.insert(handle).second;
+    }
+
+    void stream(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &requestId, const std::string &run)
+    {
+        {
+            std::lock_guard<std::mutex> guard(this->mutex);
+            this->streams[requestId] = run;
+        }
+        response.setContentType("text/event-stream");
+        response.setChunkedTransferEncoding(true);
+        auto &output = response.send();
+        auto count = fewestEvents + std::hash<std::string>()(requestId) % eventSpread;
+        auto last = request.get(WireNames::lastEventId, "");
+        for (auto event = last.empty() ? 0 : std::stoull(last) + 1; event < count && output.good(); ++event) {
+            output << fmt::format("id: {}\ndata: {} {}{}\n\n", event, requestId, run, event + 1 == count ? " end" : "") << std::flush;
+            std::this_thread::sleep_for(eventPause);
+        }
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->streams.erase(requestId);
+    }
+
+    std::string id;
+    std::atomic<std::uint64_t> runs = 0;
+    std::mutex mutex;
+    /** Streams that run, by request. */
+    std::map<std::string, std::string> streams;
+    std::set<std::string> usedHandles;
+};
+
+}
+
+int runEngineRole(const std::string &id)
+{
+    EngineHandler handler(id);
+    return serveRole(handler);
+}
+
+}
--- /dev/null
+++ b/Tests/platform/soak/StoreRole.cpp
@@ -0,0 +1,137 @@
+#include "StoreRole.h"
+#include "RoleServer.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/URI.h>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <sstream>
+
+namespace Lovageward::Soak {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t offsetBytes = 8;
+constexpr std::size_t recordsPerRead = 200;
+
+std::string bigEndian(std::uint64_t number, std::size_t bytes)
+{
+    std::string text;
+    for (auto left = bytes; left > 0; --left) {
+        text += static_cast<char>(number >> (8 * (left - 1)) & 0xFFU);
+    }
+    return text;
+}
+
+std::string base64(const std::string &text)
+{
+    std::ostringstream output;
+    Poco::Base64Encoder encoder(output);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return output.str();
+}
+
+/** Logs whose records bear a key; the newest of each key can be listed. */
+class TopicLog
+{
+public:
+    void append(const std::string &topic, const std::string &content)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        this->topics[topic].push_back(content);
+        this->changed.notify_all();
+    }
+
+    std::string read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait)
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait_for(lock, wait, [&] { return this->topics[topic].size() > from; });
+        const auto &records = this->topics[topic];
+        auto body = bigEndian(records.size(), offsetBytes) + bigEndian(0, offsetBytes);
+        for (auto at = from; at < std::min<std::uint64_t>(records.size(), from + recordsPerRead); ++at) {
+            body += bigEndian(records[at].size(), lengthBytes) + records[at];
+        }
+        return body;
+    }
+
+    std::string newest(const std::string &topic)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        std::map<std::string, std::pair<std::string, std::size_t>> values;
+        const auto &records = this->topics[topic];
+        for (std::size_t offset = 0; offset < records.size(); ++offset) {
+            auto keyLength = static_cast<unsigned char>(records[offset].front());
+            values[records[offset].substr(1, keyLength)] = { records[offset].substr(1 + keyLength), offset };
+        }
+        Poco::JSON::Array items;
+        for (const auto &[key, value] : values) {
+            if (!value.first.empty()) {
+                Poco::JSON::Object item;
+                item.set("key", key);
+                item.set("value", base64(value.first));
+                item.set("offset", static_cast<Poco::UInt64>(value.second));
+                items.add(item);
+            }
+        }
+        Poco::JSON::Object page;
+        page.set("items", items);
+        page.set("end", static_cast<Poco::UInt64>(records.size()));
+        page.set("hasMore", false);
+        std::ostringstream text;
+        page.stringify(text);
+        return text.str();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, std::vector<std::string>> topics;
+};
+
+class StoreHandler final : public RoleHandler
+{
+public:
+    void handle(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        Poco::URI uri(request.getURI());
+        std::map<std::string, std::string> query;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            query[name] = value;
+        }
+        std::string body;
+        if (uri.getPath() == "/-/log-append") {
+            std::ostringstream content;
+            content << request.stream().rdbuf();
+            this->log.append(query["topic"], content.str().substr(lengthBytes));
+        } else if (uri.getPath() == "/-/log-read") {
+            body = this->log.read(query["topic"], std::stoull(query["fromRev"]), std::chrono::milliseconds(std::stoi(query["waitMs"])));
+        } else {
+            body = this->log.newest(query["topic"]);
+        }
+        response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        response.send() << body;
+    }
+
+private:
+    TopicLog log;
+};
+
+}
+
+int runStoreRole()
+{
+    StoreHandler handler;
+    return serveRole(handler);
+}
+
+}
--- /dev/null
+++ b/Tests/platform/soak/main.cpp
@@ -0,0 +1,133 @@
+#include "Caller.h"
+#include "Deployment.h"
+#include "EngineRole.h"
+#include "FaultPlan.h"
+#include "StoreRole.h"
+
+#include <LibCore/SystemClock.h>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using namespace Lovageward;
+using namespace Lovageward::Soak;
+
+struct RunOptions
+{
+    std::string program;
+    std::string soakProgram;
+    std::string logs;
+    std::uint64_t firstSeed = 0;
+    std::uint64_t seeds = 0;
+    std::size_t nodes = 0;
+    std::size_t upstreams = 0;
+    std::size_t callers = 0;
+    Duration length = Duration(0);
+};
+
+/** Plays one seed and returns the broken promises. */
+std::vector<std::string> playSeed(const RunOptions &options, std::uint64_t seed, const std::string &logs, std::string &summary)
+{
+    SystemClock clock;
+    Ledger ledger(clock);
+    auto network = static_cast<std::uint32_t>(::getpid()) % 50'000;
+    Deployment deployment(clock, ledger, { options.program, options.soakProgram, logs, network, options.nodes, options.upstreams });
+    deployment.start();
+    std::atomic<bool> isStopping = false;
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < options.callers; ++index) {
+        CallerSettings settings { fmt::format("s{}c{}", seed, index), seed * 1'000 + index, deployment.nodeAddresses(), Deployment::host(), Deployment::key() };
+        callers.emplace_back([&, settings] { Caller(clock, ledger, settings).run(isStopping); });
+    }
+    auto startedAt = clock.now();
+    std::vector<std::thread> faults;
+    for (const auto &fault : drawFaults(seed, options.length)) {
+        std::this_thread::sleep_for(startedAt + fault.startsAt - clock.now());
+        faults.emplace_back([&deployment, fault] { deployment.carryOut(fault); });
+    }
+    std::this_thread::sleep_for(startedAt + options.length - clock.now());
+    for (auto &fault : faults) {
+        fault.join();
+    }
+    isStopping = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    summary = ledger.summary();
+    return ledger.finish();
+}
+
+int runSeeds(const RunOptions &options)
+{
+    int failed = 0;
+    for (auto seed = options.firstSeed; seed < options.firstSeed + options.seeds; ++seed) {
+        auto logs = fmt::format("{}/seed-{}", options.logs, seed);
+        std::filesystem::create_directories(logs);
+        std::string summary;
+        auto violations = playSeed(options, seed, logs, summary);
+        fmt::print("seed {}: {}; {} broken promises\n", seed, summary, violations.size());
+        if (violations.empty()) {
+            std::filesystem::remove_all(logs);
+        } else {
+            ++failed;
+            for (const auto &fault : drawFaults(seed, options.length)) {
+                fmt::print("    {}\n", describe(fault));
+            }
+            for (const auto &violation : violations) {
+                fmt::print("  broken: {}\n", violation);
+            }
+            fmt::print("  logs: {}\n", logs);
+        }
+        std::fflush(stdout);
+    }
+    return failed == 0 ? 0 : 1;
+}
+
+}
+
+int main(int argumentCount, char **arguments)
+{
+    cxxopts::Options options("lovageward-soak", "Runs the gateway as processes under random faults and checks what callers and upstreams see.");
+    options.add_options()("role", "run, store or upstream", cxxopts::value<std::string>()->default_value("run"));
+    options.add_options()("id", "id of the upstream", cxxopts::value<std::string>()->default_value("u0"));
+    options.add_options()("program", "path of lovageward", cxxopts::value<std::string>()->default_value("Build/Services/lovageward/lovageward"));
+    options.add_options()("logs", "directory for the logs of failed seeds", cxxopts::value<std::string>()->default_value("Build/soak-logs"));
+    options.add_options()("from", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("10"));
+    options.add_options()("seconds", "length of each run", cxxopts::value<int>()->default_value("12"));
+    options.add_options()("nodes", "nodes", cxxopts::value<std::size_t>()->default_value("3"));
+    options.add_options()("upstreams", "upstreams", cxxopts::value<std::size_t>()->default_value("8"));
+    options.add_options()("callers", "callers", cxxopts::value<std::size_t>()->default_value("12"));
+    options.parse_positional("role");
+    try {
+        auto parsed = options.parse(argumentCount, arguments);
+        std::signal(SIGPIPE, SIG_IGN);
+        auto role = parsed["role"].as<std::string>();
+        if (role == "store") {
+            return runStoreRole();
+        }
+        if (role == "upstream") {
+            return runEngineRole(parsed["id"].as<std::string>());
+        }
+        return runSeeds({ parsed["program"].as<std::string>(),
+                          std::filesystem::read_symlink("/proc/self/exe").string(),
+                          parsed["logs"].as<std::string>(),
+                          parsed["from"].as<std::uint64_t>(),
+                          parsed["seeds"].as<std::uint64_t>(),
+                          parsed["nodes"].as<std::size_t>(),
+                          parsed["upstreams"].as<std::size_t>(),
+                          parsed["callers"].as<std::size_t>(),
+                          seconds(parsed["seconds"].as<int>()) });
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "lovageward-soak: {}\n", error.what());
+        return 2;
+    }
+}
