LibForward: Send records only with digests to all peers

Cause: a digest to near peers could take records that were read just before, so far peers had to pull them. Change: only digests to all peers carry records.

--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -92,8 +92,10 @@
     auto now = this->parts.clock.now();
     auto audience = this->pacer.due(now);
     if (audience != DigestAudience::Nobody) {
-        auto targets = audience == DigestAudience::All ? this->parts.peers.targets() : this->parts.peers.nearTargets();
-        for (const auto &digest : this->nextDigests()) {
+        auto isForAll = audience == DigestAudience::All;
+        auto targets = isForAll ? this->parts.peers.targets() : this->parts.peers.nearTargets();
+        // Records that were read meanwhile wait for a digest to all.
+        for (const auto &digest : isForAll ? this->digestsWithRecords() : std::vector<PeerDigest> { this->ownDigest() }) {
             this->sendTo(targets, digest);
         }
         auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
@@ -102,7 +104,7 @@
     return this->pacer.next();
 }
 
-std::vector<PeerDigest> PeerExchange::nextDigests()
+std::vector<PeerDigest> PeerExchange::digestsWithRecords()
 {
     std::vector<FeedPiece> unsent;
     {
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -64,8 +64,8 @@
     void receive();
     void take(std::string_view bytes, const std::string &sender);
     PeerDigest ownDigest() const;
-    /** One digest, or one for each piece of the records that were read. */
-    std::vector<PeerDigest> nextDigests();
+    /** One digest for each piece of the records that were read, or one without records. */
+    std::vector<PeerDigest> digestsWithRecords();
     void sendTo(const std::vector<std::string> &targets, const PeerDigest &digest);
     void wakeSender();
 
--- a/Tests/platform/soak/EngineRole.cpp
+++ b/Tests/platform/soak/UpstreamRole.cpp
@@ -1,4 +1,4 @@
-#include "EngineRole.h"
+#include "UpstreamRole.h"
 #include "RoleServer.h"
 
 #include <platform/WireNames.h>
@@ -31,10 +31,10 @@
 /** Every so many-th request finds the upstream full, so that refusals are part of each run. */
 constexpr std::size_t refuseEvery = 40;
 
-class EngineHandler final : public RoleHandler
+class UpstreamHandler final : public RoleHandler
 {
 public:
-    explicit EngineHandler(std::string id) : id(std::move(id))
+    explicit UpstreamHandler(std::string id) : id(std::move(id))
     {
     }
 
@@ -130,9 +130,9 @@
 
 }
 
-int runEngineRole(const std::string &id)
+int runUpstreamRole(const std::string &id)
 {
-    EngineHandler handler(id);
+    UpstreamHandler handler(id);
     return serveRole(handler);
 }
 
--- a/Tests/platform/soak/EngineRole.h
+++ b/Tests/platform/soak/UpstreamRole.h
@@ -9,6 +9,6 @@
  * memory, and "refused ID" otherwise. Paths: /book and /look answer with the id of their request, /plan and /draft send a stream whose events name the request
  * and the run. Runs until it is killed.
  */
-int runEngineRole(const std::string &id);
+int runUpstreamRole(const std::string &id);
 
 }
--- a/Tests/platform/soak/main.cpp
+++ b/Tests/platform/soak/main.cpp
@@ -1,8 +1,8 @@
 #include "Caller.h"
 #include "Deployment.h"
-#include "EngineRole.h"
 #include "FaultPlan.h"
 #include "StoreRole.h"
+#include "UpstreamRole.h"
 
 #include <LibCore/SystemClock.h>
 
@@ -115,7 +115,7 @@
             return runStoreRole();
         }
         if (role == "upstream") {
-            return runEngineRole(parsed["id"].as<std::string>());
+            return runUpstreamRole(parsed["id"].as<std::string>());
         }
         return runSeeds({ parsed["program"].as<std::string>(),
                           std::filesystem::read_symlink("/proc/self/exe").string(),
