LibForward: Take streams late in a stop only if their deadline comes first

Change: once the balancer has noticed the stop, only callers that come back by themselves still send, and a refused one finds another node at the first try; from then on a stream is taken only if its deadline lies before the node's end. The soak's proxies close connections at once when one side ends (callers waited 7 s for it).

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -55,6 +55,7 @@
 
 void DrainNotice::endIdle()
 {
+    this->isIdleOver = true;
     // Closing the write end makes the read end readable for every connection for good.
     ::close(this->pipeEnds[1]);
     this->pipeEnds[1] = -1;
@@ -65,6 +66,11 @@
     return this->hasBegun;
 }
 
+bool DrainNotice::hasEndedIdle() const
+{
+    return this->isIdleOver;
+}
+
 TimePoint DrainNotice::endsAt() const
 {
     return TimePoint(Duration(this->end.load()));
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -30,6 +30,8 @@
     void endIdle();
 
     bool isBegun() const;
+    /** The balancer knows that the node ends; only callers that come back by themselves still send. */
+    bool hasEndedIdle() const;
     /** Time at which the process ends; streams that need longer aren't taken any more. */
     TimePoint endsAt() const;
 
@@ -42,6 +44,7 @@
 private:
     int pipeEnds[2] = { -1, -1 };
     std::atomic<bool> hasBegun = false;
+    std::atomic<bool> isIdleOver = false;
     std::atomic<Duration::rep> end = 0;
 };
 
--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -38,14 +38,14 @@
     return fields;
 }
 
-/** Until then the answer should be whole. */
-TimePoint wholeBy(const AdmittedWork &work, TimePoint now)
+/** Until then the answer should be whole; surely if a refusal costs the caller little. */
+TimePoint wholeBy(const AdmittedWork &work, TimePoint now, bool isSure)
 {
     if (!work.route->isStream) {
         return now + plainTargets * work.route->targetLatency;
     }
-    if (!work.pool->engine) {
-        // Nothing is known of the stream's length.
+    if (isSure || !work.pool->engine) {
+        // The length of a stream is never certain, and without an engine's traits nothing is known of it.
         return work.deadline;
     }
     return now + timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * work.footprint.expectedOutputTokens);
@@ -97,7 +97,8 @@
     if (!drain.isBegun()) {
         return;
     }
-    if (wholeBy(work, this->context.parts.clock.now()) > drain.endsAt()) {
+    // Once the balancer knows, a refused caller finds another node at the first try.
+    if (wholeBy(work, this->context.parts.clock.now(), drain.hasEndedIdle()) > drain.endsAt()) {
         throw Error(ResultCode::ShuttingDown, RunState::NotRun, "the node ends before the answer would", shutdownRetryAfter);
     }
 }
--- a/Tests/LibForward/TestPlainForwarding.cpp
+++ b/Tests/LibForward/TestPlainForwarding.cpp
@@ -242,6 +242,27 @@
     CHECK(answer.find("ShuttingDown") != std::string::npos);
 }
 
+// Found by the soak, seeds 45 and 48: streams that were taken 5 s after SIGTERM, by their expected length, were cut off.
+TEST_CASE("A draining node that the balancer knows of takes a stream only if its deadline comes first")
+{
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(0);
+        connection.endStream();
+    });
+    GatewayWorld world;
+    world.add("e1", engine);
+    world.drain.begin(world.clock.now() + seconds(10));
+    RawCaller early(world);
+    early.request("/long/plan", "r1");
+    CHECK(early.readAll().starts_with("HTTP/1.1 200"));
+    world.drain.endIdle();
+    RawCaller late(world);
+    late.request("/long/plan", "r2");
+    CHECK(late.readAll().find("ShuttingDown") != std::string::npos);
+    CHECK(engine.requests().size() == 1);
+}
+
 // Found by a hunt on evcilkare, copies-that-are-missing seed 849932746356: LOST, a lookup taken 7.1 s after SIGTERM was cut at the end.
 TEST_CASE("A draining node refuses a request that it could not answer before it ends")
 {
--- a/Tests/platform/soak/LinkProxy.cpp
+++ b/Tests/platform/soak/LinkProxy.cpp
@@ -100,6 +100,9 @@
             }
             isOpen = (waiting[0].revents == 0 || this->moveBytes(near, far)) && (waiting[1].revents == 0 || this->moveBytes(far, near));
         }
+        // The acceptor's thread holds a copy of the socket until it ends.
+        near.close();
+        far.close();
     } catch (const Poco::Exception &) {
         // A broken side breaks the other one.
         reset(near);
