--- a/Libraries/LibPeer/NngPeerTransport.cpp
+++ b/Libraries/LibPeer/NngPeerTransport.cpp
@@ -25,7 +25,7 @@
 constexpr auto closeDelay = seconds(2);
 // Bound of the closes at a stop; nng closes a socket in far less than a millisecond unless it is blocked.
 constexpr auto stopLimit = seconds(2);
-// A worker whose socket doesn't close ends after this time.
+// A worker that misses its cancellation sees after this time that it is to end.
 constexpr nng_duration workerCheckMilliseconds = 1'000;
 // nng counts its own headers against the limit.
 constexpr std::size_t receiveLimit = maximumPeerMessageBytes + 64;
@@ -87,6 +87,12 @@
         return result;
     }
 
+    /** Ends a wait in another thread with NNG_ECANCELED. */
+    void cancel()
+    {
+        nng_aio_cancel(this->handle);
+    }
+
     std::string takeMessage()
     {
         auto *message = nng_aio_get_msg(this->handle);
@@ -188,7 +194,8 @@
         nng_listener listener = NNG_LISTENER_INITIALIZER;
         check(nng_listen(this->server, address.value().c_str(), &listener, 0), ResultCode::InvalidSettings, "can't listen at " + address.value());
         for (std::size_t worker = 0; worker < this->options.workers; ++worker) {
-            this->workers.emplace_back([this] { this->answerMessages(); });
+            auto &receive = *this->receives.emplace_back(std::make_unique<Operation>());
+            this->workers.emplace_back([this, &receive] { this->answerMessages(receive); });
         }
         int port = 0;
         check(nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port), ResultCode::Internal, "no bound port");
@@ -201,13 +208,17 @@
         if (this->isStopped.exchange(true)) {
             return;
         }
-        if (this->isListening) {
-            this->closer.runAt(this->clock.now(), [server = this->server] { nng_close(server); });
+        for (auto &receive : this->receives) {
+            receive->cancel();
         }
         for (auto &worker : this->workers) {
             worker.join();
         }
         this->workers.clear();
+        // nng aborts the process if a socket closes while a thread is within one of its calls, so the workers end first.
+        if (this->isListening) {
+            this->closer.runAt(this->clock.now(), [server = this->server] { nng_close(server); });
+        }
         {
             std::lock_guard<std::mutex> guard(this->mutex);
             this->connections.clear();
@@ -292,22 +303,22 @@
         }
     }
 
-    void answerMessages()
+    void answerMessages(Operation &receive)
     {
         try {
             Context context(this->server);
-            Operation operation;
-            while (!this->isStopped && this->answerOne(context, operation)) {
+            Operation send;
+            while (!this->isStopped && this->answerOne(context, receive, send)) {
             }
         } catch (const Error &error) {
             this->logger.error("a worker stopped: {}", error.what());
         }
     }
 
-    /** False once the socket is closed. */
-    bool answerOne(const Context &context, Operation &operation)
+    /** False once the wait was cancelled. */
+    bool answerOne(const Context &context, Operation &receive, Operation &send)
     {
-        auto result = operation.receive(context.handle(), workerCheckMilliseconds);
+        auto result = receive.receive(context.handle(), workerCheckMilliseconds);
         if (result == NNG_ECLOSED || result == NNG_ECANCELED) {
             return false;
         }
@@ -318,10 +329,10 @@
             this->logger.warning("can't receive: {}", nng_strerror(result));
             return true;
         }
-        auto answer = this->router.route(operation.takeMessage());
+        auto answer = this->router.route(receive.takeMessage());
         if (answer) {
             auto timeout = static_cast<nng_duration>(std::chrono::ceil<milliseconds>(this->options.answerSendTimeout).count());
-            operation.send(context.handle(), *answer, timeout);
+            send.send(context.handle(), *answer, timeout);
         }
         return true;
     }
@@ -337,6 +348,8 @@
     bool isListening = false;
     std::atomic<bool> isStopped = false;
     DelayedCloser closer;
+    /** One for each worker, so that stop() can end their waits. */
+    std::vector<std::unique_ptr<Operation>> receives;
     std::vector<std::thread> workers;
 };
 
