--- a/Libraries/LibDispatch/RetryBudget.cpp
+++ b/Libraries/LibDispatch/RetryBudget.cpp
@@ -2,7 +2,7 @@
 
 namespace Lovageward {
 
-RetryBudget::RetryBudget(double share, std::uint32_t floor, Duration window) : share(share), floor(floor), bucketWidth(window / bucketCount)
+RetryBudget::RetryBudget(double share, double floor, Duration window) : share(share), floor(floor), bucketWidth(window / bucketCount)
 {
 }
 
--- a/Libraries/LibDispatch/RetryBudget.h
+++ b/Libraries/LibDispatch/RetryBudget.h
@@ -15,7 +15,13 @@
 class RetryBudget
 {
 public:
-    RetryBudget(double share, std::uint32_t floor, Duration window);
+    RetryBudget(double share, double floor, Duration window);
+
+    /** Changes the retries that are allowed beside the share. */
+    void setFloor(double retries)
+    {
+        this->floor = retries;
+    }
 
     /** Counts a first attempt that was admitted. */
     void countRequest(TimePoint now);
@@ -40,7 +46,7 @@
     Bucket &bucketAt(TimePoint now);
 
     double share;
-    std::uint32_t floor;
+    double floor;
     Duration bucketWidth;
     std::array<Bucket, bucketCount> buckets;
 };
--- a/Libraries/LibForward/ControlServer.cpp
+++ b/Libraries/LibForward/ControlServer.cpp
@@ -20,7 +20,7 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int threadsPerAddress = 3;
+constexpr int threadsPerAddress = 4;
 constexpr int listenBacklog = 64;
 
 /** What the handlers read. */
@@ -28,7 +28,7 @@
 {
     const Readiness &readiness;
     const Counters &counters;
-    const FeedMirror &mirror;
+    FeedPages &pages;
     const std::string &readinessPath;
 };
 
@@ -76,7 +76,7 @@
             return "topic and from must be numbers";
         }
         response.setContentType("application/msgpack");
-        return encodeFeedPage(this->sources.mirror.since(static_cast<FeedTopic>(topic), offset));
+        return this->sources.pages.since(static_cast<FeedTopic>(topic), offset);
     }
 
     ControlSources sources;
@@ -100,8 +100,8 @@
 
 }
 
-ControlServer::ControlServer(const Readiness &readiness, const Counters &counters, const FeedMirror &mirror, std::string readinessPath)
-    : readiness(readiness), counters(counters), mirror(mirror), readinessPath(std::move(readinessPath))
+ControlServer::ControlServer(const Readiness &readiness, const Counters &counters, FeedPages &pages, std::string readinessPath)
+    : readiness(readiness), counters(counters), pages(pages), readinessPath(std::move(readinessPath))
 {
 }
 
@@ -122,7 +122,7 @@
         params->setMaxThreads(threadsPerAddress);
         // A connection that waits for its next request would hold one of the few threads.
         params->setKeepAlive(false);
-        ControlSources sources { this->readiness, this->counters, this->mirror, this->readinessPath };
+        ControlSources sources { this->readiness, this->counters, this->pages, this->readinessPath };
         Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new ControlHandlerFactory(sources));
         this->servers.push_back(std::make_unique<Poco::Net::HTTPServer>(factory, socket, params));
         this->servers.back()->start();
--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -6,8 +6,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
-#include <array>
-
 namespace Lovageward {
 
 namespace {
@@ -15,20 +13,18 @@
 /** The receiver looks so often whether it is to stop. */
 constexpr Duration receiveWait = seconds(1);
 
-constexpr std::size_t namedPeers = 4;
-
 }
 
-PeerExchange::PeerExchange(const PeerExchangeParts &parts, const HostId &host, const FailureDomainId &failureDomain, const std::string &listenAddress)
-    : parts(parts), host(host), failureDomain(failureDomain)
+PeerExchange::PeerExchange(const PeerExchangeParts &parts, const KnownHost &self)
+    : parts(parts), agent({ parts.clock, parts.book, parts.peers, parts.mirror, parts.registry, *this }, self.host, self.failureDomain)
 {
     try {
-        this->socket.bind(Poco::Net::SocketAddress(listenAddress), true);
+        this->socket.bind(Poco::Net::SocketAddress(self.address), true);
         this->socket.setReceiveTimeout(toTimespan(receiveWait));
     } catch (const Poco::Exception &error) {
-        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't bind the peer socket " + listenAddress + ": " + error.displayText());
+        throw Error(ResultCode::InvalidSettings, RunState::NotRun, "can't bind the peer socket " + self.address + ": " + error.displayText());
     }
-    this->receiver = std::thread([this] { this->receive(); });
+    this->receiver = std::thread([this] { this->receiveDigests(); });
 }
 
 PeerExchange::~PeerExchange()
@@ -37,45 +33,48 @@
     this->receiver.join();
 }
 
-PeerDigest PeerExchange::ownDigest() const
+void PeerExchange::setFollowers(const std::array<FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads)
 {
-    PeerDigest digest;
-    digest.host = this->host;
-    digest.failureDomain = this->failureDomain;
-    digest.isLeaving = this->parts.drain.isBegun();
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
-        digest.nextOffsets[topic] = this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic));
-        const auto *follower = this->followers[topic].load();
-        digest.readAges[topic] = follower == nullptr ? Duration::max() : this->parts.clock.now() - follower->lastReadAt();
+        this->followers[topic] = feeds[topic];
+        this->followerThreads[topic] = feedThreads[topic];
     }
-    digest.shares = this->parts.book.ownShares();
-    digest.peers = this->parts.peers.live(namedPeers);
-    return digest;
 }
 
-void PeerExchange::setFollowers(const std::array<FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads)
+TimePoint PeerExchange::lastReadAt(FeedTopic topic) const
 {
-    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
-        this->followers[topic] = feeds[topic];
-        this->followerThreads[topic] = feedThreads[topic];
+    const auto *follower = this->followers[static_cast<std::size_t>(topic)].load();
+    return follower == nullptr ? TimePoint() : follower->lastReadAt();
+}
+
+void PeerExchange::receive(FeedPiece piece)
+{
+    auto topic = piece.topic;
+    auto *follower = this->followers[static_cast<std::size_t>(topic)].load();
+    if (follower != nullptr) {
+        follower->receive(std::move(piece));
+        this->newerRecordsSeen(topic);
     }
+    this->wakeSender();
 }
 
-void PeerExchange::recordsRead(const FeedPiece &piece)
+void PeerExchange::newerRecordsSeen(FeedTopic topic)
 {
-    {
-        std::lock_guard<std::mutex> guard(this->piecesMutex);
-        for (auto &part : cutToSize(piece, largestPieceBytes)) {
-            this->pieces.push_back(std::move(part));
-        }
+    auto *thread = this->followerThreads[static_cast<std::size_t>(topic)].load();
+    if (thread != nullptr) {
+        thread->wake();
     }
-    this->pacer.recordsRead();
+}
+
+void PeerExchange::recordsRead(const FeedPiece &piece)
+{
+    this->agent.recordsRead(piece);
     this->wakeSender();
 }
 
 void PeerExchange::loadChanged()
 {
-    this->pacer.loadChanged();
+    this->agent.loadChanged();
     this->wakeSender();
 }
 
@@ -89,56 +88,31 @@
 
 TimePoint PeerExchange::step()
 {
-    auto now = this->parts.clock.now();
-    auto audience = this->pacer.due(now);
-    if (audience != DigestAudience::Nobody) {
-        auto isForAll = audience == DigestAudience::All;
-        auto targets = isForAll ? this->parts.peers.targets() : this->parts.peers.nearTargets();
-        // Records that were read meanwhile wait for a digest to all.
-        for (const auto &digest : isForAll ? this->digestsWithRecords() : std::vector<PeerDigest> { this->ownDigest() }) {
-            this->sendTo(targets, digest);
-        }
-        auto isReader = this->parts.peers.isReader(FeedTopic::Operators) || this->parts.peers.isReader(FeedTopic::Upstreams);
-        this->pacer.sent(now, audience, targets.size(), isReader);
-    }
-    return this->pacer.next();
-}
-
-std::vector<PeerDigest> PeerExchange::digestsWithRecords()
-{
-    std::vector<FeedPiece> unsent;
-    {
-        std::lock_guard<std::mutex> guard(this->piecesMutex);
-        unsent.swap(this->pieces);
+    if (this->parts.drain.isBegun()) {
+        this->agent.leave();
     }
-    auto state = this->ownDigest();
-    if (unsent.empty()) {
-        return { state };
+    for (const auto &digest : this->agent.step()) {
+        this->send(digest);
     }
-    std::vector<PeerDigest> digests;
-    for (auto &piece : unsent) {
-        // Peers don't ask for what comes with the digests after this one.
-        state.nextOffsets[static_cast<std::size_t>(piece.topic)] = piece.page.nextOffset;
-        state.piece = std::move(piece);
-        digests.push_back(state);
-    }
-    return digests;
+    return this->agent.next();
 }
 
-void PeerExchange::sendTo(const std::vector<std::string> &targets, const PeerDigest &digest)
+void PeerExchange::send(const OutgoingDigest &digest)
 {
-    auto bytes = encodeDigest(digest);
-    for (const auto &target : targets) {
+    auto &sent = this->parts.counters.counter("lovageward_digests_sent_total");
+    auto &bytes = this->parts.counters.counter("lovageward_digest_bytes_sent_total");
+    for (const auto &target : digest.targets) {
         try {
-            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(target));
-            this->parts.counters.counter("lovageward_digests_sent_total").add();
+            this->socket.sendTo(digest.bytes.data(), static_cast<int>(digest.bytes.size()), Poco::Net::SocketAddress(target));
+            sent.add();
+            bytes.add(static_cast<std::int64_t>(digest.bytes.size()));
         } catch (const Poco::Exception &error) {
             this->parts.events.write("digest_not_sent", { { "peer", target }, { "reason", error.displayText() } });
         }
     }
 }
 
-void PeerExchange::receive()
+void PeerExchange::receiveDigests()
 {
     std::array<char, largestDigestBytes> bytes {};
     while (!this->isStopping) {
@@ -147,41 +121,23 @@
             auto count = this->socket.receiveFrom(bytes.data(), static_cast<int>(bytes.size()), sender);
             this->take(std::string_view(bytes.data(), static_cast<std::size_t>(count)), sender.toString());
         } catch (const Poco::TimeoutException &) { // NOLINT(bugprone-empty-catch): nothing arrived.
-        } catch (const Poco::Exception &error) {
-            // The kernel reports a peer without a listener on the next receive.
-            this->parts.events.write("digest_receive_failed", { { "reason", error.displayText() } });
+        } catch (const std::exception &error) {
+            // The kernel reports a peer without a listener on the next receive; no datagram may end the thread.
+            this->parts.events.write("digest_receive_failed", { { "reason", error.what() } });
         }
     }
 }
 
-void PeerExchange::take(std::string_view bytes, const std::string &sender)
+void PeerExchange::take(std::string_view bytes, const std::string &address)
 {
     try {
-        auto digest = decodeDigest(bytes);
-        if (digest.host == this->host) {
-            return;
-        }
-        if (digest.piece) {
-            auto *follower = this->followers[static_cast<std::size_t>(digest.piece->topic)].load();
-            if (follower != nullptr) {
-                follower->receive(std::move(*digest.piece));
-            }
-        }
-        for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
-            auto *thread = this->followerThreads[topic].load();
-            if (thread != nullptr && digest.nextOffsets[topic] > this->parts.mirror.nextOffset(static_cast<FeedTopic>(topic))) {
-                thread->wake();
-            }
-        }
-        if (this->parts.peers.heard(sender, digest)) {
-            this->parts.events.write("peer", { { "peer", digest.host.value() }, { "address", sender } });
-        }
-        this->parts.book.applyPeer(digest.host, digest.shares, this->parts.peers.heardUntil());
-        for (const auto &address : digest.peers) {
-            this->parts.peers.learn(address);
+        auto peer = this->agent.take(bytes, address);
+        if (!peer.isEmpty()) {
+            this->parts.events.write("peer", { { "peer", peer.value() }, { "address", address } });
+            this->wakeSender();
         }
     } catch (const Error &error) {
-        this->parts.events.write("digest_ignored", { { "address", sender }, { "reason", error.what() } });
+        this->parts.events.write("digest_ignored", { { "address", address }, { "reason", error.what() } });
     }
 }
 
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -5,17 +5,14 @@
 #include <LibCore/EventLog.h>
 #include <LibForward/CallerChannel.h>
 #include <LibForward/ForwardParts.h>
-#include <LibGateway/DigestPacer.h>
 #include <LibGateway/FeedFollower.h>
-#include <LibGateway/FeedMirror.h>
-#include <LibGateway/LoadBook.h>
-#include <LibGateway/PeerDigest.h>
-#include <LibGateway/PeerTable.h>
+#include <LibGateway/PeerAgent.h>
 #include <LibMembership/PeriodicTask.h>
 #include <LibMembership/TaskThread.h>
 
 #include <Poco/Net/DatagramSocket.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -30,19 +27,19 @@
     LoadBook &book;
     PeerTable &peers;
     const FeedMirror &mirror;
+    const UpstreamRegistry &registry;
     const DrainNotice &drain;
 };
 
 /**
- * Sends this node's digest to its peers and takes theirs. Digests travel as datagrams: each one holds the whole state, so nothing is repeated,
- * and no connection can go silent. Records of the store that this node has just read travel with them. step() sends; a thread of its own
- * receives. Lock order: its mutex is a leaf lock.
+ * Carries the datagrams of a PeerAgent. Nothing is repeated, and no connection can go silent. step() sends; a thread of its own receives. Lock
+ * order: none of its own.
  */
-class PeerExchange final : public PeriodicTask, public PlacementListener, public FeedListener
+class PeerExchange final : public PeriodicTask, public PlacementListener, public FeedListener, private FeedInbox
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
-    PeerExchange(const PeerExchangeParts &parts, const HostId &host, const FailureDomainId &failureDomain, const std::string &listenAddress);
+    PeerExchange(const PeerExchangeParts &parts, const KnownHost &self);
     ~PeerExchange() override;
 
     TimePoint step() override;
@@ -61,26 +58,22 @@
     void setFollowers(const std::array<FeedFollower *, feedTopicCount> &feeds, const std::array<TaskThread *, feedTopicCount> &feedThreads);
 
 private:
-    void receive();
-    void take(std::string_view bytes, const std::string &sender);
-    PeerDigest ownDigest() const;
-    /** One digest for each piece of the records that were read, or one without records. */
-    std::vector<PeerDigest> digestsWithRecords();
-    void sendTo(const std::vector<std::string> &targets, const PeerDigest &digest);
+    TimePoint lastReadAt(FeedTopic topic) const override;
+    void receive(FeedPiece piece) override;
+    void newerRecordsSeen(FeedTopic topic) override;
+
+    void receiveDigests();
+    void take(std::string_view bytes, const std::string &address);
+    void send(const OutgoingDigest &digest);
     void wakeSender();
 
     PeerExchangeParts parts;
-    HostId host;
-    FailureDomainId failureDomain;
+    PeerAgent agent;
     Poco::Net::DatagramSocket socket;
     std::atomic<bool> isStopping = false;
     std::atomic<TaskThread *> sender = nullptr;
     std::array<std::atomic<FeedFollower *>, feedTopicCount> followers {};
     std::array<std::atomic<TaskThread *>, feedTopicCount> followerThreads {};
-    DigestPacer pacer;
-    std::mutex piecesMutex;
-    /** Records that the peers aren't told of yet. */
-    std::vector<FeedPiece> pieces;
     std::thread receiver;
 };
 
--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -1,23 +1,20 @@
 #include <LibForward/PeerPull.h>
 
 #include <LibCore/Error.h>
+#include <LibForward/FeedPages.h>
 #include <LibHttp/SimpleHttp.h>
 
 #include <Poco/Exception.h>
 #include <fmt/format.h>
-#include <msgpack.hpp>
 
-#include <tuple>
-#include <vector>
+#include <algorithm>
 
 namespace Lovageward {
 
 namespace {
 
-using WireRecord = std::tuple<std::string, std::string, std::uint64_t>;
-using WirePage = std::tuple<std::uint64_t, std::vector<WireRecord>>;
-
-constexpr Duration pullLimit = milliseconds(500);
+/** A page of thousands of records takes some tenths of a second over a small host's link. */
+constexpr Duration pullLimit = milliseconds(800);
 
 /** Peers that are asked before the pull is given up. */
 constexpr std::size_t mostTries = 2;
@@ -26,35 +23,6 @@
 
 }
 
-std::string encodeFeedPage(const FeedPage &page)
-{
-    std::vector<WireRecord> records;
-    for (const auto &record : page.records) {
-        records.emplace_back(record.key, record.value, record.offset);
-    }
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, WirePage(page.nextOffset, std::move(records)));
-    return { buffer.data(), buffer.size() };
-}
-
-FeedPage decodeFeedPage(const std::string &bytes)
-{
-    try {
-        auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        auto [nextOffset, records] = handle.get().as<WirePage>();
-        FeedPage page;
-        page.nextOffset = nextOffset;
-        for (auto &[key, value, offset] : records) {
-            page.records.push_back(FeedRecord { std::move(key), std::move(value), offset });
-        }
-        return page;
-    } catch (const msgpack::unpack_error &error) {
-        throw Error(ResultCode::MalformedMessage, RunState::NotRun, error.what());
-    } catch (const msgpack::type_error &error) {
-        throw Error(ResultCode::MalformedMessage, RunState::NotRun, error.what());
-    }
-}
-
 FeedPage PeerPull::pull(FeedTopic topic, std::uint64_t offset)
 {
     auto candidates = this->peers.ahead(topic, offset);
@@ -86,6 +54,11 @@
     return this->peers.isReader(topic);
 }
 
+bool PeerPull::isSettled() const
+{
+    return this->peers.isSettled();
+}
+
 TimePoint PeerPull::coveredUntil(FeedTopic topic) const
 {
     return this->peers.coveredUntil(topic);
--- a/Libraries/LibForward/PeerPull.h
+++ b/Libraries/LibForward/PeerPull.h
@@ -10,12 +10,6 @@
 
 namespace Lovageward {
 
-/** msgpack encoding of a page that one node gives another. */
-std::string encodeFeedPage(const FeedPage &page);
-
-/** Throws Error(MalformedMessage). */
-FeedPage decodeFeedPage(const std::string &bytes);
-
 /** Path of the peers' HTTP port that serves pages: `?topic=N&from=OFFSET` follows. */
 inline constexpr const char *feedPagePath = "/feed";
 
@@ -32,6 +26,7 @@
     bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const override;
     bool isReader(FeedTopic topic) const override;
     TimePoint coveredUntil(FeedTopic topic) const override;
+    bool isSettled() const override;
 
 private:
     const Clock &clock;
--- a/Libraries/LibGateway/ColdLimiter.cpp
+++ b/Libraries/LibGateway/ColdLimiter.cpp
@@ -25,11 +25,15 @@
     if (rate <= 0) {
         return false;
     }
-    auto &next = this->nextAt[upstream];
-    if (now < next) {
+    auto pause = std::chrono::duration<double>(1 / rate);
+    auto [next, isFirst] = this->nextAt.try_emplace(upstream, now);
+    if (isFirst) {
+        next->second += std::chrono::duration_cast<Duration>(pause * this->random.unit());
+    }
+    if (now < next->second) {
         return false;
     }
-    next = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    next->second = now + std::chrono::duration_cast<Duration>(pause);
     return true;
 }
 
--- a/Libraries/LibGateway/ColdLimiter.h
+++ b/Libraries/LibGateway/ColdLimiter.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
+#include <LibCore/RandomSource.h>
 
 #include <map>
 #include <mutex>
@@ -9,13 +10,14 @@
 namespace Lovageward {
 
 /**
- * Bounds the requests that this node sends to a cold upstream, so that the sum over all nodes stays below what the upstream withstands. Answers
- * the load pattern of capacity that returns cold during full traffic. Thread-safe; its mutex is a leaf lock.
+ * Bounds the requests that this node sends to a cold upstream, so that the sum over all nodes stays below what the upstream withstands: each node
+ * has its share of the rate, from a random moment on, so that not all begin together. Answers the load pattern of capacity that returns cold
+ * during full traffic of hundreds of nodes. Thread-safe; its mutex is a leaf lock.
  */
 class ColdLimiter
 {
 public:
-    explicit ColdLimiter(const Clock &clock) : clock(clock)
+    ColdLimiter(const Clock &clock, RandomSource &random) : clock(clock), random(random)
     {
     }
 
@@ -24,6 +26,7 @@
 
 private:
     const Clock &clock;
+    RandomSource &random;
     mutable std::mutex mutex;
     /** Earliest time of the next request by upstream. */
     std::map<UpstreamId, TimePoint> nextAt;
--- a/Libraries/LibGateway/DigestPacer.cpp
+++ b/Libraries/LibGateway/DigestPacer.cpp
@@ -8,11 +8,14 @@
 
 namespace {
 
-/** Nodes that read the store for all tell how fresh their reads are so often (see PeerTable). */
-constexpr Duration readerInterval = milliseconds(300);
+/** Nodes that speak for others tell how fresh their records are so often (see PeerTable). */
+constexpr Duration freshnessInterval = milliseconds(300);
 
-/** Changes of load are told at once, but a node sends at most about 200 such digests a second altogether. */
-constexpr Duration pausePerPeer = milliseconds(5);
+/** News of freshness from two readers are told together. */
+constexpr Duration newsPause = milliseconds(250);
+
+/** Times the third power of the group: 12 peers are told of changes 23 times a second, 16 ten times, 50 every three seconds. */
+constexpr Duration pausePerCube = microseconds(25);
 
 }
 
@@ -21,35 +24,43 @@
     this->hasNewLoad = true;
 }
 
-void DigestPacer::recordsRead()
+void DigestPacer::freshnessChanged()
 {
-    this->hasNewRecords = true;
+    this->isFresher = true;
 }
 
-DigestAudience DigestPacer::due(TimePoint now)
+DueDigests DigestPacer::due(TimePoint now, std::size_t peers, bool speaksForOthers)
 {
-    if (this->hasNewRecords.exchange(false) || now >= this->allAt) {
-        this->hasNewLoad = false;
-        return DigestAudience::All;
+    DueDigests due;
+    if (speaksForOthers && (now >= this->freshnessAt || (now >= this->newsAllowedAt && this->isFresher))) {
+        this->isFresher = false;
+        due.freshness = true;
+        this->freshnessAt = now + freshnessInterval;
+        this->newsAllowedAt = now + newsPause;
     }
-    if (now < this->loadAllowedAt || !this->hasNewLoad.exchange(false)) {
-        return DigestAudience::Nobody;
+    if (now >= this->stateAt) {
+        due.state = true;
+        this->stateAt = now + digestInterval(peers);
+    } else if (now >= this->loadAllowedAt && this->hasNewLoad) {
+        due.changes = true;
     }
-    return DigestAudience::Near;
-}
-
-void DigestPacer::sent(TimePoint now, DigestAudience audience, std::size_t peers, bool isReader)
-{
-    this->loadAllowedAt = now + pausePerPeer * static_cast<int>(peers);
-    if (audience == DigestAudience::All) {
-        auto interval = digestInterval(peers);
-        this->allAt = now + (isReader ? std::min(interval, readerInterval) : interval);
+    if (due.state || due.changes) {
+        this->hasNewLoad = false;
+        this->loadAllowedAt = now + pausePerCube * static_cast<std::int64_t>(peers * peers * peers);
     }
+    return due;
 }
 
-TimePoint DigestPacer::next() const
+TimePoint DigestPacer::next(bool speaksForOthers) const
 {
-    return this->hasNewLoad ? std::min(this->loadAllowedAt, this->allAt) : this->allAt;
+    auto next = this->stateAt;
+    if (this->hasNewLoad) {
+        next = std::min(next, this->loadAllowedAt);
+    }
+    if (speaksForOthers) {
+        next = std::min(next, this->isFresher ? std::min(this->newsAllowedAt, this->freshnessAt) : this->freshnessAt);
+    }
+    return next;
 }
 
 }
--- a/Libraries/LibGateway/DigestPacer.h
+++ b/Libraries/LibGateway/DigestPacer.h
@@ -7,40 +7,45 @@
 
 namespace Lovageward {
 
-/** Who gets a digest. */
-enum class DigestAudience {
-    Nobody,
-    /** See PeerTable::nearTargets. */
-    Near,
-    All,
+/** What a node is to tell its group now. */
+struct DueDigests
+{
+    /** All of its load. */
+    bool state = false;
+    /** How fresh its records are. Only from nodes that speak for others. */
+    bool freshness = false;
+    /** The load that changed. */
+    bool changes = false;
 };
 
 /**
- * Decides when this node tells its peers of its state. Changes of load are told soon, but within a bound on datagrams; new records of the store
- * are told at once, because an engine's notice may be two seconds only. Answers the load pattern of many placements a second at many nodes.
- * The first two functions are safe from any thread; one thread calls the others.
+ * Decides when this node tells its peers of its state. Changes of load are told soon, but the larger the group the more of them are told together:
+ * its engines are as many more, so that a single change matters less, and a node hears all of the group. Answers the load pattern of many placements a second
+ * at many nodes. The first two functions are safe from any thread; one thread calls the others.
  */
 class DigestPacer
 {
 public:
     void loadChanged();
-    void recordsRead();
 
-    DigestAudience due(TimePoint now);
+    /** The node knows of newer records, or that its records are fresher. */
+    void freshnessChanged();
 
-    /** The audience had so many peers. A reader is a node that reads the store for all. */
-    void sent(TimePoint now, DigestAudience audience, std::size_t peers, bool isReader);
+    /** What is due to a group of so many peers. It counts as told. */
+    DueDigests due(TimePoint now, std::size_t peers, bool speaksForOthers);
 
     /** When due() is to be asked again, unless something changes before. */
-    TimePoint next() const;
+    TimePoint next(bool speaksForOthers) const;
 
 private:
     std::atomic<bool> hasNewLoad = false;
-    std::atomic<bool> hasNewRecords = false;
+    std::atomic<bool> isFresher = false;
     /** No change of load is told before that. */
     TimePoint loadAllowedAt;
-    /** When all peers get the next digest, changes or not. */
-    TimePoint allAt;
+    /** No news of freshness is told before that. */
+    TimePoint newsAllowedAt;
+    TimePoint stateAt;
+    TimePoint freshnessAt;
 };
 
 }
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Error.h>
 
 #include <algorithm>
-#include <set>
 
 namespace Lovageward {
 
@@ -24,6 +23,13 @@
 /** Entries that lapsed during an outage are registered again within two seconds of its end. */
 constexpr Duration returnGrace = milliseconds(2300);
 
+/** Nodes that start together let a few of them list the topic for so long. */
+constexpr Duration listingGrace = milliseconds(1500);
+constexpr Duration listingCheckPause = milliseconds(50);
+
+/** Records that were passed on by a relay arrive within that time after a digest that tells of them. */
+constexpr Duration pieceGrace = milliseconds(120);
+
 /** Pieces that wait for the next step; more come only if a step is stuck at the store, and then the peers are asked. */
 constexpr std::size_t mostReceived = 64;
 
@@ -86,18 +92,25 @@
     this->applyReceived();
     try {
         if (!this->isListed) {
+            if (this->waitsForPeers()) {
+                return this->clock.now() + listingCheckPause;
+            }
             this->list();
         } else if (auto next = this->followPeers()) {
             return *next;
+        } else if (this->clock.now() < this->readsNextAt) {
+            return this->readsNextAt;
         } else {
             this->follow();
         }
         this->noteSuccess();
-        return this->clock.now() + this->pace.pause;
+        this->readsNextAt = this->clock.now() + this->pace.pause;
+        return this->readsNextAt;
     } catch (const Error &error) {
         if (error.code() == ResultCode::RecordsExpired) {
             this->events.write("feed_expired", { { "topic", topicName(this->topic) }, { "offset", this->nextOffset } });
             this->isListed = false;
+            this->listsItselfAt = this->clock.now();
             return this->clock.now();
         }
         this->noteFailure(error.what());
@@ -106,9 +119,48 @@
     return this->clock.now() + pauseAfterFailure;
 }
 
+bool FeedFollower::waitsForPeers()
+{
+    auto now = this->clock.now();
+    if (!this->listsItselfAt) {
+        this->listsItselfAt = now + listingGrace;
+    }
+    if (now >= *this->listsItselfAt) {
+        return false;
+    }
+    if (!this->peers.isSettled()) {
+        return true;
+    }
+    if (this->peers.isReader(this->topic)) {
+        return false;
+    }
+    if (this->peers.isAnyAhead(this->topic, 0)) {
+        this->pullFromPeers();
+        this->isListed = this->isRead;
+    }
+    return true;
+}
+
+FeedPage FeedFollower::listWhole()
+{
+    FeedPage whole;
+    std::optional<std::string> lastKey;
+    for (bool hasMore = true; hasMore;) {
+        auto listing = this->feed.listNewest(this->topic, lastKey, this->clock.now() + answerLimit);
+        // Records that come while the pages are read are read again from the end of the first page.
+        whole.nextOffset = lastKey ? std::min(whole.nextOffset, listing.page.nextOffset) : listing.page.nextOffset;
+        hasMore = listing.hasMore && !listing.page.records.empty();
+        for (auto &record : listing.page.records) {
+            lastKey = record.key;
+            whole.records.push_back(std::move(record));
+        }
+    }
+    return whole;
+}
+
 void FeedFollower::list()
 {
-    auto page = this->feed.listNewest(this->topic, this->clock.now() + answerLimit);
+    auto page = this->listWhole();
     // An outage ends with this read, so what is missing now may return.
     this->noteSuccess();
     for (const auto &record : page.records) {
@@ -144,14 +196,32 @@
         return std::nullopt;
     }
     auto known = this->targets.mirror.nextOffset(this->topic);
-    if (this->peers.isAnyAhead(this->topic, known)) {
+    if (this->isBehindForLong(known)) {
         this->pullFromPeers();
         if (this->targets.mirror.nextOffset(this->topic) == known) {
             return std::nullopt;
         }
     }
     // A digest that shows new records wakes the follower before.
-    return std::min(coveredUntil, this->clock.now() + peerCheckPause);
+    auto next = std::min(coveredUntil, this->clock.now() + peerCheckPause);
+    return this->pullsAt ? std::min(next, *this->pullsAt) : next;
+}
+
+bool FeedFollower::isBehindForLong(std::uint64_t known)
+{
+    if (!this->peers.isAnyAhead(this->topic, known)) {
+        this->pullsAt.reset();
+        return false;
+    }
+    if (!this->pullsAt || this->behindAt != known) {
+        this->pullsAt = this->clock.now() + pieceGrace;
+        this->behindAt = known;
+    }
+    if (this->clock.now() < *this->pullsAt) {
+        return false;
+    }
+    this->pullsAt.reset();
+    return true;
 }
 
 void FeedFollower::apply(const FeedRecord &record)
@@ -204,30 +274,8 @@
 
 void FeedFollower::removeUnlisted(const FeedPage &page)
 {
-    std::set<UpstreamId> upstreams;
-    std::set<FailureDomainId> drained;
-    for (const auto &record : page.records) {
-        try {
-            auto change = this->decoder.decode(this->topic, record, this->clock.now());
-            if (const auto *entry = change ? std::get_if<UpstreamRecord>(&*change) : nullptr) {
-                upstreams.insert(entry->id);
-            }
-            if (const auto *drain = change ? std::get_if<DrainChange>(&*change) : nullptr; drain != nullptr && drain->isDrained) {
-                drained.insert(drain->domain);
-            }
-        } catch (const Error &) { // NOLINT(bugprone-empty-catch): apply() has logged the record.
-        }
-    }
-    if (this->topic == FeedTopic::Upstreams) {
-        for (const auto &missing : this->targets.registry.missingFrom(upstreams)) {
-            this->applyChange(UpstreamRemoval { missing }, FeedRecord { missing.value(), {}, page.nextOffset });
-        }
-        return;
-    }
-    for (const auto &domain : this->targets.registry.drainedDomains()) {
-        if (!drained.contains(domain)) {
-            this->applyChange(DrainChange { domain, false }, FeedRecord { domain.value(), {}, page.nextOffset });
-        }
+    for (auto &missing : this->targets.mirror.missingFrom(this->topic, page.records)) {
+        this->apply(FeedRecord { std::move(missing), {}, std::max<std::uint64_t>(page.nextOffset, 1) - 1 });
     }
 }
 
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -30,6 +30,7 @@
     /** See PeerTable. */
     virtual bool isReader(FeedTopic topic) const = 0;
     virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
+    virtual bool isSettled() const = 0;
 };
 
 /** How often a topic is read. */
@@ -61,7 +62,8 @@
 /**
  * Follows one topic of the platform's store and applies its records. A few nodes read the store; the others get the records from them, and read
  * it themselves when those fall silent. While the store can't be read, records come from any peer that has them. Entries that vanish
- * around an outage are kept for a grace time. Answers the load pattern of a store that is down, slow, or turns single nodes away. One thread
+ * around an outage are kept for a grace time. Answers the load patterns of a store that is down, slow, or turns single nodes away, and of
+ * hundreds of nodes that start together. One thread
  * calls step(); the other functions are safe from any thread. Lock order: its mutex is a leaf lock.
  */
 class FeedFollower final : public PeriodicTask
@@ -91,7 +93,10 @@
     TimePoint lastReadAt() const;
 
 private:
+    /** Whether peers have a part of the work that this node is to wait for; called before the topic was listed. */
+    bool waitsForPeers();
     void list();
+    FeedPage listWhole();
     void follow();
     void applyReceived();
     void applyPage(const FeedPage &page);
@@ -99,7 +104,9 @@
     std::optional<TimePoint> followPeers();
     void apply(const FeedRecord &record);
     void applyChange(const FeedChange &change, const FeedRecord &record);
+    /** Removes what a complete listing lacks, here and for the peers that get their records from this node. */
     void removeUnlisted(const FeedPage &page);
+    bool isBehindForLong(std::uint64_t known);
     void noteSuccess();
     void noteFailure(const std::string &reason);
     void pullFromPeers();
@@ -119,6 +126,13 @@
     std::uint64_t nextOffset = 0;
     std::uint32_t failures = 0;
     std::optional<TimePoint> failingSince;
+    /** Set at the first step: until then the peers are given time to list the topic. */
+    std::optional<TimePoint> listsItselfAt;
+    /** Records that a peer has and this node lacks are asked for then, if none came. */
+    std::optional<TimePoint> pullsAt;
+    std::uint64_t behindAt = 0;
+    /** The store isn't read before that, whatever wakes this node. */
+    TimePoint readsNextAt;
     /** Removals before that time are doubtful. */
     TimePoint doubtfulUntil;
     std::mutex receivedMutex;
--- a/Libraries/LibGateway/FeedMirror.cpp
+++ b/Libraries/LibGateway/FeedMirror.cpp
@@ -1,6 +1,8 @@
 #include <LibGateway/FeedMirror.h>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace Lovageward {
 
@@ -29,6 +31,22 @@
     return this->at(topic).nextOffset;
 }
 
+std::vector<std::string> FeedMirror::missingFrom(FeedTopic topic, const std::vector<FeedRecord> &listed) const
+{
+    std::set<std::string_view> keys;
+    for (const auto &record : listed) {
+        keys.insert(record.key);
+    }
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<std::string> missing;
+    for (const auto &[key, record] : this->at(topic).newest) {
+        if (!record.value.empty() && !keys.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    return missing;
+}
+
 FeedPage FeedMirror::since(FeedTopic topic, std::uint64_t offset) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/FeedMirror.h
+++ b/Libraries/LibGateway/FeedMirror.h
@@ -24,6 +24,9 @@
 
     std::uint64_t nextOffset(FeedTopic topic) const;
 
+    /** Keys with a value that the records, a complete listing, don't have. */
+    std::vector<std::string> missingFrom(FeedTopic topic, const std::vector<FeedRecord> &listed) const;
+
     /** Records at the offset or after it, oldest first. */
     FeedPage since(FeedTopic topic, std::uint64_t offset) const;
 
--- a/Libraries/LibGateway/HostDirectory.h
+++ b/Libraries/LibGateway/HostDirectory.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <LibCore/Ids.h>
 #include <LibCore/Time.h>
+#include <LibGateway/PeerDigest.h>
 
-#include <string>
 #include <vector>
 
 namespace Lovageward {
@@ -15,10 +14,10 @@
     virtual ~HostDirectory() = default;
 
     /** Throws Error(LogUnavailable). */
-    virtual void announce(const HostId &host, const std::string &peerAddress, TimePoint deadline) = 0;
+    virtual void announce(const KnownHost &host, TimePoint deadline) = 0;
 
-    /** Addresses of all hosts that were announced, also of some that are gone. Throws Error(LogUnavailable). */
-    virtual std::vector<std::string> peerAddresses(TimePoint deadline) = 0;
+    /** All hosts that were announced, also some that are gone. Throws Error(LogUnavailable). */
+    virtual std::vector<KnownHost> hosts(TimePoint deadline) = 0;
 };
 
 }
--- a/Libraries/LibGateway/LoadBook.cpp
+++ b/Libraries/LibGateway/LoadBook.cpp
@@ -6,6 +6,22 @@
 
 namespace Lovageward {
 
+UpstreamLoad &UpstreamLoad::operator+=(const UpstreamLoad &other)
+{
+    this->runs += other.runs;
+    this->peakTokens += other.peakTokens;
+    this->unreadTokens += other.unreadTokens;
+    return *this;
+}
+
+UpstreamLoad &UpstreamLoad::operator-=(const UpstreamLoad &other)
+{
+    this->runs -= std::min(this->runs, other.runs);
+    this->peakTokens -= other.peakTokens;
+    this->unreadTokens -= other.unreadTokens;
+    return *this;
+}
+
 double Footprint::peak(double produced) const
 {
     auto output = std::max(this->expectedOutputTokens, produced);
@@ -24,6 +40,7 @@
     ++load.runs;
     load.peakTokens += footprint.peak(0);
     load.unreadTokens += hasUnreadPrompt ? footprint.promptTokens : 0;
+    this->changed.insert(upstream);
     return number;
 }
 
@@ -36,8 +53,12 @@
     }
     auto &entry = found->second;
     auto &load = this->own[entry.upstream];
-    load.peakTokens += entry.footprint.peak(producedTokens) - entry.footprint.peak(entry.produced);
+    auto grown = entry.footprint.peak(producedTokens) - entry.footprint.peak(entry.produced);
+    load.peakTokens += grown;
     entry.produced = producedTokens;
+    if (grown != 0 || !entry.isRead) {
+        this->changed.insert(entry.upstream);
+    }
     if (!entry.isRead) {
         load.unreadTokens -= entry.footprint.promptTokens;
         entry.isRead = true;
@@ -52,6 +73,7 @@
         return;
     }
     auto load = this->own.find(found->second.upstream);
+    this->changed.insert(found->second.upstream);
     load->second.peakTokens -= found->second.footprint.peak(found->second.produced);
     load->second.unreadTokens -= found->second.isRead ? 0 : found->second.footprint.promptTokens;
     if (--load->second.runs == 0) {
@@ -60,27 +82,29 @@
     this->runs.erase(found);
 }
 
-UpstreamLoad LoadBook::load(const UpstreamId &upstream) const
+UpstreamLoad LoadBook::load(const UpstreamId &upstream)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    this->forgetSilent();
     UpstreamLoad total;
     auto mine = this->own.find(upstream);
     if (mine != this->own.end()) {
         total = mine->second;
     }
-    auto now = this->clock.now();
-    auto hash = hashOf(upstream);
-    for (const auto &[host, peer] : this->peers) {
-        auto theirs = peer.loads.find(hash);
-        if (now < peer.validUntil && theirs != peer.loads.end()) {
-            total.runs += theirs->second.runs;
-            total.peakTokens += theirs->second.peakTokens;
-            total.unreadTokens += theirs->second.unreadTokens;
-        }
+    auto theirs = this->peerTotals.find(hashOf(upstream));
+    if (theirs != this->peerTotals.end()) {
+        total += theirs->second;
     }
     return total;
 }
 
+UpstreamLoad LoadBook::loadElsewhere(const FailureDomainId &domain, const PoolId &pool) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->elsewhere.find({ domain, pool });
+    return found == this->elsewhere.end() || this->clock.now() >= this->elsewhereUntil ? UpstreamLoad() : found->second;
+}
+
 std::vector<LoadShare> LoadBook::ownShares() const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -92,24 +116,113 @@
     return shares;
 }
 
+std::vector<LoadShare> LoadBook::takeChanges(std::size_t most)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<LoadShare> shares;
+    while (shares.size() < most && !this->changed.empty()) {
+        auto upstream = this->changed.extract(this->changed.begin()).value();
+        auto load = this->own.find(upstream);
+        shares.push_back(LoadShare { hashOf(upstream), load == this->own.end() ? UpstreamLoad() : load->second });
+    }
+    return shares;
+}
+
+std::vector<LoadShare> LoadBook::totals()
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->forgetSilent();
+    auto sums = this->peerTotals;
+    for (const auto &[upstream, load] : this->own) {
+        sums[hashOf(upstream)] += load;
+    }
+    std::vector<LoadShare> shares;
+    shares.reserve(sums.size());
+    for (const auto &[hash, load] : sums) {
+        shares.push_back(LoadShare { hash, load });
+    }
+    return shares;
+}
+
 void LoadBook::applyPeer(const HostId &peer, const std::vector<LoadShare> &shares, TimePoint validUntil)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    auto now = this->clock.now();
-    std::erase_if(this->peers, [&](const auto &known) { return now >= known.second.validUntil; });
-    auto &entry = this->peers[peer];
-    entry.validUntil = validUntil;
-    entry.loads.clear();
+    auto &entry = this->heardPeer(peer, validUntil);
+    this->forget(entry);
     for (const auto &share : shares) {
-        entry.loads[share.upstreamHash] = share.load;
+        this->replaceShare(entry, share);
+    }
+}
+
+void LoadBook::updatePeer(const HostId &peer, const std::vector<LoadShare> &changes, TimePoint validUntil)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &entry = this->heardPeer(peer, validUntil);
+    for (const auto &change : changes) {
+        this->replaceShare(entry, change);
     }
 }
 
-std::size_t LoadBook::livePeers() const
+void LoadBook::applyElsewhere(const std::vector<AreaLoad> &areas, TimePoint validUntil)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    this->elsewhere.clear();
+    for (const auto &area : areas) {
+        this->elsewhere[{ area.domain, area.pool }] += area.load;
+    }
+    this->elsewhereUntil = validUntil;
+}
+
+void LoadBook::replaceShare(Peer &peer, const LoadShare &share)
+{
+    auto &total = this->peerTotals[share.upstreamHash];
+    auto known = peer.loads.find(share.upstreamHash);
+    if (known != peer.loads.end()) {
+        total -= known->second;
+        peer.loads.erase(known);
+    }
+    if (share.load.runs > 0) {
+        total += share.load;
+        peer.loads[share.upstreamHash] = share.load;
+    }
+    if (total.runs == 0) {
+        this->peerTotals.erase(share.upstreamHash);
+    }
+}
+
+void LoadBook::forget(Peer &peer)
+{
+    auto loads = peer.loads;
+    for (const auto &[hash, load] : loads) {
+        this->replaceShare(peer, LoadShare { hash, {} });
+    }
+}
+
+LoadBook::Peer &LoadBook::heardPeer(const HostId &peer, TimePoint validUntil)
+{
+    this->forgetSilent();
+    this->silentFrom = std::min(this->silentFrom, validUntil);
+    auto &entry = this->peers[peer];
+    entry.validUntil = validUntil;
+    return entry;
+}
+
+void LoadBook::forgetSilent()
+{
     auto now = this->clock.now();
-    return static_cast<std::size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto &peer) { return now < peer.second.validUntil; }));
+    if (now < this->silentFrom) {
+        return;
+    }
+    this->silentFrom = TimePoint::max();
+    for (auto entry = this->peers.begin(); entry != this->peers.end();) {
+        if (now < entry->second.validUntil) {
+            this->silentFrom = std::min(this->silentFrom, entry->second.validUntil);
+            ++entry;
+            continue;
+        }
+        this->forget(entry->second);
+        entry = this->peers.erase(entry);
+    }
 }
 
 std::uint64_t LoadBook::hashOf(const UpstreamId &upstream)
--- a/Libraries/LibGateway/LoadBook.h
+++ b/Libraries/LibGateway/LoadBook.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Lovageward {
@@ -34,9 +36,13 @@
     double peakTokens = 0;
     /** Prompt tokens of runs that have produced nothing yet. The engine reads prompts one after another. */
     double unreadTokens = 0;
+
+    UpstreamLoad &operator+=(const UpstreamLoad &other);
+    /** Takes off a load that was added before. */
+    UpstreamLoad &operator-=(const UpstreamLoad &other);
 };
 
-/** Load of one node at one upstream, as nodes tell each other. */
+/** Load of one node at one upstream, as nodes tell each other. No runs: the node has no work there any more. */
 struct LoadShare
 {
     /** Stable hash of the upstream's id. */
@@ -44,10 +50,18 @@
     UpstreamLoad load;
 };
 
+/** Load of several nodes at all upstreams of one pool in one failure domain. */
+struct AreaLoad
+{
+    FailureDomainId domain;
+    PoolId pool;
+    UpstreamLoad load;
+};
+
 /**
- * Work that this node and its peers have at each upstream. Peers send their whole shares a few times a second, so a lost message is replaced by
- * the next one. Answers the load pattern of engines whose memory is nearly full while several nodes place work on them. Thread-safe; its mutex
- * is a leaf lock.
+ * Work that this node and others have at each upstream: exact for the nodes that tell this one of each change, and summed by pool and failure
+ * domain for the rest. Answers the load pattern of engines whose memory is nearly full while many nodes place work on them. Thread-safe; its
+ * mutex is a leaf lock.
  */
 class LoadBook
 {
@@ -62,20 +76,29 @@
     void progress(RunNumber run, double producedTokens);
     void end(RunNumber run);
 
-    /** Load of this node and its peers. */
-    UpstreamLoad load(const UpstreamId &upstream) const;
+    /** Load of this node and of the peers that it hears. */
+    UpstreamLoad load(const UpstreamId &upstream);
+
+    /** Load that nodes which aren't heard singly have in the area. */
+    UpstreamLoad loadElsewhere(const FailureDomainId &domain, const PoolId &pool) const;
 
     /** Load of this node alone, upstreams without work left out. */
     std::vector<LoadShare> ownShares() const;
 
+    /** Up to so many of this node's shares that changed since they were last taken; the others stay. */
+    std::vector<LoadShare> takeChanges(std::size_t most);
+
+    /** Sums of this node and the peers that it hears. */
+    std::vector<LoadShare> totals();
+
     /** Replaces what the peer said before. It counts until `validUntil`. */
     void applyPeer(const HostId &peer, const std::vector<LoadShare> &shares, TimePoint validUntil);
 
-    /** Peers that were heard lately. */
-    std::size_t livePeers() const;
+    /** Replaces only what the peer said of these upstreams. */
+    void updatePeer(const HostId &peer, const std::vector<LoadShare> &changes, TimePoint validUntil);
 
-    /** Up to so many peers tell each other of each change at once; beyond it only those of one failure domain do (see PeerTable). */
-    static constexpr std::size_t fewPeers = 12;
+    /** Replaces the sums of the nodes that aren't heard singly. They count until `validUntil`. */
+    void applyElsewhere(const std::vector<AreaLoad> &areas, TimePoint validUntil);
 
     static std::uint64_t hashOf(const UpstreamId &upstream);
 
@@ -88,18 +111,33 @@
         bool isRead = false;
     };
 
+    using Loads = std::unordered_map<std::uint64_t, UpstreamLoad>;
+
     struct Peer
     {
         TimePoint validUntil;
-        std::unordered_map<std::uint64_t, UpstreamLoad> loads;
+        Loads loads;
     };
 
+    void replaceShare(Peer &peer, const LoadShare &share);
+    void forget(Peer &peer);
+    /** Takes a peer's message and drops the peers that were silent for long. */
+    Peer &heardPeer(const HostId &peer, TimePoint validUntil);
+    void forgetSilent();
+
     const Clock &clock;
     mutable std::mutex mutex;
     std::uint64_t lastRun = 0;
     std::map<RunNumber, Run> runs;
     std::map<UpstreamId, UpstreamLoad> own;
+    std::set<UpstreamId> changed;
     std::map<HostId, Peer> peers;
+    /** No peer falls silent before that. */
+    TimePoint silentFrom = TimePoint::max();
+    /** Sums over all peers, so that a placement doesn't ask each of them. */
+    Loads peerTotals;
+    std::map<std::pair<FailureDomainId, PoolId>, UpstreamLoad> elsewhere;
+    TimePoint elsewhereUntil;
 };
 
 /** Ends a run in the book at the end of a scope. */
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/PeerDigest.h>
 
+#include <LibPeer/Compression.h>
 #include <LibPeer/MessageReader.h>
 #include <LibPeer/MessageWriter.h>
 
@@ -9,13 +10,22 @@
 
 namespace {
 
-/** Shares in one datagram; a node works at few upstreams at a time, and the largest shares matter most. */
-constexpr std::size_t mostShares = 64;
 constexpr std::size_t mostPeers = 8;
 
-/** A placement should see what its peers placed before the engine has read the prompt. */
+/** Failure domains times pools in one part. */
+constexpr std::size_t mostAreas = 128;
+
+constexpr std::uint64_t mostRuns = 1'000'000;
+constexpr std::uint64_t mostNodes = 100'000;
+
+/** Values that a newer version may append to an array. */
+constexpr std::size_t mostFields = 64;
+
+/** A lost change of load is made good so soon. */
 constexpr Duration shortestInterval = milliseconds(250);
-constexpr Duration intervalPerPeer = milliseconds(20);
+
+/** Bounds the whole states that a node sends to 7 a second, about 2 KB: changes are told soon. */
+constexpr Duration intervalPerPeer = milliseconds(150);
 
 /** Shortest time after which a silent peer counts as gone. */
 constexpr Duration shortestLifetime = seconds(3);
@@ -32,40 +42,107 @@
     return shares;
 }
 
-/** An empty array stands for no piece. */
-void writePiece(MessageWriter &writer, const std::optional<FeedPiece> &piece)
+void writeLoad(MessageWriter &writer, const UpstreamLoad &load)
 {
-    if (!piece) {
+    writer.number(load.runs);
+    writer.number(static_cast<std::uint64_t>(std::max(0.0, load.peakTokens)));
+    writer.number(static_cast<std::uint64_t>(std::max(0.0, load.unreadTokens)));
+}
+
+UpstreamLoad readLoad(MessageReader &reader)
+{
+    UpstreamLoad load;
+    load.runs = static_cast<std::uint32_t>(reader.number(mostRuns));
+    load.peakTokens = static_cast<double>(reader.number());
+    load.unreadTokens = static_cast<double>(reader.number());
+    return load;
+}
+
+/** An empty array stands for no part. */
+void writePart(MessageWriter &writer, const std::optional<FleetPart> &part)
+{
+    if (!part) {
         writer.array(0);
         return;
     }
-    writer.array(4).number(static_cast<std::uint64_t>(piece->topic)).number(piece->firstOffset).number(piece->page.nextOffset);
-    writer.array(piece->page.records.size());
-    for (const auto &record : piece->page.records) {
-        writer.array(3).text(record.key).bytes(record.value).number(record.offset);
+    auto areas = std::min(part->areas.size(), mostAreas);
+    writer.array(2).number(part->nodes).array(areas);
+    for (std::size_t position = 0; position < areas; ++position) {
+        const auto &area = part->areas[position];
+        writer.array(5).text(area.domain.value()).text(area.pool.value());
+        writeLoad(writer, area.load);
     }
 }
 
-std::optional<FeedPiece> readPiece(MessageReader &reader)
+std::optional<FleetPart> readPart(MessageReader &reader)
 {
-    std::optional<FeedPiece> piece;
-    if (reader.beginArray(0, 4) == 4) {
-        piece.emplace();
-        piece->topic = static_cast<FeedTopic>(reader.number(feedTopicCount - 1));
-        piece->firstOffset = reader.number();
-        piece->page.nextOffset = reader.number();
-        piece->page.records.resize(reader.beginArray(0, largestPieceBytes));
-        for (auto &record : piece->page.records) {
-            reader.beginArray(3, 3);
-            record.key = reader.text(largestPieceBytes);
-            record.value = reader.bytes(largestPieceBytes);
-            record.offset = reader.number();
+    std::optional<FleetPart> part;
+    if (reader.beginArray(0, mostFields) >= 2) {
+        part.emplace();
+        part->nodes = static_cast<std::size_t>(reader.number(mostNodes));
+        part->areas.resize(reader.beginArray(0, mostAreas));
+        for (auto &area : part->areas) {
+            reader.beginArray(5, mostFields);
+            area.domain = FailureDomainId(reader.text());
+            area.pool = PoolId(reader.text());
+            area.load = readLoad(reader);
             reader.endArray();
         }
         reader.endArray();
     }
     reader.endArray();
-    return piece;
+    return part;
+}
+
+std::string encodeRecords(const std::vector<FeedRecord> &records)
+{
+    MessageWriter writer;
+    writer.array(records.size());
+    for (const auto &record : records) {
+        writer.array(3).text(record.key).bytes(record.value).number(record.offset);
+    }
+    return deflated(writer.encoded());
+}
+
+std::vector<FeedRecord> decodeRecords(std::string_view bytes)
+{
+    auto whole = inflated(bytes, maximumPeerMessageBytes);
+    MessageReader reader(whole);
+    std::vector<FeedRecord> records(reader.beginArray(0, largestPieceBytes));
+    for (auto &record : records) {
+        reader.beginArray(3, mostFields);
+        record.key = reader.text(largestPieceBytes);
+        record.value = reader.bytes(largestPieceBytes);
+        record.offset = reader.number();
+        reader.endArray();
+    }
+    reader.endArray();
+    return records;
+}
+
+/** An empty array stands for no piece. */
+void writePiece(MessageWriter &writer, const PeerDigest &digest)
+{
+    if (!digest.piece) {
+        writer.array(0);
+        return;
+    }
+    const auto &piece = *digest.piece;
+    writer.array(5).number(static_cast<std::uint64_t>(piece.topic)).number(piece.firstOffset).number(piece.page.nextOffset);
+    writer.flag(digest.isPieceForGroup).bytes(encodeRecords(piece.page.records));
+}
+
+void readPiece(MessageReader &reader, PeerDigest &digest)
+{
+    if (reader.beginArray(0, mostFields) >= 5) {
+        auto &piece = digest.piece.emplace();
+        piece.topic = static_cast<FeedTopic>(reader.number(feedTopicCount - 1));
+        piece.firstOffset = reader.number();
+        piece.page.nextOffset = reader.number();
+        digest.isPieceForGroup = reader.flag();
+        piece.page.records = decodeRecords(reader.bytes(largestDigestBytes));
+    }
+    reader.endArray();
 }
 
 }
@@ -83,7 +160,7 @@
 std::string encodeDigest(const PeerDigest &digest)
 {
     MessageWriter writer;
-    writer.array(8).text(digest.host.value()).text(digest.failureDomain.value()).flag(digest.isLeaving);
+    writer.array(11).text(digest.host.value()).text(digest.failureDomain.value()).flag(digest.isLeaving).flag(digest.isRelay);
     writer.array(digest.nextOffsets.size());
     for (auto offset : digest.nextOffsets) {
         writer.number(offset);
@@ -92,32 +169,33 @@
     for (auto age : digest.readAges) {
         writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(age, Duration(0), longestAge) / milliseconds(1)));
     }
+    writer.number(static_cast<std::uint64_t>(digest.shareScope));
     auto shares = largestShares(digest.shares);
     writer.array(shares.size());
     for (const auto &share : shares) {
-        writer.array(4).number(share.upstreamHash).number(share.load.runs);
-        writer.number(static_cast<std::uint64_t>(std::max(0.0, share.load.peakTokens)));
-        writer.number(static_cast<std::uint64_t>(std::max(0.0, share.load.unreadTokens)));
+        writer.array(4).number(share.upstreamHash);
+        writeLoad(writer, share.load);
     }
     auto peers = std::min(digest.peers.size(), mostPeers);
     writer.array(peers);
     for (std::size_t position = 0; position < peers; ++position) {
-        writer.text(digest.peers[position]);
+        const auto &peer = digest.peers[position];
+        writer.array(3).text(peer.host.value()).text(peer.failureDomain.value()).text(peer.address);
     }
-    writePiece(writer, digest.piece);
+    writePart(writer, digest.part);
+    writePiece(writer, digest);
     return writer.encoded();
 }
 
 PeerDigest decodeDigest(std::string_view bytes)
 {
-    constexpr std::size_t mostFields = 64;
-    constexpr std::uint64_t mostRuns = 1'000'000;
     MessageReader reader(bytes);
     PeerDigest digest;
-    reader.beginArray(8, mostFields);
+    reader.beginArray(11, mostFields);
     digest.host = HostId(reader.text());
     digest.failureDomain = FailureDomainId(reader.text());
     digest.isLeaving = reader.flag();
+    digest.isRelay = reader.flag();
     reader.beginArray(digest.nextOffsets.size(), mostFields);
     for (auto &offset : digest.nextOffsets) {
         offset = reader.number();
@@ -128,22 +206,26 @@
         age = milliseconds(reader.number(static_cast<std::uint64_t>(longestAge / milliseconds(1))));
     }
     reader.endArray();
+    digest.shareScope = static_cast<ShareScope>(reader.number(static_cast<std::uint64_t>(ShareScope::Whole)));
     digest.shares.resize(reader.beginArray(0, mostShares));
     for (auto &share : digest.shares) {
         reader.beginArray(4, mostFields);
         share.upstreamHash = reader.number();
-        share.load.runs = static_cast<std::uint32_t>(reader.number(mostRuns));
-        share.load.peakTokens = static_cast<double>(reader.number());
-        share.load.unreadTokens = static_cast<double>(reader.number());
+        share.load = readLoad(reader);
         reader.endArray();
     }
     reader.endArray();
     digest.peers.resize(reader.beginArray(0, mostPeers));
     for (auto &peer : digest.peers) {
-        peer = reader.text();
+        reader.beginArray(3, mostFields);
+        peer.host = HostId(reader.text());
+        peer.failureDomain = FailureDomainId(reader.text());
+        peer.address = reader.text();
+        reader.endArray();
     }
     reader.endArray();
-    digest.piece = readPiece(reader);
+    digest.part = readPart(reader);
+    readPiece(reader, digest);
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -13,29 +13,69 @@
 
 namespace Lovageward {
 
-/** What a node tells its peers a few times a second: always its whole state, so that a lost datagram is replaced by the next one. */
+/** A node as the others find it. Host and failure domain are empty if only the address is known. */
+struct KnownHost
+{
+    HostId host;
+    FailureDomainId failureDomain;
+    /** "IP:port" of its peer socket. */
+    std::string address;
+
+    bool operator==(const KnownHost &) const = default;
+};
+
+/** What the shares of a digest say. */
+enum class ShareScope : std::uint8_t {
+    /** Nothing. */
+    None = 0,
+    /** The upstreams named have changed. */
+    Changes = 1,
+    /** The sender has no work at other upstreams. */
+    Whole = 2,
+};
+
+/** Nodes that aren't heard singly: how many there are, and the work that they have. */
+struct FleetPart
+{
+    std::size_t nodes = 0;
+    std::vector<AreaLoad> areas;
+};
+
+/**
+ * What a node tells its peers. Everything in it replaces what the sender said before, so that a lost datagram is made good by a later one.
+ */
 struct PeerDigest
 {
     HostId host;
     FailureDomainId failureDomain;
     /** The sender ends and takes no more work. */
     bool isLeaving = false;
+    /** The sender speaks for its failure domain. */
+    bool isRelay = false;
     /** How far the sender has read each topic. */
     std::array<std::uint64_t, feedTopicCount> nextOffsets {};
-    /** Time since the sender's last answer of the store for each topic. */
+    /** Time since the store last said that it has no records beyond these, to the sender or to a node that the sender heard. */
     std::array<Duration, feedTopicCount> readAges {};
+    ShareScope shareScope = ShareScope::None;
     std::vector<LoadShare> shares;
-    /** "IP:port" of peers that the sender hears, some at a time. */
-    std::vector<std::string> peers;
-    /** Records that the sender has just read from the store, at most largestPieceBytes. */
+    /** Some peers that the sender hears. */
+    std::vector<KnownHost> peers;
+    /** From a relay: to other domains, the sender's own domain; within its domain, all others together. */
+    std::optional<FleetPart> part;
+    /** Records that a reader has just got from the store. */
     std::optional<FeedPiece> piece;
+    /** The receiver passes the piece on to its own failure domain. */
+    bool isPieceForGroup = false;
 };
 
-/** Records in one digest, in bytes, so that a digest with the most shares fits a datagram of largestDigestBytes. */
-inline constexpr std::size_t largestPieceBytes = 1200;
-inline constexpr std::size_t largestDigestBytes = 4096;
+/** Records in one digest, in bytes before compression, so that a digest fits a datagram of largestDigestBytes. */
+inline constexpr std::size_t largestPieceBytes = 4800;
+inline constexpr std::size_t largestDigestBytes = 8192;
+
+/** Shares in one datagram; a node works at few upstreams at a time, and the largest shares matter most. */
+inline constexpr std::size_t mostShares = 64;
 
-/** Pause between two digests to all of so many peers: it grows, so that a node receives about 50 digests a second at the most. */
+/** Pause between two whole states to each of so many peers. */
 Duration digestInterval(std::size_t peers);
 
 /** A peer that wasn't heard for so long is gone or cut off; two digests may be lost before. */
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/RandomSource.h>
+#include <LibGateway/FleetView.h>
 #include <LibGateway/PeerDigest.h>
 
 #include <array>
@@ -13,45 +14,63 @@
 namespace Lovageward {
 
 /**
- * The other nodes by the address of their peer socket, found through seeds, the store and each other, and which of them read the
- * store for all. Thread-safe; its mutex is a leaf lock.
+ * The other nodes, found through seeds, the store and each other, and who does what among them. A few nodes all speak with each other. Where
+ * there are many, a node speaks with its group, the nodes of its own failure domain, and two relays of each domain speak for it with the others:
+ * what a node hears and says depends on its group and on the number of domains, not on the fleet. Two nodes read each topic of the store for all.
+ * Answers the load pattern of hundreds of nodes that start together, lose each other and come back. Thread-safe; its mutex is a leaf lock.
  */
-class PeerTable
+class PeerTable final : public FleetView
 {
 public:
-    PeerTable(const Clock &clock, RandomSource &random, HostId ownHost, FailureDomainId ownDomain, std::string ownAddress);
+    /** `assumedNodes` is the least count of nodes that is reckoned with. */
+    PeerTable(const Clock &clock, RandomSource &random, KnownHost self, std::size_t assumedNodes);
 
-    /** An address that was named by the settings, the store or a peer. Known addresses keep their state. */
-    void learn(const std::string &address);
+    /** A node that was named by the settings, the store or a peer. Known addresses keep their state. */
+    void learn(const KnownHost &host);
+
+    /** The store has named the nodes that have announced themselves. */
+    void directoryRead();
+
+    /** Whether this node knows enough of the others to tell what is its part: the store named them, or that took too long. */
+    bool isSettled() const;
 
     /** A digest arrived from the address. Returns true if the peer wasn't heard before or for long. */
     bool heard(const std::string &address, const PeerDigest &digest);
 
-    /**
-     * Whether this node is one of the few that read the topic for all: the first of the live ones in a ranking that differs by topic. Without
-     * live peers it is.
-     */
+    /** The relay of another domain, or one of this node's own, has told of nodes that this one doesn't hear. Returns all such parts summed. */
+    FleetPart partHeard(const PeerDigest &digest);
+
+    std::size_t nodes() const override;
+    bool isCrowded() const override;
+
+    /** Whether this node speaks for its failure domain. Only in a crowded fleet. */
+    bool isRelay() const;
+
+    /** Whether this node is one of the few that read the topic for all. Without live peers it is. */
     bool isReader(FeedTopic topic) const;
 
-    /** Until then a live peer's read of the topic is fresh enough to rely on; a time in the past if there is none. */
+    /** Until then a live peer's word on the topic is fresh enough to rely on; a time in the past if there is none. */
     TimePoint coveredUntil(FeedTopic topic) const;
 
-    /** Addresses to send to. A peer that was silent for long is only tried now and then. */
-    std::vector<std::string> targets();
+    /** As coveredUntil, from peers that have no more records than those before `nextOffset`: what this node may pass on as its own word. */
+    TimePoint coveredUntil(FeedTopic topic, std::uint64_t nextOffset) const;
+
+    /** The time of the read behind a time that coveredUntil returned. */
+    static TimePoint readAt(TimePoint coveredUntil);
+
+    /** Addresses of the group. A peer that was silent for long is only tried now and then. */
+    std::vector<std::string> groupTargets();
 
-    /**
-     * Live peers that are told of each change at once, because they place work on the same engines: those of the own failure domain, or all if
-     * there are few.
-     */
-    std::vector<std::string> nearTargets() const;
+    /** How many nodes the group has beside this one. */
+    std::size_t groupSize() const;
 
-    /** What was heard from a peer now counts until then. */
-    TimePoint heardUntil() const;
+    /** Addresses of the relays of the other domains; none if the fleet isn't crowded. */
+    std::vector<std::string> relayTargets();
 
     /** Some peers that were heard lately, in random order. */
-    std::vector<std::string> live(std::size_t most) const;
+    std::vector<KnownHost> live(std::size_t most) const;
 
-    /** Peers that were heard lately and have read the topic further than to the offset, in random order. */
+    /** Peers that were heard lately and have read the topic further than to the offset: the group first, each part in random order. */
     std::vector<std::string> ahead(FeedTopic topic, std::uint64_t offset) const;
 
 private:
@@ -60,24 +79,61 @@
         HostId host;
         FailureDomainId failureDomain;
         bool isLeaving = false;
+        bool isRelay = false;
         TimePoint liveUntil;
+        /** Until then a peer that was named but not heard is reckoned with. */
+        TimePoint assumedUntil;
         /** Next try of a silent peer. */
         TimePoint tryAt;
-        TimePoint forgetAt;
+        TimePoint givenUpAt;
         std::array<std::uint64_t, feedTopicCount> nextOffsets {};
-        /** The peer's reads are relied on until then. */
+        /** The peer's word is relied on until then. */
         std::array<TimePoint, feedTopicCount> coveredUntil {};
     };
 
+    /** What the peers amount to. */
+    struct Outline
+    {
+        /** Peers of the own failure domain, and others, that are present. */
+        std::size_t near = 0;
+        std::size_t far = 0;
+        bool isCrowded = false;
+        bool isRelay = false;
+        TimePoint validUntil;
+
+        std::size_t groupSize() const
+        {
+            return this->isCrowded ? this->near : this->near + this->far;
+        }
+    };
+
+    struct HeardPart
+    {
+        FleetPart part;
+        TimePoint validUntil;
+    };
+
+    bool isLive(const Peer &peer) const;
+    /** Heard lately or named lately. */
+    bool isPresent(const Peer &peer) const;
+    bool isInGroup(const Peer &peer) const;
+    std::size_t heardElsewhere() const;
+    /** What follows from all peers; it is worked out again after a while, or when a peer's state changes. */
+    const Outline &outline() const;
+    void workOut() const;
+    bool isTried(Peer &peer, TimePoint now) const;
     std::vector<std::string> shuffled(std::vector<std::string> addresses) const;
 
     const Clock &clock;
     RandomSource &random;
-    HostId ownHost;
-    FailureDomainId ownDomain;
-    std::string ownAddress;
+    KnownHost self;
+    std::size_t assumedNodes;
+    TimePoint settledAt;
     mutable std::mutex mutex;
     std::map<std::string, Peer> peers;
+    /** By the domain of the relay that told them. */
+    std::map<FailureDomainId, HeardPart> parts;
+    mutable Outline known;
 };
 
 }
--- a/Libraries/LibGateway/RetryAllowance.cpp
+++ b/Libraries/LibGateway/RetryAllowance.cpp
@@ -11,11 +11,6 @@
 
 }
 
-RetryAllowance::RetryAllowance(const Clock &clock, const RetryBound &bound, std::size_t nodes)
-    : clock(clock), bound(bound), floor(static_cast<std::uint32_t>(usedShare * bound.slack / static_cast<double>(std::max<std::size_t>(nodes, 1))))
-{
-}
-
 void RetryAllowance::countRequest(const PoolId &pool)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -25,12 +20,14 @@
 bool RetryAllowance::tryRepeat(const PoolId &pool)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    return this->budgetOf(pool).tryRetry(this->clock.now());
+    auto &budget = this->budgetOf(pool);
+    budget.setFloor(usedShare * this->bound.slack / static_cast<double>(std::max<std::size_t>(this->fleet.nodes(), 1)));
+    return budget.tryRetry(this->clock.now());
 }
 
 RetryBudget &RetryAllowance::budgetOf(const PoolId &pool)
 {
-    return this->budgets.try_emplace(pool, usedShare * this->bound.ratio, this->floor, this->bound.window).first->second;
+    return this->budgets.try_emplace(pool, usedShare * this->bound.ratio, 0, this->bound.window).first->second;
 }
 
 }
--- a/Libraries/LibGateway/RetryAllowance.h
+++ b/Libraries/LibGateway/RetryAllowance.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
 #include <LibDispatch/RetryBudget.h>
+#include <LibGateway/FleetView.h>
 
 #include <map>
 #include <mutex>
@@ -26,8 +27,9 @@
 class RetryAllowance
 {
 public:
-    /** `nodes` is the number of nodes that share the slack; it is counted high when it isn't known. */
-    RetryAllowance(const Clock &clock, const RetryBound &bound, std::size_t nodes);
+    RetryAllowance(const Clock &clock, const RetryBound &bound, const FleetView &fleet) : clock(clock), bound(bound), fleet(fleet)
+    {
+    }
 
     void countRequest(const PoolId &pool);
 
@@ -39,7 +41,7 @@
 
     const Clock &clock;
     RetryBound bound;
-    std::uint32_t floor;
+    const FleetView &fleet;
     std::mutex mutex;
     std::map<PoolId, RetryBudget> budgets;
 };
--- a/Libraries/LibGateway/StateFeed.h
+++ b/Libraries/LibGateway/StateFeed.h
@@ -41,14 +41,24 @@
     std::uint64_t nextOffset = 0;
 };
 
+/** Pages aren't a snapshot: what changed since the first one has to be read from its next offset on. */
+struct FeedListing
+{
+    FeedPage page;
+    bool hasMore = false;
+};
+
 /** Reads the topics of the platform's store. */
 class StateFeed
 {
 public:
     virtual ~StateFeed() = default;
 
-    /** The newest record of every key. Throws Error(LogUnavailable). */
-    virtual FeedPage listNewest(FeedTopic topic, TimePoint deadline) = 0;
+    /**
+     * A page of the newest records of all keys after the given one, in the order of the keys; nothing for the first page. Throws
+     * Error(LogUnavailable).
+     */
+    virtual FeedListing listNewest(FeedTopic topic, const std::optional<std::string> &afterKey, TimePoint deadline) = 0;
 
     /**
      * Records from the offset on; waits up to `wait` for the first one. Throws Error(LogUnavailable), or Error(RecordsExpired) if they are no
--- a/Libraries/LibGateway/UpstreamRegistry.cpp
+++ b/Libraries/LibGateway/UpstreamRegistry.cpp
@@ -1,5 +1,9 @@
 #include <LibGateway/UpstreamRegistry.h>
 
+#include <LibGateway/LoadBook.h>
+
+#include <algorithm>
+
 namespace Lovageward {
 
 bool UpstreamRegistry::put(const UpstreamRecord &record)
@@ -8,14 +12,20 @@
     auto &entry = this->entries[record.id];
     auto isChanged = entry.record.id.isEmpty() || entry.record.boot != record.boot || entry.record.address != record.address
         || entry.record.isDraining != record.isDraining || entry.removedAt.has_value();
+    this->unindex(entry.record);
     entry = Entry { record, std::nullopt };
+    this->index(record);
     return isChanged;
 }
 
 void UpstreamRegistry::remove(const UpstreamId &upstream)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    this->entries.erase(upstream);
+    auto found = this->entries.find(upstream);
+    if (found != this->entries.end()) {
+        this->unindex(found->second.record);
+        this->entries.erase(found);
+    }
 }
 
 void UpstreamRegistry::removeUnlessReturned(const UpstreamId &upstream, TimePoint until)
@@ -27,18 +37,6 @@
     }
 }
 
-std::vector<UpstreamId> UpstreamRegistry::missingFrom(const std::set<UpstreamId> &listed) const
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    std::vector<UpstreamId> missing;
-    for (const auto &[id, entry] : this->entries) {
-        if (!listed.contains(id)) {
-            missing.push_back(id);
-        }
-    }
-    return missing;
-}
-
 void UpstreamRegistry::setDrained(const FailureDomainId &domain, bool isDrained)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -59,14 +57,90 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     std::vector<UpstreamRecord> found;
-    for (const auto &[id, entry] : this->entries) {
-        if (entry.record.pool == pool && this->mayWork(entry)) {
-            found.push_back(entry.record);
+    auto domains = this->members.find(pool);
+    if (domains == this->members.end()) {
+        return found;
+    }
+    for (const auto &[domain, ids] : domains->second) {
+        for (const auto &id : ids) {
+            const auto &entry = this->entries.at(id);
+            if (this->mayWork(entry)) {
+                found.push_back(entry.record);
+            }
         }
     }
     return found;
 }
 
+std::size_t UpstreamRegistry::countUsable(const PoolId &pool, const FailureDomainId &domain) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto domains = this->members.find(pool);
+    if (domains == this->members.end() || !domains->second.contains(domain)) {
+        return 0;
+    }
+    const auto &ids = domains->second.at(domain);
+    return static_cast<std::size_t>(std::count_if(ids.begin(), ids.end(), [this](const auto &id) { return this->mayWork(this->entries.at(id)); }));
+}
+
+std::vector<UpstreamRecord> UpstreamRegistry::draw(const PoolId &pool,
+                                                   const FailureDomainId &near,
+                                                   std::size_t mostNear,
+                                                   std::size_t mostFar,
+                                                   RandomSource &random,
+                                                   const std::function<bool(const UpstreamRecord &)> &isWanted) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::vector<UpstreamRecord> drawn;
+    auto domains = this->members.find(pool);
+    if (domains == this->members.end()) {
+        return drawn;
+    }
+    std::vector<const UpstreamRecord *> nearOnes;
+    std::vector<const UpstreamRecord *> farOnes;
+    for (const auto &[domain, ids] : domains->second) {
+        for (const auto &id : ids) {
+            const auto &entry = this->entries.at(id);
+            if (this->mayWork(entry) && isWanted(entry.record)) {
+                (domain == near ? nearOnes : farOnes).push_back(&entry.record);
+            }
+        }
+    }
+    auto take = [&](std::vector<const UpstreamRecord *> &options, std::size_t most) {
+        most = std::min(most, options.size());
+        for (std::size_t position = 0; position < most; ++position) {
+            std::swap(options[position], options[position + random.below(options.size() - position)]);
+            drawn.push_back(*options[position]);
+        }
+    };
+    take(nearOnes, mostNear);
+    take(farOnes, mostFar);
+    return drawn;
+}
+
+std::optional<UpstreamArea> UpstreamRegistry::areaOf(std::uint64_t upstreamHash) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->areas.find(upstreamHash);
+    return found == this->areas.end() ? std::nullopt : std::optional<UpstreamArea>(found->second);
+}
+
+void UpstreamRegistry::index(const UpstreamRecord &record)
+{
+    this->members[record.pool][record.failureDomain].insert(record.id);
+    this->areas[LoadBook::hashOf(record.id)] = UpstreamArea { record.failureDomain, record.pool };
+}
+
+void UpstreamRegistry::unindex(const UpstreamRecord &record)
+{
+    auto domains = this->members.find(record.pool);
+    if (domains == this->members.end() || !domains->second.contains(record.failureDomain)) {
+        return;
+    }
+    domains->second.at(record.failureDomain).erase(record.id);
+    this->areas.erase(LoadBook::hashOf(record.id));
+}
+
 LeaveReason UpstreamRegistry::leaveReason(const UpstreamId &upstream, const BootId &boot) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/UpstreamRegistry.h
+++ b/Libraries/LibGateway/UpstreamRegistry.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/RandomSource.h>
 #include <LibGateway/UpstreamRecord.h>
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Lovageward {
@@ -20,6 +23,13 @@
     Restarted,
 };
 
+/** The upstreams of one pool in one failure domain. */
+struct UpstreamArea
+{
+    FailureDomainId domain;
+    PoolId pool;
+};
+
 /**
  * The upstreams that may get work: those that are registered, don't drain, and stand in no drained failure domain. An entry that was removed
  * while the registry's source was out of reach stays usable for a grace time, because such removals are often undone when the source is
@@ -41,15 +51,29 @@
     /** Entry removed around an outage: it stays usable until the time given, unless it is put again. */
     void removeUnlessReturned(const UpstreamId &upstream, TimePoint until);
 
-    /** Entries that aren't in a complete listing. */
-    std::vector<UpstreamId> missingFrom(const std::set<UpstreamId> &listed) const;
-
     void setDrained(const FailureDomainId &domain, bool isDrained);
     std::set<FailureDomainId> drainedDomains() const;
 
     /** Upstreams of the pool that may get new work. */
     std::vector<UpstreamRecord> usable(const PoolId &pool) const;
 
+    /** Upstreams of the pool in the domain that may get new work. */
+    std::size_t countUsable(const PoolId &pool, const FailureDomainId &domain) const;
+
+    /**
+     * Upstreams of the pool that may get new work and that `isWanted` holds for: up to `mostNear` of the domain `near` and up to `mostFar` of all
+     * others, drawn at random where there are more.
+     */
+    std::vector<UpstreamRecord> draw(const PoolId &pool,
+                                     const FailureDomainId &near,
+                                     std::size_t mostNear,
+                                     std::size_t mostFar,
+                                     RandomSource &random,
+                                     const std::function<bool(const UpstreamRecord &)> &isWanted) const;
+
+    /** Pool and domain of the upstream with that LoadBook::hashOf; nothing if it isn't registered. */
+    std::optional<UpstreamArea> areaOf(std::uint64_t upstreamHash) const;
+
     /** Whether the process that started with `boot` under this id still is to keep its running work. */
     LeaveReason leaveReason(const UpstreamId &upstream, const BootId &boot) const;
 
@@ -67,10 +91,15 @@
     };
 
     bool mayWork(const Entry &entry) const;
+    void index(const UpstreamRecord &record);
+    void unindex(const UpstreamRecord &record);
 
     const Clock &clock;
     mutable std::mutex mutex;
     std::map<UpstreamId, Entry> entries;
+    /** Members of each pool by failure domain, so that a request doesn't look at all upstreams of a large fleet. */
+    std::map<PoolId, std::map<FailureDomainId, std::set<UpstreamId>>> members;
+    std::unordered_map<std::uint64_t, UpstreamArea> areas;
     std::set<FailureDomainId> drained;
 };
 
--- a/Libraries/LibGateway/WorkPlacer.cpp
+++ b/Libraries/LibGateway/WorkPlacer.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/WorkPlacer.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace Lovageward {
 
@@ -9,6 +10,11 @@
 /** Far upstreams that one request looks at. Two choices balance nearly as well as all, without all nodes choosing the same. */
 constexpr std::size_t farChoices = 2;
 
+/** Near upstreams that one request looks at; the emptiest of so many is nearly the emptiest of all. */
+constexpr std::size_t nearChoices = 16;
+
+constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
+
 }
 
 WorkPlacer::WorkPlacer(const Clock &clock,
@@ -18,8 +24,8 @@
                        ColdLimiter &coldLimiter,
                        const UpstreamPicker &picker,
                        RandomSource &random,
-                       std::size_t assumedNodes)
-    : clock(clock), registry(registry), book(book), health(health), coldLimiter(coldLimiter), picker(picker), random(random), assumedNodes(assumedNodes)
+                       const FleetView &fleet)
+    : clock(clock), registry(registry), book(book), health(health), coldLimiter(coldLimiter), picker(picker), random(random), fleet(fleet)
 {
 }
 
@@ -39,8 +45,7 @@
         }
         const auto &chosen = candidates[pick.position];
         auto isCold = need.pool.coldRequestsPerSecond > 0 && this->clock.now() < chosen.record.coldUntil;
-        auto nodes = std::max(this->assumedNodes, this->book.livePeers() + 1);
-        if (isCold && !this->coldLimiter.tryTake(chosen.record.id, need.pool.coldRequestsPerSecond, nodes)) {
+        if (isCold && !this->coldLimiter.tryTake(chosen.record.id, need.pool.coldRequestsPerSecond, this->fleet.nodes())) {
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick.position));
             continue;
         }
@@ -88,33 +93,31 @@
     return route.pools.empty() ? PoolId() : route.pools.back().pool;
 }
 
-void WorkPlacer::thinOutFar(std::vector<UpstreamRecord> &upstreams) const
+UpstreamLoad WorkPlacer::loadOf(const UpstreamRecord &record) const
 {
-    auto farBegin = std::partition(
-        upstreams.begin(), upstreams.end(), [this](const UpstreamRecord &record) { return record.failureDomain == this->picker.place().failureDomain; });
-    auto farCount = static_cast<std::size_t>(upstreams.end() - farBegin);
-    for (std::size_t position = 0; position < std::min(farCount, farChoices); ++position) {
-        auto drawn = position + this->random.below(farCount - position);
-        std::swap(farBegin[static_cast<std::ptrdiff_t>(position)], farBegin[static_cast<std::ptrdiff_t>(drawn)]);
-    }
-    upstreams.erase(farBegin + static_cast<std::ptrdiff_t>(std::min(farCount, farChoices)), upstreams.end());
+    auto load = this->book.load(record.id);
+    auto far = this->book.loadElsewhere(record.failureDomain, record.pool);
+    auto upstreams = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->registry.countUsable(record.pool, record.failureDomain)));
+    far.runs = (far.runs + upstreams / 2) / upstreams;
+    far.peakTokens /= upstreams;
+    far.unreadTokens /= upstreams;
+    load += far;
+    return load;
 }
 
 std::vector<Candidate> WorkPlacer::candidatesFor(const PlacementNeed &need) const
 {
-    std::vector<Candidate> candidates;
-    auto upstreams = this->registry.usable(need.pool.id);
-    if (this->book.livePeers() > LoadBook::fewPeers) {
-        this->thinOutFar(upstreams);
-    }
-    for (auto &record : upstreams) {
+    const auto &place = this->picker.place();
+    auto isWanted = [&](const UpstreamRecord &record) {
         auto isExcluded = std::find(need.excluded.begin(), need.excluded.end(), record.id) != need.excluded.end();
-        auto region = this->picker.place().regionOf(record.failureDomain);
-        auto isAllowed = need.allowedRegions.empty() || std::find(need.allowedRegions.begin(), need.allowedRegions.end(), region) != need.allowedRegions.end();
-        if (isExcluded || !isAllowed) {
-            continue;
-        }
-        auto load = this->book.load(record.id);
+        const auto &allowed = need.allowedRegions;
+        return !isExcluded && (allowed.empty() || std::find(allowed.begin(), allowed.end(), place.regionOf(record.failureDomain)) != allowed.end());
+    };
+    auto isCrowded = this->fleet.isCrowded();
+    std::vector<Candidate> candidates;
+    for (auto &record :
+         this->registry.draw(need.pool.id, place.failureDomain, isCrowded ? nearChoices : all, isCrowded ? farChoices : all, this->random, isWanted)) {
+        auto load = this->loadOf(record);
         auto failureShare = this->health.failureShare(record.id);
         candidates.push_back(Candidate { std::move(record), load, failureShare });
     }
--- a/Libraries/LibGateway/WorkPlacer.h
+++ b/Libraries/LibGateway/WorkPlacer.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibGateway/ColdLimiter.h>
+#include <LibGateway/FleetView.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadBook.h>
 #include <LibGateway/UpstreamHealth.h>
@@ -44,9 +45,9 @@
 };
 
 /**
- * Places requests on upstreams and books them in one step, so that two threads don't take the same room. With many nodes the loads of far
- * upstreams are known late; then each request looks at a few of them only, drawn at random, because otherwise all nodes would send to the one
- * that seems emptiest. Answers the load pattern of an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the
+ * Places requests on upstreams and books them in one step, so that two threads don't take the same room. In a crowded fleet a request
+ * looks at some upstreams only, drawn at random: at few far ones, whose loads are known as sums, because otherwise all nodes would send to the
+ * one that seems emptiest. Answers the load pattern of an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the
  * leaf locks of the registry, the book, the health scores and the cold limiter.
  */
 class WorkPlacer
@@ -59,7 +60,7 @@
                ColdLimiter &coldLimiter,
                const UpstreamPicker &picker,
                RandomSource &random,
-               std::size_t assumedNodes);
+               const FleetView &fleet);
 
     PlacementResult place(const PlacementNeed &need);
 
@@ -71,8 +72,8 @@
 
 private:
     std::vector<Candidate> candidatesFor(const PlacementNeed &need) const;
-    /** Leaves only a few far upstreams, drawn at random, if their loads are known late. */
-    void thinOutFar(std::vector<UpstreamRecord> &upstreams) const;
+    /** What is known of the load of the upstream: its share of what far nodes have in its area is a guess. */
+    UpstreamLoad loadOf(const UpstreamRecord &record) const;
 
     const Clock &clock;
     const UpstreamRegistry &registry;
@@ -81,7 +82,7 @@
     ColdLimiter &coldLimiter;
     const UpstreamPicker &picker;
     RandomSource &random;
-    std::size_t assumedNodes;
+    const FleetView &fleet;
     std::mutex mutex;
 };
 
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -7,6 +7,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibCore/SystemRandom.h>
 #include <LibForward/ControlServer.h>
+#include <LibForward/FeedPages.h>
 #include <LibForward/GatewayServer.h>
 #include <LibForward/PeerExchange.h>
 #include <LibForward/PeerPull.h>
@@ -42,7 +43,7 @@
 constexpr Duration directoryPause = seconds(30);
 
 /** Hosts that start together have announced themselves by then. */
-constexpr Duration firstDirectoryPause = seconds(3);
+constexpr Duration firstDirectoryPause = milliseconds(700);
 constexpr Duration directoryRetry = seconds(1);
 constexpr Duration directoryLimit = milliseconds(700);
 
@@ -53,7 +54,7 @@
 {
 public:
     DirectoryTask(const Clock &clock, EventLog &events, HostDirectory &directory, PeerTable &peers, const GatewaySettings &settings)
-        : clock(clock), events(events), directory(directory), peers(peers), host(settings.host), address(settings.peerListen)
+        : clock(clock), events(events), directory(directory), peers(peers), self { settings.host, settings.location.failureDomain, settings.peerListen }
     {
     }
 
@@ -61,12 +62,13 @@
     {
         try {
             if (!this->isAnnounced) {
-                this->directory.announce(this->host, this->address, this->clock.now() + directoryLimit);
+                this->directory.announce(this->self, this->clock.now() + directoryLimit);
                 this->isAnnounced = true;
             }
-            for (const auto &peer : this->directory.peerAddresses(this->clock.now() + directoryLimit)) {
+            for (const auto &peer : this->directory.hosts(this->clock.now() + directoryLimit)) {
                 this->peers.learn(peer);
             }
+            this->peers.directoryRead();
             auto isFirst = !std::exchange(this->hasListed, true);
             return this->clock.now() + (isFirst ? firstDirectoryPause : directoryPause);
         } catch (const Error &error) {
@@ -80,8 +82,7 @@
     EventLog &events;
     HostDirectory &directory;
     PeerTable &peers;
-    HostId host;
-    std::string address;
+    KnownHost self;
     bool isAnnounced = false;
     bool hasListed = false;
 };
@@ -122,16 +123,15 @@
         , registry(this->clock)
         , book(this->clock)
         , health(this->clock)
-        , coldLimiter(this->clock)
+        , coldLimiter(this->clock, this->random)
         , picker(settings.location, this->random)
-        , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, this->random, assumedNodes)
-        , retries(this->clock, settings.retryBound, assumedNodes)
-        , peers(this->clock, this->random, settings.host, settings.location.failureDomain, settings.peerListen)
+        , peers(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListen }, assumedNodes)
+        , placer(this->clock, this->registry, this->book, this->health, this->coldLimiter, this->picker, this->random, this->peers)
+        , retries(this->clock, settings.retryBound, this->peers)
         , peerPull(this->clock, this->peers, portOf(settings.controlListen))
-        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->drain },
-                   settings.host,
-                   settings.location.failureDomain,
-                   settings.peerListen)
+        , exchange({ this->clock, this->events, this->counters, this->book, this->peers, this->mirror, this->registry, this->drain },
+                   { settings.host, settings.location.failureDomain, settings.peerListen })
+        , pages(this->mirror)
         , operators(this->clock,
                     this->events,
                     surroundings.operatorFeed,
@@ -150,13 +150,13 @@
                     upstreamPace)
         , directory(this->clock, this->events, surroundings.directory, this->peers, settings)
         , readiness(this->config, this->upstreams, this->drain)
-        , control(this->readiness, this->counters, this->mirror, settings.readyPath)
+        , control(this->readiness, this->counters, this->pages, settings.readyPath)
         , parts { this->clock,  this->random,  this->events,   this->counters,        this->config, this->registry, this->placer,
                   this->health, this->retries, this->forecast, surroundings.protocol, this->drain,  this->exchange }
         , server(this->parts, settings.listen, settings.maximumConnections)
     {
         for (const auto &seed : settings.seeds) {
-            this->peers.learn(seed);
+            this->peers.learn({ HostId(), FailureDomainId(), seed });
         }
     }
 
@@ -179,12 +179,13 @@
     UpstreamHealth health;
     ColdLimiter coldLimiter;
     UpstreamPicker picker;
+    PeerTable peers;
     WorkPlacer placer;
     RetryAllowance retries;
     OutputForecast forecast;
-    PeerTable peers;
     PeerPull peerPull;
     PeerExchange exchange;
+    FeedPages pages;
     FeedFollower operators;
     FeedFollower upstreams;
     DirectoryTask directory;
@@ -249,7 +250,7 @@
 {
     auto &state = *this->implementation;
     for (const auto &seed : changed.seeds) {
-        state.peers.learn(seed);
+        state.peers.learn({ HostId(), FailureDomainId(), seed });
     }
     state.settings.graceTime = changed.graceTime;
     auto needsRestart = settingsThatNeedRestart(state.settings, changed);
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -6,6 +6,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibForward/GatewayServer.h>
+#include <Support/FakeFleet.h>
 
 #include <condition_variable>
 #include <memory>
@@ -124,10 +125,11 @@
     UpstreamRegistry registry { clock };
     LoadBook book { clock };
     UpstreamHealth health { clock };
-    ColdLimiter coldLimiter { clock };
+    ColdLimiter coldLimiter { clock, random };
+    FakeFleet fleet { 1 };
     UpstreamPicker picker { Location { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random };
-    WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, 1 };
-    RetryAllowance retries { clock, RetryBound { 0.2, 100, seconds(10) }, 1 };
+    WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, fleet };
+    RetryAllowance retries { clock, RetryBound { 0.2, 100, seconds(10) }, fleet };
     OutputForecast forecast;
     TestProtocol protocol;
     IgnoredPlacements placements;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -9,6 +9,7 @@
 #include <LibGateway/UpstreamPicker.h>
 #include <LibGateway/UpstreamRegistry.h>
 #include <LibGateway/WorkPlacer.h>
+#include <Support/FakeFleet.h>
 
 #include <fmt/format.h>
 
@@ -77,9 +78,10 @@
     UpstreamRegistry registry { clock };
     LoadBook book { clock };
     UpstreamHealth health { clock };
-    ColdLimiter coldLimiter { clock };
+    ColdLimiter coldLimiter { clock, random };
+    FakeFleet fleet;
     UpstreamPicker picker { testLocation(), random };
-    WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, 8 };
+    WorkPlacer placer { clock, registry, book, health, coldLimiter, picker, random, fleet };
     Route route = streamRoute();
     UpstreamPool pool = enginePool();
 
@@ -87,14 +89,6 @@
     {
         return PlacementNeed { this->route, this->pool, Footprint { prompt, output, 2 * output }, {}, {} };
     }
-
-    /** Tells the book of so many peers without load. */
-    void addPeers(std::size_t count)
-    {
-        for (std::size_t peer = 0; peer < count; ++peer) {
-            this->book.applyPeer(HostId(fmt::format("peer-{}", peer)), {}, this->clock.now() + seconds(100));
-        }
-    }
 };
 
 }
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -1,142 +1,11 @@
-#include "GatewayFixture.h"
-
-#include <LibCore/Error.h>
-#include <LibGateway/FeedFollower.h>
+#include "FeedFakes.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-
 using namespace Lovageward;
 
 namespace {
 
-/** A store in memory that can be down, forget its history, or answer with what a test sets. */
-class FakeFeed final : public StateFeed
-{
-public:
-    FeedPage listNewest(FeedTopic /*topic*/, TimePoint /*deadline*/) override
-    {
-        ++this->calls;
-        this->checkUp();
-        FeedPage page;
-        for (const auto &[key, record] : this->newest) {
-            if (!record.value.empty()) {
-                page.records.push_back(record);
-            }
-        }
-        page.nextOffset = this->log.size();
-        return page;
-    }
-
-    FeedPage readFrom(FeedTopic /*topic*/, std::uint64_t offset, Duration /*wait*/, TimePoint /*deadline*/) override
-    {
-        ++this->calls;
-        this->checkUp();
-        if (offset < this->firstKept) {
-            throw Error(ResultCode::RecordsExpired, RunState::NotRun, "expired");
-        }
-        FeedPage page;
-        for (auto at = offset; at < this->log.size(); ++at) {
-            page.records.push_back(this->log[at]);
-        }
-        page.nextOffset = this->log.size();
-        return page;
-    }
-
-    void write(const std::string &key, const std::string &value)
-    {
-        FeedRecord record { key, value, this->log.size() };
-        this->log.push_back(record);
-        this->newest[key] = record;
-    }
-
-    bool isDown = false;
-    std::uint64_t firstKept = 0;
-    int calls = 0;
-    std::vector<FeedRecord> log;
-    std::map<std::string, FeedRecord> newest;
-
-private:
-    void checkUp() const
-    {
-        if (this->isDown) {
-            throw Error(ResultCode::LogUnavailable, RunState::Unknown, "down");
-        }
-    }
-};
-
-/** "vN" is a configuration of version N, "drain:D" drains D, and any other key names an upstream whose value is its boot or "draining". */
-class FakeDecoder final : public FeedDecoder
-{
-public:
-    std::optional<FeedChange> decode(FeedTopic topic, const FeedRecord &record, TimePoint /*now*/) const override
-    {
-        if (record.value == "broken") {
-            throw Error(ResultCode::InvalidValue, RunState::NotRun, "broken");
-        }
-        if (topic == FeedTopic::Operators && record.key == "config") {
-            return std::make_shared<const GatewayConfig>(
-                ConfigVersion(std::stoull(record.value)), std::vector<Route> {}, std::vector<UpstreamPool> {}, std::vector<GatewayTeam> {}, CallerLimits());
-        }
-        if (topic == FeedTopic::Operators) {
-            return DrainChange { FailureDomainId(record.key), !record.value.empty() };
-        }
-        if (record.value.empty()) {
-            return UpstreamRemoval { UpstreamId(record.key) };
-        }
-        auto entry = upstreamRecord(record.key);
-        entry.isDraining = record.value == "draining";
-        return entry;
-    }
-};
-
-class FakePeers final : public PeerFeed
-{
-public:
-    FeedPage pull(FeedTopic topic, std::uint64_t offset) override
-    {
-        ++this->pulls;
-        if (this->source == nullptr) {
-            throw Error(ResultCode::PeerUnreachable, RunState::NotRun, "no peer");
-        }
-        return this->source->since(topic, offset);
-    }
-
-    bool isAnyAhead(FeedTopic topic, std::uint64_t offset) const override
-    {
-        return this->source != nullptr && this->source->nextOffset(topic) > offset;
-    }
-
-    bool isReader(FeedTopic /*topic*/) const override
-    {
-        return this->reads;
-    }
-
-    TimePoint coveredUntil(FeedTopic /*topic*/) const override
-    {
-        return this->covered;
-    }
-
-    const FeedMirror *source = nullptr;
-    bool reads = true;
-    TimePoint covered;
-    int pulls = 0;
-};
-
-class CountingListener final : public FeedListener
-{
-public:
-    void recordsRead(const FeedPiece &piece) override
-    {
-        ++this->calls;
-        this->last = piece;
-    }
-
-    int calls = 0;
-    FeedPiece last;
-};
-
 struct FollowerWorld
 {
     explicit FollowerWorld(FeedTopic topic) : follower(clock, events, feed, decoder, peers, { config, registry, mirror, listener }, topic, {})
@@ -230,6 +99,81 @@
     CHECK(world.config.current()->version() == ConfigVersion(4));
 }
 
+TEST_CASE("A listing of several pages is read whole, and what came meanwhile is read again")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    world.feed.pageSize = 2;
+    for (const auto *id : { "e1", "e2", "e3", "e4", "e5" }) {
+        world.feed.write(id, "1");
+    }
+    world.feed.onPage = [&world] { world.feed.write("e0", "1"); };
+    world.follower.step();
+    CHECK(world.registry.size() == 5);
+    world.feed.onPage = nullptr;
+    world.follower.step();
+    CHECK(world.registry.size() == 6);
+}
+
+TEST_CASE("Hundreds of nodes start together: one that isn't to read the store gets the listing from a peer")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    FeedMirror peer;
+    peer.offer(FeedTopic::Upstreams, FeedRecord { "e1", "1", 6 });
+    peer.advance(FeedTopic::Upstreams, 7);
+    world.peers.reads = false;
+    world.peers.settled = false;
+    world.peers.source = &peer;
+    world.peers.covered = world.clock.now() + minutes(1);
+    world.follower.step();
+    CHECK_FALSE(world.follower.hasRead());
+    world.peers.settled = true;
+    world.follower.step();
+    CHECK(world.follower.hasRead());
+    CHECK(world.registry.isUsable(UpstreamId("e1")));
+    CHECK(world.feed.calls == 0);
+}
+
+TEST_CASE("A node that starts and hears no peer with records lists the topic itself")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    world.feed.write("e1", "1");
+    world.peers.reads = false;
+    world.follower.step();
+    CHECK(world.feed.calls == 0);
+    world.clock.advance(milliseconds(1500));
+    world.follower.step();
+    CHECK(world.follower.hasRead());
+    CHECK(world.registry.isUsable(UpstreamId("e1")));
+}
+
+TEST_CASE("A reader that lists the topic anew tells its peers what has vanished")
+{
+    FollowerWorld reader(FeedTopic::Upstreams);
+    reader.feed.write("gone", "1");
+    reader.feed.write("stays", "1");
+    reader.follower.step();
+    FollowerWorld other(FeedTopic::Upstreams);
+    other.peers.reads = false;
+    other.peers.source = &reader.mirror;
+    other.peers.covered = other.clock.now() + minutes(1);
+    other.follower.step();
+    REQUIRE(other.registry.isUsable(UpstreamId("gone")));
+
+    reader.feed.write("gone", "");
+    reader.feed.write("new", "1");
+    reader.feed.newest.erase("gone");
+    reader.feed.firstKept = reader.feed.log.size();
+    reader.follower.step();
+    reader.follower.step();
+    CHECK_FALSE(reader.registry.isUsable(UpstreamId("gone")));
+    other.follower.step();
+    other.clock.advance(milliseconds(120));
+    other.follower.step();
+    CHECK_FALSE(other.registry.isUsable(UpstreamId("gone")));
+    CHECK(other.registry.isUsable(UpstreamId("stays")));
+    CHECK(other.registry.isUsable(UpstreamId("new")));
+}
+
 TEST_CASE("Entries that lapsed during an outage are kept for two seconds after it")
 {
     FollowerWorld world(FeedTopic::Upstreams);
@@ -290,7 +234,11 @@
     world.peers.reads = false;
     world.peers.covered = world.clock.now() + seconds(1);
     auto calls = world.feed.calls;
+    // The records may still be on their way through a relay.
+    world.follower.step();
+    CHECK(world.peers.pulls == 0);
     for (int round = 0; round < 5; ++round) {
+        world.clock.advance(milliseconds(120));
         world.follower.step();
     }
     CHECK(world.feed.calls == calls);
@@ -336,6 +284,8 @@
     reader.follower.step();
     other.follower.receive(reader.listener.last);
     other.follower.step();
+    other.clock.advance(milliseconds(120));
+    other.follower.step();
     CHECK(other.peers.pulls == 1);
     CHECK(other.registry.leaveReason(UpstreamId("e2"), upstreamRecord("e2").boot) == LeaveReason::Draining);
     CHECK(other.registry.isUsable(UpstreamId("e3")));
--- a/Tests/LibGateway/TestLimits.cpp
+++ b/Tests/LibGateway/TestLimits.cpp
@@ -11,13 +11,15 @@
 
 TEST_CASE("A failing pool: the repeats of all nodes stay within the budget")
 {
-    constexpr std::size_t nodes = 8;
+    auto nodes = GENERATE(std::size_t(8), std::size_t(95), std::size_t(340));
+    FakeFleet fleet;
+    fleet.count = nodes;
     const RetryBound bound { 0.2, 50, seconds(10) };
     std::size_t repeats = 0;
     std::size_t requests = 0;
     for (std::size_t node = 0; node < nodes; ++node) {
         ManualClock clock;
-        RetryAllowance allowance(clock, bound, nodes);
+        RetryAllowance allowance(clock, bound, fleet);
         for (int request = 0; request < 100; ++request) {
             allowance.countRequest(PoolId("shop"));
             ++requests;
@@ -34,7 +36,8 @@
 TEST_CASE("The budgets of two pools are apart")
 {
     ManualClock clock;
-    RetryAllowance allowance(clock, RetryBound { 0, 10, seconds(10) }, 8);
+    FakeFleet fleet;
+    RetryAllowance allowance(clock, RetryBound { 0, 10, seconds(10) }, fleet);
     CHECK(allowance.tryRepeat(PoolId("a")));
     CHECK_FALSE(allowance.tryRepeat(PoolId("a")));
     CHECK(allowance.tryRepeat(PoolId("b")));
--- a/Tests/LibGateway/TestLoadBook.cpp
+++ b/Tests/LibGateway/TestLoadBook.cpp
@@ -54,14 +54,50 @@
     CHECK(book.load(engine).runs == 3);
     CHECK(book.load(engine).peakTokens == Approx(11000));
     CHECK(book.load(engine).unreadTokens == Approx(3000));
-    CHECK(book.livePeers() == 2);
 
     book.applyPeer(HostId("p1"), {}, until);
     CHECK(book.load(engine).runs == 1);
 
     clock.advance(seconds(3));
     CHECK(book.load(engine).runs == 0);
-    CHECK(book.livePeers() == 0);
+    CHECK(book.totals().empty());
+}
+
+TEST_CASE("A change that a peer tells replaces only what it says, and work that ended is taken off")
+{
+    ManualClock clock;
+    LoadBook book(clock);
+    auto until = clock.now() + seconds(3);
+    auto hash = [](const char *engine) { return LoadBook::hashOf(UpstreamId(engine)); };
+    book.applyPeer(HostId("p1"), { { hash("e1"), { 2, 7000, 0 } }, { hash("e2"), { 1, 3000, 0 } } }, until);
+    book.updatePeer(HostId("p1"), { { hash("e1"), { 1, 4000, 500 } }, { hash("e3"), { 1, 100, 0 } } }, until);
+    CHECK(book.load(UpstreamId("e1")).peakTokens == Approx(4000));
+    CHECK(book.load(UpstreamId("e2")).runs == 1);
+    CHECK(book.load(UpstreamId("e3")).runs == 1);
+    book.updatePeer(HostId("p1"), { { hash("e2"), {} } }, until);
+    CHECK(book.load(UpstreamId("e2")).runs == 0);
+    CHECK(book.load(UpstreamId("e2")).peakTokens == Approx(0));
+    CHECK(book.totals().size() == 2);
+}
+
+TEST_CASE("Each change of the own load is told once, the end of the last run included")
+{
+    ManualClock clock;
+    LoadBook book(clock);
+    auto run = book.begin(UpstreamId("e1"), Footprint { 3000, 500, 1000 }, true);
+    book.begin(UpstreamId("e2"), Footprint { 10, 5, 10 }, true);
+    CHECK(book.takeChanges(1).size() == 1);
+    CHECK(book.takeChanges(9).size() == 1);
+    CHECK(book.takeChanges(9).empty());
+    book.progress(run, 1);
+    CHECK(book.takeChanges(9).size() == 1);
+    book.progress(run, 2);
+    CHECK(book.takeChanges(9).empty());
+    book.end(run);
+    auto changes = book.takeChanges(9);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].upstreamHash == LoadBook::hashOf(UpstreamId("e1")));
+    CHECK(changes[0].load.runs == 0);
 }
 
 TEST_CASE("A digest keeps its content over the wire")
@@ -73,11 +109,24 @@
     digest.nextOffsets = { 17, 4711 };
     digest.readAges = { milliseconds(250), Duration::max() };
     digest.shares = { LoadShare { 42, UpstreamLoad { 3, 10'500, 2'000 } } };
-    digest.peers = { "10.0.0.1:7200", "10.0.0.2:7200" };
+    digest.peers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" }, { HostId(), FailureDomainId(), "10.0.0.2:7200" } };
+    digest.isRelay = true;
+    digest.shareScope = ShareScope::Changes;
+    digest.part = FleetPart { 42, { AreaLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } } };
     CHECK_FALSE(decodeDigest(encodeDigest(digest)).piece);
     digest.piece = FeedPiece { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
+    digest.isPieceForGroup = true;
     auto decoded = decodeDigest(encodeDigest(digest));
     REQUIRE(decoded.piece);
+    CHECK(decoded.isPieceForGroup);
+    CHECK(decoded.isRelay);
+    CHECK(decoded.shareScope == ShareScope::Changes);
+    REQUIRE(decoded.part);
+    CHECK(decoded.part->nodes == 42);
+    REQUIRE(decoded.part->areas.size() == 1);
+    CHECK(decoded.part->areas[0].domain == FailureDomainId("b1"));
+    CHECK(decoded.part->areas[0].pool == PoolId("engines"));
+    CHECK(decoded.part->areas[0].load.runs == 7);
     CHECK(decoded.piece->topic == FeedTopic::Upstreams);
     CHECK(decoded.piece->firstOffset == 5);
     CHECK(decoded.piece->page.nextOffset == 8);
@@ -126,7 +175,7 @@
 {
     for (std::size_t peers : { 5, 65, 340 }) {
         CHECK(digestLifetime(peers) >= 2 * digestInterval(peers));
-        CHECK(static_cast<double>(peers) / std::chrono::duration<double>(digestInterval(peers)).count() <= 50.1);
+        CHECK(static_cast<double>(peers) / std::chrono::duration<double>(digestInterval(peers)).count() <= 6.7);
     }
-    CHECK(digestLifetime(7) == seconds(3));
+    CHECK(digestLifetime(6) == seconds(3));
 }
--- a/Tests/LibGateway/TestPeerTable.cpp
+++ b/Tests/LibGateway/TestPeerTable.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+constexpr std::size_t assumedNodes = 8;
+
+KnownHost hostOf(const std::string &host, const std::string &domain, const std::string &address)
+{
+    return { HostId(host), FailureDomainId(domain), address };
+}
+
 PeerDigest digestOf(const std::string &host, const std::string &domain = "a1")
 {
     PeerDigest digest;
@@ -22,21 +29,34 @@
 
 struct TableWorld
 {
+    TableWorld()
+    {
+        this->clock.advance(minutes(1));
+    }
+
+    /** Hears `count` nodes of the domain, named DOMAIN-0 and so on. */
+    void hear(const std::string &domain, int count)
+    {
+        for (int peer = 0; peer < count; ++peer) {
+            this->table.heard(fmt::format("{}:{}", domain, peer), digestOf(fmt::format("{}-{}", domain, peer), domain));
+        }
+    }
+
     ManualClock clock;
     SeededRandom random { 1 };
-    PeerTable table { clock, random, HostId("own"), FailureDomainId("a1"), "10.0.0.1:7200" };
+    PeerTable table { clock, random, hostOf("own", "a1", "10.0.0.1:7200"), assumedNodes };
 };
 
 }
 
 TEST_CASE("Exactly two of the live nodes read a topic for all")
 {
-    constexpr int nodes = 20;
+    auto nodes = GENERATE(6, 20);
     int readers = 0;
     for (int self = 0; self < nodes; ++self) {
         ManualClock clock;
         SeededRandom random(1);
-        PeerTable table(clock, random, HostId(fmt::format("node-{}", self)), FailureDomainId("a1"), fmt::format("10.0.0.{}:7200", self));
+        PeerTable table(clock, random, hostOf(fmt::format("node-{}", self), "a1", fmt::format("10.0.0.{}:7200", self)), assumedNodes);
         for (int peer = 0; peer < nodes; ++peer) {
             if (peer != self) {
                 table.heard(fmt::format("10.0.0.{}:7200", peer), digestOf(fmt::format("node-{}", peer)));
@@ -51,16 +71,12 @@
 {
     TableWorld world;
     CHECK(world.table.isReader(FeedTopic::Operators));
-    for (int peer = 0; peer < 30; ++peer) {
-        world.table.heard(fmt::format("10.0.1.{}:7200", peer), digestOf(fmt::format("peer-{}", peer)));
-    }
-    auto isReaderBefore = world.table.isReader(FeedTopic::Operators);
+    world.hear("a1", 30);
     CHECK(world.table.coveredUntil(FeedTopic::Operators) > world.clock.now());
-    world.clock.advance(seconds(4));
+    world.clock.advance(digestLifetime(30));
     CHECK(world.table.isReader(FeedTopic::Operators));
     CHECK(world.table.coveredUntil(FeedTopic::Operators) <= world.clock.now());
     CHECK(world.table.live(100).empty());
-    static_cast<void>(isReaderBefore);
 }
 
 TEST_CASE("A peer's read is relied on by its age, and not by the age of the digest alone")
@@ -73,39 +89,177 @@
     CHECK(world.table.coveredUntil(FeedTopic::Operators) <= world.clock.now());
 }
 
-TEST_CASE("Few peers are all near; of many only those of the own failure domain")
+TEST_CASE("A peer's word is passed on only by a node that has all the records it speaks of")
+{
+    TableWorld world;
+    auto digest = digestOf("ahead");
+    digest.nextOffsets = { 10, 0 };
+    world.table.heard("10.0.0.2:7200", digest);
+    CHECK(world.table.coveredUntil(FeedTopic::Operators, 9) <= world.clock.now());
+    auto covered = world.table.coveredUntil(FeedTopic::Operators, 10);
+    CHECK(covered > world.clock.now());
+    CHECK(PeerTable::readAt(covered) == world.clock.now() - milliseconds(100));
+}
+
+TEST_CASE("Few peers are all of one group; of many only those of the own failure domain")
+{
+    TableWorld world;
+    world.hear("a1", 6);
+    world.hear("b1", 6);
+    CHECK_FALSE(world.table.isCrowded());
+    CHECK(world.table.groupTargets().size() == 12);
+    CHECK(world.table.relayTargets().empty());
+    world.hear("b2", 1);
+    CHECK(world.table.isCrowded());
+    CHECK(world.table.groupTargets().size() == 6);
+}
+
+TEST_CASE("Two nodes of each domain speak for it, and others take their place when they are silent or leave")
 {
+    constexpr int nodes = 20;
+    auto relaysWithout = [](const std::vector<int> &gone) {
+        auto isGone = [&gone](int node) { return std::find(gone.begin(), gone.end(), node) != gone.end(); };
+        std::vector<int> relays;
+        for (int self = 0; self < nodes; ++self) {
+            TableWorld world;
+            PeerTable table(world.clock, world.random, hostOf(fmt::format("a1-{}", self), "a1", fmt::format("a1:{}", self)), assumedNodes);
+            for (int peer = 0; peer < nodes; ++peer) {
+                if (peer != self && !isGone(peer)) {
+                    table.heard(fmt::format("a1:{}", peer), digestOf(fmt::format("a1-{}", peer)));
+                }
+            }
+            if (!isGone(self) && table.isRelay()) {
+                relays.push_back(self);
+            }
+        }
+        return relays;
+    };
+    auto relays = relaysWithout({});
+    REQUIRE(relays.size() == 2);
+    CHECK(relaysWithout(relays).size() == 2);
+
     TableWorld world;
-    for (int peer = 0; peer < 6; ++peer) {
-        world.table.heard(fmt::format("10.0.1.{}:7200", peer), digestOf(fmt::format("a{}", peer), "a1"));
-        world.table.heard(fmt::format("10.0.2.{}:7200", peer), digestOf(fmt::format("b{}", peer), "b1"));
+    world.hear("a1", nodes);
+    auto wasRelay = world.table.isRelay();
+    for (int peer = 0; peer < nodes; ++peer) {
+        auto leaving = digestOf(fmt::format("a1-{}", peer));
+        leaving.isLeaving = true;
+        world.table.heard(fmt::format("a1:{}", peer), leaving);
     }
-    CHECK(world.table.nearTargets().size() == 12);
-    world.table.heard("10.0.3.1:7200", digestOf("c1", "b2"));
-    CHECK(world.table.nearTargets().size() == 6);
+    CHECK(world.table.isRelay());
+    CHECK_FALSE(wasRelay);
 }
 
-TEST_CASE("A silent peer is tried now and then and forgotten after a while")
+TEST_CASE("A relay speaks with two nodes of each other domain, and looks on where they are silent")
 {
     TableWorld world;
-    world.table.learn("10.0.0.9:7200");
-    world.table.learn("10.0.0.1:7200");
-    CHECK(world.table.targets().size() == 1);
-    CHECK(world.table.targets().empty());
+    for (const auto *domain : { "a1", "b1", "b2" }) {
+        for (int peer = 0; peer < 10; ++peer) {
+            world.table.learn(hostOf(fmt::format("{}-{}", domain, peer), domain, fmt::format("{}:{}", domain, peer)));
+        }
+    }
+    auto first = world.table.relayTargets();
+    CHECK(first.size() == 4);
+    // Nobody answers: others are tried.
+    auto second = world.table.relayTargets();
+    CHECK(second.size() == 4);
+    CHECK(std::find_first_of(first.begin(), first.end(), second.begin(), second.end()) == first.end());
+    for (const auto *address : { "b1:3", "b1:7", "b2:5" }) {
+        auto relay = digestOf(address, std::string(address, 2));
+        relay.isRelay = true;
+        world.table.heard(address, relay);
+    }
+    auto heard = world.table.relayTargets();
+    CHECK(heard.size() == 4);
+    for (const auto *address : { "b1:3", "b1:7", "b2:5" }) {
+        CHECK(std::count(heard.begin(), heard.end(), address) == 1);
+    }
+}
+
+TEST_CASE("Nodes of other domains are counted by what relays tell, and a node that knows nothing reckons with many")
+{
+    TableWorld world;
+    CHECK(world.table.nodes() == assumedNodes);
+    world.hear("a1", 15);
+    auto relay = digestOf("a1-0");
+    relay.part = FleetPart { 285, { AreaLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 3, 9000, 0 } } } };
+    auto sum = world.table.partHeard(relay);
+    CHECK(sum.nodes == 285);
+    CHECK(sum.areas.size() == 1);
+    CHECK(world.table.nodes() == 301);
+    world.clock.advance(seconds(7));
+    CHECK(world.table.nodes() == assumedNodes);
+    // Those that the store names may all be there.
+    for (int peer = 0; peer < 99; ++peer) {
+        world.table.learn(hostOf(fmt::format("b1-{}", peer), "b1", fmt::format("b1:{}", peer)));
+    }
+    CHECK(world.table.nodes() == 100);
+}
+
+TEST_CASE("A relay sums what the relays of the other domains tell, and counts each domain once")
+{
+    TableWorld world;
+    world.hear("a1", 1);
+    world.hear("b1", 20);
+    REQUIRE(world.table.isRelay());
+    for (const auto *host : { "b1-0", "b1-1" }) {
+        auto relay = digestOf(host, "b1");
+        relay.part = FleetPart { 50, {} };
+        world.table.partHeard(relay);
+    }
+    auto relay = digestOf("b2-0", "b2");
+    relay.part = FleetPart { 49, {} };
+    CHECK(world.table.partHeard(relay).nodes == 99);
+    // What its own domain's other relay tells is the same sum.
+    auto own = digestOf("a1-0", "a1");
+    own.part = FleetPart { 99, {} };
+    CHECK(world.table.partHeard(own).nodes == 99);
+}
+
+TEST_CASE("A silent peer is tried now and then and given up after a while")
+{
+    TableWorld world;
+    world.table.learn(hostOf("", "", "10.0.0.9:7200"));
+    world.table.learn(hostOf("", "", "10.0.0.1:7200"));
+    CHECK(world.table.groupTargets().size() == 1);
+    CHECK(world.table.groupTargets().empty());
     world.clock.advance(seconds(3));
-    CHECK(world.table.targets().size() == 1);
+    CHECK(world.table.groupTargets().size() == 1);
     world.clock.advance(minutes(3));
-    CHECK(world.table.targets().empty());
+    CHECK(world.table.groupTargets().empty());
+    // The store names it again and again; that alone doesn't make it count.
+    world.table.learn(hostOf("old", "a1", "10.0.0.9:7200"));
+    CHECK(world.table.groupTargets().empty());
+    CHECK(world.table.groupSize() == 0);
 }
 
-TEST_CASE("Only peers that have read further are asked for records")
+TEST_CASE("What a node's part is isn't settled before the store has named the others, or that takes too long")
 {
     TableWorld world;
+    PeerTable table(world.clock, world.random, hostOf("own", "a1", "10.0.0.1:7200"), assumedNodes);
+    CHECK_FALSE(table.isSettled());
+    table.directoryRead();
+    CHECK(table.isSettled());
+    PeerTable other(world.clock, world.random, hostOf("own", "a1", "10.0.0.1:7200"), assumedNodes);
+    world.clock.advance(milliseconds(700));
+    CHECK(other.isSettled());
+}
+
+TEST_CASE("Only peers that have read further are asked for records, those of the own domain first")
+{
+    TableWorld world;
+    for (int peer = 0; peer < 4; ++peer) {
+        auto far = digestOf(fmt::format("b1-{}", peer), "b1");
+        far.nextOffsets = { 10, 0 };
+        world.table.heard(fmt::format("b1:{}", peer), far);
+    }
     auto ahead = digestOf("ahead");
     ahead.nextOffsets = { 10, 0 };
     world.table.heard("10.0.0.2:7200", ahead);
     world.table.heard("10.0.0.3:7200", digestOf("behind"));
-    CHECK(world.table.ahead(FeedTopic::Operators, 9) == std::vector<std::string> { "10.0.0.2:7200" });
+    auto found = world.table.ahead(FeedTopic::Operators, 9);
+    CHECK(found.size() == 5);
+    CHECK(found.front() == "10.0.0.2:7200");
     CHECK(world.table.ahead(FeedTopic::Operators, 10).empty());
     CHECK(world.table.ahead(FeedTopic::Upstreams, 0).empty());
 }
--- a/Tests/LibGateway/TestUpstreamRegistry.cpp
+++ b/Tests/LibGateway/TestUpstreamRegistry.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <LibGateway/FeedMirror.h>
+
 #include <catch2/catch.hpp>
 
 using namespace Lovageward;
@@ -73,12 +75,31 @@
 }
 
 TEST_CASE("Entries that a complete listing lacks are found")
+{
+    FeedMirror mirror;
+    mirror.offer(FeedTopic::Upstreams, FeedRecord { "e1", "1", 0 });
+    mirror.offer(FeedTopic::Upstreams, FeedRecord { "e2", "1", 1 });
+    mirror.offer(FeedTopic::Upstreams, FeedRecord { "removed", "", 2 });
+    auto missing = mirror.missingFrom(FeedTopic::Upstreams, { { "e2", "1", 1 }, { "e3", "1", 3 } });
+    REQUIRE(missing.size() == 1);
+    CHECK(missing.front() == "e1");
+}
+
+TEST_CASE("Upstreams are counted and found by pool and domain, also after they move")
 {
     ManualClock clock;
     UpstreamRegistry registry(clock);
-    registry.put(upstreamRecord("e1"));
-    registry.put(upstreamRecord("e2"));
-    auto missing = registry.missingFrom({ UpstreamId("e2"), UpstreamId("e3") });
-    REQUIRE(missing.size() == 1);
-    CHECK(missing.front() == UpstreamId("e1"));
+    registry.put(upstreamRecord("e1", "a1"));
+    registry.put(upstreamRecord("e2", "a1"));
+    auto hash = LoadBook::hashOf(UpstreamId("e1"));
+    CHECK(registry.countUsable(PoolId("engines"), FailureDomainId("a1")) == 2);
+    CHECK(registry.areaOf(hash)->domain == FailureDomainId("a1"));
+    registry.put(upstreamRecord("e1", "b1"));
+    CHECK(registry.countUsable(PoolId("engines"), FailureDomainId("a1")) == 1);
+    CHECK(registry.areaOf(hash)->domain == FailureDomainId("b1"));
+    registry.setDrained(FailureDomainId("b1"), true);
+    CHECK(registry.countUsable(PoolId("engines"), FailureDomainId("b1")) == 0);
+    registry.remove(UpstreamId("e1"));
+    CHECK_FALSE(registry.areaOf(hash));
+    CHECK(registry.usable(PoolId("engines")).size() == 1);
 }
--- a/Tests/LibGateway/TestWorkPlacer.cpp
+++ b/Tests/LibGateway/TestWorkPlacer.cpp
@@ -42,18 +42,21 @@
 
 TEST_CASE("Capacity that returns cold: the sum over all nodes stays below what a cold upstream withstands")
 {
-    constexpr std::size_t nodes = 8;
     constexpr double bound = 30;
+    auto nodes = GENERATE(std::size_t(8), std::size_t(100), std::size_t(340));
     std::size_t sent = 0;
     for (std::size_t node = 0; node < nodes; ++node) {
         PlacementWorld world;
+        world.fleet.count = nodes;
+        SeededRandom random(node + 1);
+        ColdLimiter limiter(world.clock, random);
+        WorkPlacer placer(world.clock, world.registry, world.book, world.health, limiter, world.picker, random, world.fleet);
         world.pool.coldRequestsPerSecond = bound;
         auto cold = upstreamRecord("cold");
         cold.coldUntil = world.clock.now() + seconds(10);
         world.registry.put(cold);
-        world.addPeers(nodes - 1);
         for (int tick = 0; tick < 1000; ++tick) {
-            sent += world.placer.place(world.need(10, 1)).outcome == PickOutcome::Picked ? 1 : 0;
+            sent += placer.place(world.need(10, 1)).outcome == PickOutcome::Picked ? 1 : 0;
             world.clock.advance(milliseconds(1));
         }
     }
@@ -68,7 +71,13 @@
     auto cold = upstreamRecord("cold");
     cold.coldUntil = world.clock.now() + seconds(10);
     world.registry.put(cold);
+    world.fleet.count = 1;
     auto first = world.placer.place(world.need());
+    for (int tick = 0; first.outcome != PickOutcome::Picked && tick < 2000; ++tick) {
+        CHECK(first.outcome == PickOutcome::NoRoom);
+        world.clock.advance(milliseconds(1));
+        first = world.placer.place(world.need());
+    }
     CHECK(first.outcome == PickOutcome::Picked);
     CHECK(world.placer.place(world.need()).outcome == PickOutcome::NoRoom);
     world.clock.advance(seconds(10));
@@ -83,8 +92,9 @@
         PlacementWorld world;
         world.random.next();
         SeededRandom random(static_cast<std::uint64_t>(node) + 100);
-        WorkPlacer placer(world.clock, world.registry, world.book, world.health, world.coldLimiter, world.picker, random, 8);
-        world.addPeers(nodes - 1);
+        WorkPlacer placer(world.clock, world.registry, world.book, world.health, world.coldLimiter, world.picker, random, world.fleet);
+        world.fleet.count = nodes;
+        world.fleet.crowded = true;
         std::vector<LoadShare> busy;
         for (int engine = 0; engine < 40; ++engine) {
             auto id = fmt::format("busy-{}", engine);
@@ -101,6 +111,61 @@
     CHECK(toEmpty < nodes / 4);
 }
 
+TEST_CASE("A crowded fleet: a far node's work counts as its share of the area, and near work exactly")
+{
+    PlacementWorld world;
+    world.fleet.crowded = true;
+    world.registry.put(upstreamRecord("a", "a1"));
+    world.registry.put(upstreamRecord("b", "a1"));
+    world.book.applyElsewhere({ AreaLoad { FailureDomainId("a1"), PoolId("engines"), UpstreamLoad { 10, 50'000, 0 } } }, world.clock.now() + seconds(3));
+    auto placed = world.placer.place(world.need());
+    REQUIRE(placed.outcome == PickOutcome::Picked);
+    CHECK(placed.run.load.peakTokens == Approx(25'000));
+    CHECK(placed.run.load.runs == 5);
+    // 25,000 of 30,000 are taken by others and 3,900 by the run, so the other one is next, and then none.
+    auto second = world.placer.place(world.need());
+    REQUIRE(second.outcome == PickOutcome::Picked);
+    CHECK(second.run.upstream.id != placed.run.upstream.id);
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::NoRoom);
+    world.clock.advance(seconds(3));
+    CHECK(world.placer.place(world.need()).outcome == PickOutcome::Picked);
+}
+
+TEST_CASE("A crowded fleet whose near engines are gone: the few far ones that are looked at are those that are allowed")
+{
+    PlacementWorld world;
+    world.fleet.crowded = true;
+    for (int engine = 0; engine < 30; ++engine) {
+        world.registry.put(upstreamRecord(fmt::format("abroad-{}", engine), "b1"));
+    }
+    world.registry.put(upstreamRecord("home", "a2"));
+    auto need = world.need(10, 10);
+    need.allowedRegions = { RegionId("a") };
+    for (int request = 0; request < 20; ++request) {
+        auto placed = world.placer.place(need);
+        REQUIRE(placed.outcome == PickOutcome::Picked);
+        CHECK(placed.run.upstream.id == UpstreamId("home"));
+    }
+}
+
+TEST_CASE("Hundreds of near engines: a request that looks at some of them still finds a nearly empty one")
+{
+    PlacementWorld world;
+    world.fleet.crowded = true;
+    std::vector<LoadShare> busy;
+    for (int engine = 0; engine < 500; ++engine) {
+        auto id = fmt::format("engine-{}", engine);
+        world.registry.put(upstreamRecord(id, "a1"));
+        busy.push_back(LoadShare { LoadBook::hashOf(UpstreamId(id)), UpstreamLoad { 1, engine % 2 == 0 ? 25'000.0 : 5'000.0, 0 } });
+    }
+    world.book.applyPeer(HostId("peer"), busy, world.clock.now() + seconds(3));
+    for (int request = 0; request < 200; ++request) {
+        auto placed = world.placer.place(world.need());
+        REQUIRE(placed.outcome == PickOutcome::Picked);
+        CHECK(placed.run.load.peakTokens < 15'000);
+    }
+}
+
 TEST_CASE("A pool is chosen by the weights of the route")
 {
     Route route = streamRoute();
--- /dev/null
+++ b/Tests/Support/FakeFleet.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibGateway/FleetView.h>
+
+namespace Lovageward {
+
+/** A fleet of a size that the test sets. */
+class FakeFleet final : public FleetView
+{
+public:
+    explicit FakeFleet(std::size_t count = 8) : count(count)
+    {
+    }
+
+    std::size_t nodes() const override
+    {
+        return this->count;
+    }
+
+    bool isCrowded() const override
+    {
+        return this->crowded;
+    }
+
+    std::size_t count;
+    bool crowded = false;
+};
+
+}
--- a/Tests/platform/TestPlatformStore.cpp
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -174,7 +174,7 @@
     }
 }
 
-TEST_CASE("The newest records come in pages, and reading goes on from the end of the first one")
+TEST_CASE("The newest records come in pages, each with the end of the log")
 {
     StoreStandIn standIn([](const std::string &target) {
         if (target.find("after=") == std::string::npos) {
@@ -184,11 +184,15 @@
     });
     SystemClock clock;
     PlatformStore store(clock, standIn.address());
-    auto page = store.listNewest(FeedTopic::Upstreams, clock.now() + limit);
-    REQUIRE(page.records.size() == 2);
-    CHECK(page.records[0].value == "abc");
-    CHECK(page.records[1].value == "def");
-    CHECK(page.nextOffset == 6);
+    auto first = store.listNewest(FeedTopic::Upstreams, std::nullopt, clock.now() + limit);
+    REQUIRE(first.page.records.size() == 1);
+    CHECK(first.page.records[0].value == "abc");
+    CHECK(first.page.nextOffset == 6);
+    CHECK(first.hasMore);
+    auto second = store.listNewest(FeedTopic::Upstreams, first.page.records[0].key, clock.now() + limit);
+    REQUIRE(second.page.records.size() == 1);
+    CHECK(second.page.records[0].value == "def");
+    CHECK_FALSE(second.hasMore);
     CHECK(standIn.targets[1] == "GET /-/log-newest?topic=keyed.servers&part=0&after=i-1");
 }
 
@@ -196,21 +200,24 @@
 {
     StoreStandIn standIn([](const std::string &target) {
         return StoreStandIn::Reply { 200,
-                                     target.find("log-append") != std::string::npos
-                                         ? R"({"offset":0,"end":1})"
-                                         : R"({"items":[{"key":"front-1","value":"MTAuMC4wLjE6NzIwMA==","offset":0}],"hasMore":false,"end":1})" };
+                                     target.find("log-append") != std::string::npos ? R"({"offset":0,"end":1})"
+                                         : target.find("after=") == std::string::npos
+                                         ? R"({"items":[{"key":"front-1","value":"MTAuMC4wLjE6NzIwMCBhMQ==","offset":0}],"hasMore":true,"end":2})"
+                                         : R"({"items":[{"key":"old","value":"MTAuMC4wLjI6NzIwMA==","offset":1}],"hasMore":false,"end":2})" };
     });
     SystemClock clock;
     PlatformStore store(clock, standIn.address());
-    store.announce(HostId("front-1"), "10.0.0.1:7200", clock.now() + limit);
+    KnownHost host { HostId("front-1"), FailureDomainId("a1"), "10.0.0.1:7200" };
+    store.announce(host, clock.now() + limit);
     CHECK(standIn.targets.front().starts_with("POST /-/log-append?topic=keyed."));
-    CHECK(standIn.bodies.front() == wireRecord("front-1", "10.0.0.1:7200"));
-    CHECK(store.peerAddresses(clock.now() + limit) == std::vector<std::string> { "10.0.0.1:7200" });
+    CHECK(standIn.bodies.front() == wireRecord("front-1", "10.0.0.1:7200 a1"));
+    // A node of an older version left no failure domain.
+    CHECK(store.hosts(clock.now() + limit) == std::vector<KnownHost> { host, { HostId("old"), FailureDomainId(), "10.0.0.2:7200" } });
 }
 
 TEST_CASE("A store that can't be reached is unavailable")
 {
     SystemClock clock;
     PlatformStore store(clock, "127.0.0.1:1");
-    CHECK_THROWS_AS(store.listNewest(FeedTopic::Operators, clock.now() + limit), Error);
+    CHECK_THROWS_AS(store.listNewest(FeedTopic::Operators, std::nullopt, clock.now() + limit), Error);
 }
