LibGateway: Tell at once that all records are known, and log them in one line

At 285 nodes the lines on 3,000 upstreams displaced all others in the log.

Change: a node that has all records of a topic for the first time tells its group at once, so that others can ask it too; how long a node waits before it lists the topic itself grows with its group (0.2 s and 25 ms a peer). Pages of more than 32 records are one line in the log.

--- a/Libraries/LibForward/PeerExchange.cpp
+++ b/Libraries/LibForward/PeerExchange.cpp
@@ -72,6 +72,12 @@
     this->wakeSender();
 }
 
+void PeerExchange::recordsComplete(FeedTopic /*topic*/)
+{
+    this->agent.recordsComplete();
+    this->wakeSender();
+}
+
 void PeerExchange::loadChanged()
 {
     this->agent.loadChanged();
--- a/Libraries/LibForward/PeerExchange.h
+++ b/Libraries/LibForward/PeerExchange.h
@@ -47,6 +47,7 @@
     /** Sends the next digest soon. */
     void loadChanged() override;
     void recordsRead(const FeedPiece &piece) override;
+    void recordsComplete(FeedTopic topic) override;
 
     /** Set once, before work is placed. */
     void setThread(TaskThread *thread)
--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -59,6 +59,11 @@
     return this->peers.isSettled();
 }
 
+std::size_t PeerPull::groupSize() const
+{
+    return this->peers.groupSize();
+}
+
 TimePoint PeerPull::coveredUntil(FeedTopic topic) const
 {
     return this->peers.coveredUntil(topic);
--- a/Libraries/LibForward/PeerPull.h
+++ b/Libraries/LibForward/PeerPull.h
@@ -27,6 +27,7 @@
     bool isReader(FeedTopic topic) const override;
     TimePoint coveredUntil(FeedTopic topic) const override;
     bool isSettled() const override;
+    std::size_t groupSize() const override;
 
 private:
     const Clock &clock;
--- a/Libraries/LibGateway/DigestPacer.cpp
+++ b/Libraries/LibGateway/DigestPacer.cpp
@@ -24,6 +24,12 @@
     this->hasNewLoad = true;
 }
 
+void DigestPacer::recordsComplete()
+{
+    this->isNewlyComplete = true;
+    this->isFresher = true;
+}
+
 void DigestPacer::freshnessChanged()
 {
     this->isFresher = true;
@@ -38,7 +44,8 @@
         this->freshnessAt = now + freshnessInterval;
         this->newsAllowedAt = now + newsPause;
     }
-    if (now >= this->stateAt) {
+    if (now >= this->stateAt || this->isNewlyComplete) {
+        this->isNewlyComplete = false;
         due.state = true;
         this->stateAt = now + digestInterval(peers);
     } else if (now >= this->loadAllowedAt && this->hasNewLoad) {
@@ -53,7 +60,7 @@
 
 TimePoint DigestPacer::next(bool speaksForOthers) const
 {
-    auto next = this->stateAt;
+    auto next = this->isNewlyComplete ? TimePoint() : this->stateAt;
     if (this->hasNewLoad) {
         next = std::min(next, this->loadAllowedAt);
     }
--- a/Libraries/LibGateway/DigestPacer.h
+++ b/Libraries/LibGateway/DigestPacer.h
@@ -28,6 +28,9 @@
 public:
     void loadChanged();
 
+    /** The node has all records for the first time, so that peers may ask it for them. */
+    void recordsComplete();
+
     /** The node knows of newer records, or that its records are fresher. */
     void freshnessChanged();
 
@@ -40,6 +43,7 @@
 private:
     std::atomic<bool> hasNewLoad = false;
     std::atomic<bool> isFresher = false;
+    std::atomic<bool> isNewlyComplete = false;
     /** No change of load is told before that. */
     TimePoint loadAllowedAt;
     /** No news of freshness is told before that. */
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -23,10 +23,14 @@
 /** Entries that lapsed during an outage are registered again within two seconds of its end. */
 constexpr Duration returnGrace = milliseconds(2300);
 
-/** Nodes that start together let a few of them list the topic for so long. */
-constexpr Duration listingGrace = milliseconds(1500);
+/** Nodes that start together let a few of them list the topic for so long, and longer the more of them ask those few for it. */
+constexpr Duration listingGrace = milliseconds(200);
+constexpr Duration listingGracePerPeer = milliseconds(25);
 constexpr Duration listingCheckPause = milliseconds(50);
 
+/** Pages of more records are named in one line of the log. */
+constexpr std::size_t manyRecords = 32;
+
 /** Records that were passed on by a relay arrive within that time after a digest that tells of them. */
 constexpr Duration pieceGrace = milliseconds(120);
 
@@ -80,13 +84,27 @@
 
 void FeedFollower::applyPage(const FeedPage &page)
 {
-    for (const auto &record : page.records) {
-        this->apply(record);
-    }
+    this->applyRecords(page.records);
     this->targets.mirror.advance(this->topic, page.nextOffset);
     this->nextOffset = std::max(this->nextOffset, page.nextOffset);
 }
 
+void FeedFollower::applyRecords(const std::vector<FeedRecord> &records)
+{
+    this->isBulk = records.size() > manyRecords;
+    for (const auto &record : records) {
+        this->apply(record);
+    }
+    this->isBulk = false;
+}
+
+void FeedFollower::setListed()
+{
+    this->isListed = true;
+    this->isRead = true;
+    this->targets.listener.recordsComplete(this->topic);
+}
+
 TimePoint FeedFollower::step()
 {
     this->applyReceived();
@@ -123,7 +141,7 @@
 {
     auto now = this->clock.now();
     if (!this->listsItselfAt) {
-        this->listsItselfAt = now + listingGrace;
+        this->listsItselfAt = now + listingGrace + listingGracePerPeer * static_cast<int>(this->peers.groupSize());
     }
     if (now >= *this->listsItselfAt) {
         return false;
@@ -136,7 +154,9 @@
     }
     if (this->peers.isAnyAhead(this->topic, 0)) {
         this->pullFromPeers();
-        this->isListed = this->isRead;
+        if (this->isRead) {
+            this->setListed();
+        }
     }
     return true;
 }
@@ -163,14 +183,11 @@
     auto page = this->listWhole();
     // An outage ends with this read, so what is missing now may return.
     this->noteSuccess();
-    for (const auto &record : page.records) {
-        this->apply(record);
-    }
+    this->applyRecords(page.records);
     this->removeUnlisted(page);
     this->nextOffset = page.nextOffset;
     this->targets.mirror.advance(this->topic, page.nextOffset);
-    this->isListed = true;
-    this->isRead = true;
+    this->setListed();
     this->events.write("feed_listed", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
 }
 
@@ -252,7 +269,7 @@
         this->targets.registry.setDrained(drain->domain, drain->isDrained);
         this->events.write("drain", { { "domain", drain->domain.value() }, { "drained", drain->isDrained }, { "offset", record.offset } });
     } else if (const auto *entry = std::get_if<UpstreamRecord>(&change)) {
-        if (this->targets.registry.put(*entry)) {
+        if (this->targets.registry.put(*entry) && !this->isBulk) {
             this->events.write("upstream",
                                { { "upstream", entry->id.value() },
                                  { "boot", entry->boot.value() },
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -31,6 +31,7 @@
     virtual bool isReader(FeedTopic topic) const = 0;
     virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
     virtual bool isSettled() const = 0;
+    virtual std::size_t groupSize() const = 0;
 };
 
 /** How often a topic is read. */
@@ -48,6 +49,8 @@
 public:
     virtual ~FeedListener() = default;
     virtual void recordsRead(const FeedPiece &piece) = 0;
+    /** It has all records of the topic for the first time. */
+    virtual void recordsComplete(FeedTopic topic) = 0;
 };
 
 /** What the records of a feed change. */
@@ -100,6 +103,9 @@
     void follow();
     void applyReceived();
     void applyPage(const FeedPage &page);
+    void applyRecords(const std::vector<FeedRecord> &records);
+    /** The topic was read whole. */
+    void setListed();
     /** Gets the records from the readers if they are fresh; returns the time of the next look, or nothing if they aren't. */
     std::optional<TimePoint> followPeers();
     void apply(const FeedRecord &record);
@@ -131,6 +137,8 @@
     /** Records that a peer has and this node lacks are asked for then, if none came. */
     std::optional<TimePoint> pullsAt;
     std::uint64_t behindAt = 0;
+    /** So many records are applied that the log doesn't name each of them. */
+    bool isBulk = false;
     /** The store isn't read before that, whatever wakes this node. */
     TimePoint readsNextAt;
     /** Removals before that time are doubtful. */
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -77,6 +77,12 @@
     /** This node has read the records from the store. */
     void recordsRead(const FeedPiece &piece);
 
+    /** This node has all records of a topic for the first time. */
+    void recordsComplete()
+    {
+        this->pacer.recordsComplete();
+    }
+
     /** The node ends. */
     void leave()
     {
--- a/Tests/LibGateway/FeedFakes.h
+++ b/Tests/LibGateway/FeedFakes.h
@@ -134,6 +134,11 @@
         return this->settled;
     }
 
+    std::size_t groupSize() const override
+    {
+        return 0;
+    }
+
     const FeedMirror *source = nullptr;
     bool reads = true;
     bool settled = true;
@@ -150,7 +155,13 @@
         this->last = piece;
     }
 
+    void recordsComplete(FeedTopic /*topic*/) override
+    {
+        ++this->completed;
+    }
+
     int calls = 0;
+    int completed = 0;
     FeedPiece last;
 };
 
--- a/Tests/LibGateway/PeerFleet.cpp
+++ b/Tests/LibGateway/PeerFleet.cpp
@@ -76,6 +76,16 @@
     return this->peers.isSettled();
 }
 
+std::size_t PeerFleet::Node::groupSize() const
+{
+    return this->peers.groupSize();
+}
+
+void PeerFleet::Node::recordsComplete(FeedTopic /*topic*/)
+{
+    this->agent.recordsComplete();
+}
+
 void PeerFleet::Node::recordsRead(const FeedPiece &piece)
 {
     this->agent.recordsRead(piece);
--- a/Tests/LibGateway/PeerFleet.h
+++ b/Tests/LibGateway/PeerFleet.h
@@ -54,7 +54,9 @@
         bool isReader(FeedTopic topic) const override;
         TimePoint coveredUntil(FeedTopic topic) const override;
         bool isSettled() const override;
+        std::size_t groupSize() const override;
         void recordsRead(const FeedPiece &piece) override;
+        void recordsComplete(FeedTopic topic) override;
         TimePoint lastReadAt(FeedTopic topic) const override;
         void receive(FeedPiece piece) override;
         void newerRecordsSeen(FeedTopic topic) override;
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -131,6 +131,7 @@
     CHECK(world.follower.hasRead());
     CHECK(world.registry.isUsable(UpstreamId("e1")));
     CHECK(world.feed.calls == 0);
+    CHECK(world.listener.completed == 1);
 }
 
 TEST_CASE("A node that starts and hears no peer with records lists the topic itself")
@@ -140,7 +141,7 @@
     world.peers.reads = false;
     world.follower.step();
     CHECK(world.feed.calls == 0);
-    world.clock.advance(milliseconds(1500));
+    world.clock.advance(milliseconds(200));
     world.follower.step();
     CHECK(world.follower.hasRead());
     CHECK(world.registry.isUsable(UpstreamId("e1")));
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -102,7 +102,7 @@
         fleet.writeUpstream(fmt::format("engine-{}", upstream), "1");
     }
     fleet.feeds[1].pageSize = 500;
-    fleet.play(milliseconds(1400));
+    fleet.play(milliseconds(600));
     CHECK(fleet.countCurrent(FeedTopic::Upstreams) == fleet.size());
     // Seven calls list 3,000 entries; only relays list, before they have heard each other.
     CHECK(fleet.feeds[1].calls < 12 * 40);
