LibGateway: Leave the store mostly to the readers while it is down

When no reader could read, the readers' word lapsed after 1.5 s, and then every node called for each topic every 0.4 s; a node whose call had failed went on until one succeeded, although peers informed it meanwhile.

Change: a node that isn't a reader makes its first own read at a random moment within a second, calls again after a pause that grows with the fleet, and stops when a peer informs it. Hearing no reader that reads counts as an outage, so that entries which lapse in it stay doubtful also at nodes that never called.

Tests: PeerFleet with the store down for 5 s at 100 nodes; removals after an outage that a node only heard of. Changed bytes of digests, and compressed messages that are cut off or grow without bound, are refused.

--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -59,6 +59,11 @@
     return this->peers.isSettled();
 }
 
+Duration PeerPull::spread()
+{
+    return this->peers.spread();
+}
+
 std::size_t PeerPull::groupSize() const
 {
     return this->peers.groupSize();
--- a/Libraries/LibForward/PeerPull.h
+++ b/Libraries/LibForward/PeerPull.h
@@ -18,7 +18,7 @@
 {
 public:
     /** `port` is the peers' HTTP port, which is the same on all hosts. */
-    PeerPull(const Clock &clock, const PeerTable &peers, std::uint16_t port) : clock(clock), peers(peers), port(port)
+    PeerPull(const Clock &clock, PeerTable &peers, std::uint16_t port) : clock(clock), peers(peers), port(port)
     {
     }
 
@@ -28,10 +28,11 @@
     TimePoint coveredUntil(FeedTopic topic) const override;
     bool isSettled() const override;
     std::size_t groupSize() const override;
+    Duration spread() override;
 
 private:
     const Clock &clock;
-    const PeerTable &peers;
+    PeerTable &peers;
     std::uint16_t port;
 };
 
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -14,6 +14,9 @@
 /** Pause after a failed read. Peers are asked meanwhile. */
 constexpr Duration pauseAfterFailure = milliseconds(400);
 
+/** After a failure nodes that aren't readers call so many times seldomer than in a first round. */
+constexpr int failurePauseFactor = 4;
+
 /** A node that relies on its peers looks at what they said so often. */
 constexpr Duration peerCheckPause = milliseconds(400);
 
@@ -121,7 +124,6 @@
         } else {
             this->follow();
         }
-        this->noteSuccess();
         this->readsNextAt = this->clock.now() + this->pace.pause;
         return this->readsNextAt;
     } catch (const Error &error) {
@@ -131,9 +133,13 @@
             this->listsItselfAt = this->clock.now();
             return this->clock.now();
         }
-        this->noteFailure(error.what());
+        this->noteLost(error.what());
     }
     this->pullFromPeers();
+    if (!this->peers.isReader(this->topic)) {
+        // The readers go on trying; the others only see to it that someone does.
+        this->readsNextAt = this->clock.now() + pauseAfterFailure + failurePauseFactor * this->peers.spread();
+    }
     return this->clock.now() + pauseAfterFailure;
 }
 
@@ -182,7 +188,8 @@
 {
     auto page = this->listWhole();
     // An outage ends with this read, so what is missing now may return.
-    this->noteSuccess();
+    this->noteRegained();
+    this->readAt = this->clock.now().time_since_epoch().count();
     this->applyRecords(page.records);
     this->removeUnlisted(page);
     this->nextOffset = page.nextOffset;
@@ -195,7 +202,8 @@
 {
     auto firstOffset = this->nextOffset;
     auto page = this->feed.readFrom(this->topic, firstOffset, this->pace.wait, this->clock.now() + this->pace.wait + answerLimit);
-    this->noteSuccess();
+    this->noteRegained();
+    this->readAt = this->clock.now().time_since_epoch().count();
     auto isNews = page.nextOffset > this->targets.mirror.nextOffset(this->topic);
     this->applyPage(page);
     if (isNews && !page.records.empty()) {
@@ -205,13 +213,20 @@
 
 std::optional<TimePoint> FeedFollower::followPeers()
 {
-    if (this->failingSince || this->peers.isReader(this->topic)) {
+    if (this->peers.isReader(this->topic)) {
         return std::nullopt;
     }
+    auto now = this->clock.now();
     auto coveredUntil = this->peers.coveredUntil(this->topic);
-    if (coveredUntil <= this->clock.now()) {
-        return std::nullopt;
+    if (coveredUntil <= now) {
+        this->noteLost("no reader is heard that reads the store");
+        if (!this->readsItselfAt) {
+            this->readsItselfAt = now + this->peers.spread();
+        }
+        return now < *this->readsItselfAt ? this->readsItselfAt : std::nullopt;
     }
+    this->readsItselfAt.reset();
+    this->noteRegained();
     auto known = this->targets.mirror.nextOffset(this->topic);
     if (this->isBehindForLong(known)) {
         this->pullFromPeers();
@@ -301,26 +316,24 @@
     return this->clock.now() < this->doubtfulUntil;
 }
 
-void FeedFollower::noteSuccess()
+void FeedFollower::noteRegained()
 {
+    if (!this->lostSince) {
+        return;
+    }
     auto now = this->clock.now();
-    if (this->failingSince) {
-        auto outage = now - *this->failingSince;
-        if (outage >= outageLength) {
-            this->doubtfulUntil = now + returnGrace;
-        }
-        this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
-        this->failingSince.reset();
-        this->failures = 0;
+    auto outage = now - *this->lostSince;
+    if (outage >= outageLength) {
+        this->doubtfulUntil = now + returnGrace;
     }
-    this->readAt = now.time_since_epoch().count();
+    this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
+    this->lostSince.reset();
 }
 
-void FeedFollower::noteFailure(const std::string &reason)
+void FeedFollower::noteLost(const std::string &reason)
 {
-    ++this->failures;
-    if (!this->failingSince) {
-        this->failingSince = this->clock.now();
+    if (!this->lostSince) {
+        this->lostSince = this->clock.now();
         this->events.write("store_lost", { { "topic", topicName(this->topic) }, { "reason", reason } });
     }
 }
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -32,6 +32,9 @@
     virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
     virtual bool isSettled() const = 0;
     virtual std::size_t groupSize() const = 0;
+
+    /** A random pause that is the longer the more nodes there are, up to a second, so that not all of them call the store at once. */
+    virtual Duration spread() = 0;
 };
 
 /** How often a topic is read. */
@@ -113,8 +116,9 @@
     /** Removes what a complete listing lacks, here and for the peers that get their records from this node. */
     void removeUnlisted(const FeedPage &page);
     bool isBehindForLong(std::uint64_t known);
-    void noteSuccess();
-    void noteFailure(const std::string &reason);
+    /** The node is informed again, by a read of its own or through a peer. */
+    void noteRegained();
+    void noteLost(const std::string &reason);
     void pullFromPeers();
     bool isAfterOutage() const;
 
@@ -130,8 +134,8 @@
     std::atomic<bool> isRead = false;
     std::atomic<Duration::rep> readAt = 0;
     std::uint64_t nextOffset = 0;
-    std::uint32_t failures = 0;
-    std::optional<TimePoint> failingSince;
+    /** Since then neither this node nor a peer that it hears could read the store. */
+    std::optional<TimePoint> lostSince;
     /** Set at the first step: until then the peers are given time to list the topic. */
     std::optional<TimePoint> listsItselfAt;
     /** Records that a peer has and this node lacks are asked for then, if none came. */
@@ -141,6 +145,8 @@
     bool isBulk = false;
     /** The store isn't read before that, whatever wakes this node. */
     TimePoint readsNextAt;
+    /** The first read of a node whose readers fall silent. */
+    std::optional<TimePoint> readsItselfAt;
     /** Removals before that time are doubtful. */
     TimePoint doubtfulUntil;
     std::mutex receivedMutex;
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -43,6 +43,10 @@
 /** A relay that was silent for so long is replaced. */
 constexpr Duration relayLifetime = seconds(3);
 
+/** Nodes that call the store all by themselves do so one in 10 ms, and each within a second: some of the bounds are 2.5 s. */
+constexpr Duration spreadPerNode = milliseconds(10);
+constexpr Duration longestSpread = seconds(1);
+
 /** What follows from all peers is worked out so often, not for each digest and request. */
 constexpr Duration outlineLifetime = milliseconds(50);
 
@@ -239,6 +243,12 @@
     return latest;
 }
 
+Duration PeerTable::spread()
+{
+    auto longest = std::min<Duration>(longestSpread, spreadPerNode * static_cast<std::int64_t>(this->nodes()));
+    return std::chrono::duration_cast<Duration>(longest * this->random.unit());
+}
+
 TimePoint PeerTable::readAt(TimePoint coveredUntil)
 {
     return coveredUntil - readTrust;
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -58,6 +58,9 @@
     /** The time of the read behind a time that coveredUntil returned. */
     static TimePoint readAt(TimePoint coveredUntil);
 
+    /** See PeerFeed. */
+    Duration spread();
+
     /** Addresses of the group. A peer that was silent for long is only tried now and then. */
     std::vector<std::string> groupTargets();
 
--- a/Tests/LibGateway/FeedFakes.h
+++ b/Tests/LibGateway/FeedFakes.h
@@ -139,6 +139,12 @@
         return 0;
     }
 
+    Duration spread() override
+    {
+        return this->spreadBy;
+    }
+
+    Duration spreadBy { 0 };
     const FeedMirror *source = nullptr;
     bool reads = true;
     bool settled = true;
--- a/Tests/LibGateway/PeerFleet.cpp
+++ b/Tests/LibGateway/PeerFleet.cpp
@@ -76,6 +76,11 @@
     return this->peers.isSettled();
 }
 
+Duration PeerFleet::Node::spread()
+{
+    return this->peers.spread();
+}
+
 std::size_t PeerFleet::Node::groupSize() const
 {
     return this->peers.groupSize();
--- a/Tests/LibGateway/PeerFleet.h
+++ b/Tests/LibGateway/PeerFleet.h
@@ -55,6 +55,7 @@
         TimePoint coveredUntil(FeedTopic topic) const override;
         bool isSettled() const override;
         std::size_t groupSize() const override;
+        Duration spread() override;
         void recordsRead(const FeedPiece &piece) override;
         void recordsComplete(FeedTopic topic) override;
         TimePoint lastReadAt(FeedTopic topic) const override;
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -199,6 +199,27 @@
     CHECK_FALSE(world.registry.isUsable(UpstreamId("gone")));
 }
 
+TEST_CASE("Entries that lapsed during an outage are kept at nodes that only heard of it through their readers")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    world.feed.write("returns", "1");
+    world.follower.step();
+    world.peers.reads = false;
+    world.peers.spreadBy = minutes(1);
+    world.peers.covered = world.clock.now() + seconds(1);
+    world.follower.step();
+    world.clock.advance(seconds(1));
+    world.follower.step();
+    world.clock.advance(seconds(3));
+    world.peers.covered = world.clock.now() + seconds(1);
+    world.follower.step();
+    world.follower.receive(FeedPiece { FeedTopic::Upstreams, 1, { { { "returns", "", 1 } }, 2 } });
+    world.follower.step();
+    CHECK(world.registry.isUsable(UpstreamId("returns")));
+    world.clock.advance(milliseconds(2300));
+    CHECK_FALSE(world.registry.isUsable(UpstreamId("returns")));
+}
+
 TEST_CASE("A removal in calm times takes effect at once")
 {
     FollowerWorld world(FeedTopic::Upstreams);
--- a/Tests/LibGateway/TestLoadBook.cpp
+++ b/Tests/LibGateway/TestLoadBook.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibGateway/PeerDigest.h>
+#include <LibPeer/Compression.h>
 
 #include <catch2/catch.hpp>
 
@@ -171,6 +172,56 @@
     }
 }
 
+TEST_CASE("Whatever a digest's bytes are changed to, it is read or refused, and nothing else happens")
+{
+    PeerDigest digest;
+    digest.host = HostId("front-1");
+    digest.failureDomain = FailureDomainId("a1");
+    digest.shareScope = ShareScope::Whole;
+    digest.shares = { LoadShare { 42, UpstreamLoad { 3, 10'500, 2'000 } } };
+    digest.peers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" } };
+    digest.part = FleetPart { 42, { AreaLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } } };
+    digest.piece = FeedPiece { FeedTopic::Upstreams, 5, { { { "e1", std::string(500, 'x'), 6 } }, 8 } };
+    auto whole = encodeDigest(digest);
+    SeededRandom random(17);
+    std::size_t refused = 0;
+    constexpr int rounds = 20'000;
+    for (int round = 0; round < rounds; ++round) {
+        auto bytes = whole;
+        for (auto change = 1 + random.below(4); change > 0; --change) {
+            auto position = random.below(bytes.size());
+            switch (random.below(3)) {
+            case 0:
+                bytes[position] = static_cast<char>(random.below(256));
+                break;
+            case 1:
+                bytes.resize(std::max<std::size_t>(position, 1));
+                break;
+            default:
+                bytes.insert(position, 1, static_cast<char>(random.below(256)));
+            }
+        }
+        try {
+            decodeDigest(bytes);
+        } catch (const Error &) {
+            ++refused;
+        }
+    }
+    CHECK(refused > 0);
+}
+
+TEST_CASE("A compressed message that grows beyond its bound, or that is cut off, is refused")
+{
+    auto bomb = deflated(std::string(10'000'000, 'x'));
+    CHECK(bomb.size() < 100'000);
+    CHECK_THROWS_AS(inflated(bomb, 1'000'000), Error);
+    CHECK(inflated(bomb, 10'000'000).size() == 10'000'000);
+    CHECK_THROWS_AS(inflated("not deflated", 100), Error);
+    auto cut = deflated("a record of an upstream, and another record of an upstream");
+    cut.resize(cut.size() / 2);
+    CHECK_THROWS_AS(inflated(cut, 1000), Error);
+}
+
 TEST_CASE("Many nodes: digests come seldom, and a peer counts as gone only after it missed some")
 {
     for (std::size_t peers : { 5, 65, 340 }) {
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -133,6 +133,23 @@
     CHECK(fleet.feeds[1].calls - calls <= 2 * 1000 / 60 + 2);
 }
 
+TEST_CASE("The store is down: the readers go on asking, and the others leave it mostly alone")
+{
+    PeerFleet fleet(100, 6, lossShare);
+    fleet.writeUpstream("engine", "1");
+    fleet.play(seconds(6));
+    auto &feed = fleet.feeds[1];
+    feed.isDown = true;
+    auto calls = feed.calls;
+    fleet.play(seconds(5));
+    // Two readers call each 0.4 s; all others once, and again after seconds.
+    CHECK(feed.calls - calls <= 2 * 5000 / 400 + 250);
+    feed.isDown = false;
+    fleet.writeUpstream("engine", "draining");
+    fleet.play(seconds(1));
+    CHECK(fleet.countCurrent(FeedTopic::Upstreams) == fleet.size());
+}
+
 TEST_CASE("A node that joins knows all records and counts the others within two seconds")
 {
     PeerFleet fleet(100, 6, lossShare);
