LibGateway: Let few nodes list the topics at once

Change: only nodes of a crowded fleet wait for their relays, 0.1 s and 20 ms for each node of the group, and the time runs from the moment at which the store has named the nodes.

--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -64,9 +64,9 @@
     return this->peers.spread();
 }
 
-std::size_t PeerPull::groupSize() const
+Duration PeerPull::listingGrace() const
 {
-    return this->peers.groupSize();
+    return this->peers.listingGrace();
 }
 
 TimePoint PeerPull::coveredUntil(FeedTopic topic) const
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -26,9 +26,7 @@
 /** Entries that lapsed during an outage are registered again within two seconds of its end. */
 constexpr Duration returnGrace = milliseconds(2300);
 
-/** Nodes that start together let a few of them list the topic for so long, and longer the more of them ask those few for it. */
-constexpr Duration listingGrace = milliseconds(200);
-constexpr Duration listingGracePerPeer = milliseconds(25);
+/** Nodes that let others list the topic look so often whether they did. */
 constexpr Duration listingCheckPause = milliseconds(50);
 
 /** Pages of more records are named in one line of the log. */
@@ -145,17 +143,14 @@
 
 bool FeedFollower::waitsForPeers()
 {
-    auto now = this->clock.now();
-    if (!this->listsItselfAt) {
-        this->listsItselfAt = now + listingGrace + listingGracePerPeer * static_cast<int>(this->peers.groupSize());
-    }
-    if (now >= *this->listsItselfAt) {
-        return false;
-    }
     if (!this->peers.isSettled()) {
         return true;
     }
-    if (this->peers.isReader(this->topic)) {
+    auto now = this->clock.now();
+    if (!this->listsItselfAt) {
+        this->listsItselfAt = now + this->peers.listingGrace();
+    }
+    if (now >= *this->listsItselfAt || this->peers.isReader(this->topic)) {
         return false;
     }
     if (this->peers.isAnyAhead(this->topic, 0)) {
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -31,7 +31,9 @@
     virtual bool isReader(FeedTopic topic) const = 0;
     virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
     virtual bool isSettled() const = 0;
-    virtual std::size_t groupSize() const = 0;
+
+    /** So long a node that starts lets others list the topics for it; zero where there are few nodes. */
+    virtual Duration listingGrace() const = 0;
 
     /** A random pause that is the longer the more nodes there are, up to a second, so that not all of them call the store at once. */
     virtual Duration spread() = 0;
@@ -136,7 +138,7 @@
     std::uint64_t nextOffset = 0;
     /** Since then neither this node nor a peer that it hears could read the store. */
     std::optional<TimePoint> lostSince;
-    /** Set at the first step: until then the peers are given time to list the topic. */
+    /** Until then the peers are given time to list the topic; set when it is known how many they are. */
     std::optional<TimePoint> listsItselfAt;
     /** Records that a peer has and this node lacks are asked for then, if none came. */
     std::optional<TimePoint> pullsAt;
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -43,6 +43,10 @@
 /** A relay that was silent for so long is replaced. */
 constexpr Duration relayLifetime = seconds(3);
 
+/** Nodes that start together let their relays list the topics for so long, and longer the more of them ask those for it. */
+constexpr Duration shortestListingGrace = milliseconds(100);
+constexpr Duration listingGracePerPeer = milliseconds(20);
+
 /** Nodes that call the store all by themselves do so one in 10 ms, and each within a second: some of the bounds are 2.5 s. */
 constexpr Duration spreadPerNode = milliseconds(10);
 constexpr Duration longestSpread = seconds(1);
@@ -249,6 +253,13 @@
     return std::chrono::duration_cast<Duration>(longest * this->random.unit());
 }
 
+Duration PeerTable::listingGrace() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    const auto &outline = this->outline();
+    return outline.isCrowded ? shortestListingGrace + listingGracePerPeer * static_cast<std::int64_t>(outline.groupSize()) : Duration(0);
+}
+
 TimePoint PeerTable::readAt(TimePoint coveredUntil)
 {
     return coveredUntil - readTrust;
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -60,6 +60,7 @@
 
     /** See PeerFeed. */
     Duration spread();
+    Duration listingGrace() const;
 
     /** Addresses of the group. A peer that was silent for long is only tried now and then. */
     std::vector<std::string> groupTargets();
--- a/Tests/LibGateway/FeedFakes.h
+++ b/Tests/LibGateway/FeedFakes.h
@@ -134,9 +134,9 @@
         return this->settled;
     }
 
-    std::size_t groupSize() const override
+    Duration listingGrace() const override
     {
-        return 0;
+        return this->grace;
     }
 
     Duration spread() override
@@ -145,6 +145,7 @@
     }
 
     Duration spreadBy { 0 };
+    Duration grace { milliseconds(200) };
     const FeedMirror *source = nullptr;
     bool reads = true;
     bool settled = true;
--- a/Tests/LibGateway/PeerFleet.cpp
+++ b/Tests/LibGateway/PeerFleet.cpp
@@ -81,9 +81,9 @@
     return this->peers.spread();
 }
 
-std::size_t PeerFleet::Node::groupSize() const
+Duration PeerFleet::Node::listingGrace() const
 {
-    return this->peers.groupSize();
+    return this->peers.listingGrace();
 }
 
 void PeerFleet::Node::recordsComplete(FeedTopic /*topic*/)
--- a/Tests/LibGateway/TestPeerTable.cpp
+++ b/Tests/LibGateway/TestPeerTable.cpp
@@ -233,6 +233,15 @@
     CHECK(world.table.groupSize() == 0);
 }
 
+TEST_CASE("Few nodes that start together each list the topics at once, many let their relays do so")
+{
+    TableWorld world;
+    world.hear("a1", 5);
+    CHECK(world.table.listingGrace() == Duration(0));
+    world.hear("a1", 15);
+    CHECK(world.table.listingGrace() == milliseconds(400));
+}
+
 TEST_CASE("What a node's part is isn't settled before the store has named the others, or that takes too long")
 {
     TableWorld world;
