--- a/Tests/LibForward/ScriptedUpstream.h
+++ b/Tests/LibForward/ScriptedUpstream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/Time.h>
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <fmt/format.h>
@@ -76,6 +78,24 @@
         this->socket.close();
     }
 
+    /** Waits, unless the peer closes the connection before. */
+    void pause(Duration time)
+    {
+        this->socket.poll(Poco::Timespan(time.count()), Poco::Net::Socket::SELECT_READ);
+    }
+
+    /** Sends a byte of an event that never ends, five times a second, until the peer closes the connection. */
+    void dripUntilEnd()
+    {
+        constexpr int pauseMicroseconds = 200'000;
+        try {
+            do {
+                this->send("1\r\nd\r\n");
+            } while (!this->socket.poll(Poco::Timespan(pauseMicroseconds), Poco::Net::Socket::SELECT_READ));
+        } catch (const Poco::Exception &) { // NOLINT(bugprone-empty-catch): the peer has left.
+        }
+    }
+
     /** Waits until the peer closes or resets the connection. */
     void awaitEnd()
     {
--- a/Tests/LibForward/TestStreamForwarding.cpp
+++ b/Tests/LibForward/TestStreamForwarding.cpp
@@ -135,6 +135,60 @@
     CHECK(ScriptedConnection::field(continued, "Last-Event-Id") == "2");
 }
 
+TEST_CASE("A stalled engine that sends a byte now and then is silent all the same: the run goes on from its copy")
+{
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        sendEvents(connection, 0, 3);
+        connection.dripUntilEnd();
+    });
+    ScriptedUpstream standby([](ScriptedConnection &connection, const std::string &request) { continueStream(connection, request, 6); });
+    GatewayWorld world;
+    world.add("e1", engine);
+    world.health.failed(UpstreamId("e2"), 1);
+    world.add("e2", standby);
+    RawCaller caller(world);
+    caller.request("/long/plan", "r1");
+    CHECK(isWholeStream(caller.readUntil("0\r\n\r\n"), 6));
+}
+
+TEST_CASE("A stalled stream without a copy ends at its deadline and doesn't look complete")
+{
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        sendEvents(connection, 0, 2);
+        connection.dripUntilEnd();
+    });
+    GatewayWorld world;
+    world.add("e1", engine);
+    RawCaller caller(world);
+    caller.request("/long/plan", "r1", "Wait-Ms: 2000\r\n");
+    auto received = caller.readAll();
+    CHECK(timesReceived(received, 1) == 1);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+    CHECK(received.find("data: e2") == std::string::npos);
+}
+
+TEST_CASE("A slow stream that gives whole events isn't cut, though its pauses are long")
+{
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        for (int id = 0; id < 3; ++id) {
+            connection.sendEvent(id);
+            connection.pause(milliseconds(1300));
+        }
+        connection.endStream();
+    });
+    ScriptedUpstream standby([](ScriptedConnection &connection, const std::string &request) { continueStream(connection, request, 6); });
+    GatewayWorld world;
+    world.add("e1", engine);
+    world.health.failed(UpstreamId("e2"), 1);
+    world.add("e2", standby);
+    RawCaller caller(world);
+    caller.request("/long/plan", "r1");
+    CHECK(isWholeStream(caller.readUntil("0\r\n\r\n"), 3));
+}
+
 TEST_CASE("An engine leaves: its standby copy takes over while the run still goes on, and no event is lost or doubled")
 {
     ScriptedUpstream engine(runsUntilLeft(4));
