LibGateway: Doubt removals after an outage that other nodes ended

Cause: found by reading. After an outage of the store, entries of living upstreams are missing for two seconds.

Change: a node notes whether it was uninformed, that is neither it nor a peer could read for 1.5 s; the first records of a peer end that outage, before they are applied. A reader that alone is turned away still applies removals at once.

Tests, two of which failed before: a piece that comes before the peer's word, a reader that hears of the return from the other one, a reader turned away alone.

--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -71,6 +71,10 @@
         std::lock_guard<std::mutex> guard(this->receivedMutex);
         pieces.swap(this->received);
     }
+    if (!pieces.empty() && this->isUninformed) {
+        // A peer has read the store, though its word may not be known yet.
+        this->noteRegained();
+    }
     std::sort(pieces.begin(), pieces.end(), [](const auto &left, const auto &right) { return left.firstOffset < right.firstOffset; });
     for (const auto &piece : pieces) {
         auto known = this->targets.mirror.nextOffset(this->topic);
@@ -132,6 +136,7 @@
             return this->clock.now();
         }
         this->noteLost(error.what());
+        this->isUninformed = this->isUninformed || this->peers.coveredUntil(this->topic) <= this->clock.now();
     }
     this->pullFromPeers();
     if (!this->peers.isReader(this->topic)) {
@@ -215,6 +220,7 @@
     auto coveredUntil = this->peers.coveredUntil(this->topic);
     if (coveredUntil <= now) {
         this->noteLost("no reader is heard that reads the store");
+        this->isUninformed = true;
         if (!this->readsItselfAt) {
             this->readsItselfAt = now + this->peers.spread();
         }
@@ -318,11 +324,13 @@
     }
     auto now = this->clock.now();
     auto outage = now - *this->lostSince;
-    if (outage >= outageLength) {
+    // A peer's word is trusted for longer than an outage needs to last.
+    if (outage >= outageLength || this->isUninformed) {
         this->doubtfulUntil = now + returnGrace;
     }
     this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
     this->lostSince.reset();
+    this->isUninformed = false;
 }
 
 void FeedFollower::noteLost(const std::string &reason)
@@ -341,6 +349,9 @@
     try {
         auto known = this->targets.mirror.nextOffset(this->topic);
         auto page = this->peers.pull(this->topic, known);
+        if (this->isUninformed && page.nextOffset > known) {
+            this->noteRegained();
+        }
         this->applyPage(page);
         this->isRead = this->isRead || page.nextOffset > 0;
         this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -136,8 +136,10 @@
     std::atomic<bool> isRead = false;
     std::atomic<Duration::rep> readAt = 0;
     std::uint64_t nextOffset = 0;
-    /** Since then neither this node nor a peer that it hears could read the store. */
+    /** Since then this node's reads fail, or no peer is heard that can read the store. */
     std::optional<TimePoint> lostSince;
+    /** Since then no peer informed this node either, so that what comes next may hold removals by the outage. */
+    bool isUninformed = false;
     /** Until then the peers are given time to list the topic; set when it is known how many they are. */
     std::optional<TimePoint> listsItselfAt;
     /** Records that a peer has and this node lacks are asked for then, if none came. */
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -201,6 +201,8 @@
 
 TEST_CASE("Entries that lapsed during an outage are kept at nodes that only heard of it through their readers")
 {
+    auto isWordKnownFirst = GENERATE(true, false);
+    auto silence = GENERATE(milliseconds(500), milliseconds(3000));
     FollowerWorld world(FeedTopic::Upstreams);
     world.feed.write("returns", "1");
     world.follower.step();
@@ -210,9 +212,11 @@
     world.follower.step();
     world.clock.advance(seconds(1));
     world.follower.step();
-    world.clock.advance(seconds(3));
-    world.peers.covered = world.clock.now() + seconds(1);
-    world.follower.step();
+    world.clock.advance(silence);
+    if (isWordKnownFirst) {
+        world.peers.covered = world.clock.now() + seconds(1);
+        world.follower.step();
+    }
     world.follower.receive(FeedPiece { FeedTopic::Upstreams, 1, { { { "returns", "", 1 } }, 2 } });
     world.follower.step();
     CHECK(world.registry.isUsable(UpstreamId("returns")));
@@ -220,6 +224,37 @@
     CHECK_FALSE(world.registry.isUsable(UpstreamId("returns")));
 }
 
+TEST_CASE("A reader that the store turns away applies removals that the other reader tells at once")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    world.feed.write("gone", "1");
+    world.follower.step();
+    world.feed.isDown = true;
+    for (int round = 0; round < 10; ++round) {
+        world.peers.covered = world.clock.now() + seconds(1);
+        world.follower.step();
+        world.clock.advance(milliseconds(400));
+    }
+    world.follower.receive(FeedPiece { FeedTopic::Upstreams, 1, { { { "gone", "", 1 } }, 2 } });
+    world.follower.step();
+    CHECK_FALSE(world.registry.isUsable(UpstreamId("gone")));
+}
+
+TEST_CASE("Both readers lose the store: the one that hears of its return from the other doubts removals as well")
+{
+    FollowerWorld world(FeedTopic::Upstreams);
+    world.feed.write("returns", "1");
+    world.follower.step();
+    world.feed.isDown = true;
+    for (int round = 0; round < 10; ++round) {
+        world.follower.step();
+        world.clock.advance(milliseconds(400));
+    }
+    world.follower.receive(FeedPiece { FeedTopic::Upstreams, 1, { { { "returns", "", 1 } }, 2 } });
+    world.follower.step();
+    CHECK(world.registry.isUsable(UpstreamId("returns")));
+}
+
 TEST_CASE("A removal in calm times takes effect at once")
 {
     FollowerWorld world(FeedTopic::Upstreams);
