--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -37,8 +37,9 @@
 /** Pause between two tries of a silent peer, which may be cut off for a while. */
 constexpr Duration silentTryPause = seconds(2);
 
-/** Silent peers are tried no more after that; those that return speak first. */
-constexpr Duration giveUpTime = minutes(2);
+/** A peer that is silent for longer is probably gone for good and tried seldom; but regions may lose each other for an hour. */
+constexpr Duration lostAfter = minutes(2);
+constexpr Duration lostTryPause = seconds(30);
 
 /** A relay that was silent for so long is replaced. */
 constexpr Duration relayLifetime = seconds(3);
@@ -80,7 +81,7 @@
     auto &peer = entry->second;
     if (isNew) {
         peer.assumedUntil = now + assumedTime;
-        peer.givenUpAt = now + giveUpTime;
+        peer.lostAt = now + lostAfter;
         this->known.validUntil = {};
     }
     if (peer.host.isEmpty()) {
@@ -118,7 +119,7 @@
     }
     // Nodes that speak for others do so every 300 ms, so they are missed soon.
     peer.liveUntil = now + (digest.isRelay ? relayLifetime : digestLifetime(this->outline().groupSize()));
-    peer.givenUpAt = now + giveUpTime;
+    peer.lostAt = now + lostAfter;
     if (isChange) {
         this->known.validUntil = {};
     }
@@ -284,10 +285,10 @@
     if (this->isLive(peer)) {
         return true;
     }
-    if (now < peer.tryAt || now >= peer.givenUpAt) {
+    if (now < peer.tryAt) {
         return false;
     }
-    peer.tryAt = now + silentTryPause;
+    peer.tryAt = now + (now < peer.lostAt ? silentTryPause : lostTryPause);
     return true;
 }
 
@@ -313,7 +314,7 @@
             continue;
         }
         auto isHeardRelay = this->isLive(peer) && peer.isRelay;
-        if (!isHeardRelay && (now < peer.tryAt || now >= peer.givenUpAt)) {
+        if (!isHeardRelay && now < peer.tryAt) {
             continue;
         }
         auto rank = isHeardRelay ? 2 : this->isPresent(peer) ? 1 : 0;
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -89,7 +89,8 @@
         TimePoint assumedUntil;
         /** Next try of a silent peer. */
         TimePoint tryAt;
-        TimePoint givenUpAt;
+        /** From then on it is tried seldom. */
+        TimePoint lostAt;
         std::array<std::uint64_t, feedTopicCount> nextOffsets {};
         /** The peer's word is relied on until then. */
         std::array<TimePoint, feedTopicCount> coveredUntil {};
