LibGateway: List the topics one node of a group after another

Change: after the grace one node of a group after another lists, every 0.2 s on average; a failed listing waits for its next turn. A page of a listing may take 1.2 s. Readers, too, take the listing from a peer if one has it. A node that can't read the hosts' names waits up to 5 s before it asks again.

Test: 300 nodes start while no listing succeeds; the bound counts the relays and one node of each domain in 0.2 s. The test of leaves writes a configuration first, since an empty topic is listed by each node once.

--- a/Libraries/LibForward/PeerPull.cpp
+++ b/Libraries/LibForward/PeerPull.cpp
@@ -64,7 +64,7 @@
     return this->peers.spread();
 }
 
-Duration PeerPull::listingGrace() const
+Duration PeerPull::listingGrace()
 {
     return this->peers.listingGrace();
 }
--- a/Libraries/LibForward/PeerPull.h
+++ b/Libraries/LibForward/PeerPull.h
@@ -27,7 +27,7 @@
     bool isReader(FeedTopic topic) const override;
     TimePoint coveredUntil(FeedTopic topic) const override;
     bool isSettled() const override;
-    Duration listingGrace() const override;
+    Duration listingGrace() override;
     Duration spread() override;
 
 private:
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -11,6 +11,9 @@
 /** Longest wait for an answer of the store beyond the time that it may hold a read. A healthy store answers in a few milliseconds. */
 constexpr Duration answerLimit = milliseconds(700);
 
+/** The same for a page of a listing, which is up to a megabyte for a small link. */
+constexpr Duration listingLimit = milliseconds(1200);
+
 /** Pause after a failed read. Peers are asked meanwhile. */
 constexpr Duration pauseAfterFailure = milliseconds(400);
 
@@ -106,6 +109,7 @@
 void FeedFollower::setListed()
 {
     this->isListed = true;
+    this->hasExpired = false;
     this->isRead = true;
     this->targets.listener.recordsComplete(this->topic);
 }
@@ -115,7 +119,7 @@
     this->applyReceived();
     try {
         if (!this->isListed) {
-            if (this->waitsForPeers()) {
+            if (!this->hasExpired && this->waitsForPeers()) {
                 return this->clock.now() + listingCheckPause;
             }
             this->list();
@@ -132,7 +136,7 @@
         if (error.code() == ResultCode::RecordsExpired) {
             this->events.write("feed_expired", { { "topic", topicName(this->topic) }, { "offset", this->nextOffset } });
             this->isListed = false;
-            this->listsItselfAt = this->clock.now();
+            this->hasExpired = true;
             return this->clock.now();
         }
         this->noteLost(error.what());
@@ -151,20 +155,23 @@
     if (!this->peers.isSettled()) {
         return true;
     }
-    auto now = this->clock.now();
-    if (!this->listsItselfAt) {
-        this->listsItselfAt = now + this->peers.listingGrace();
-    }
-    if (now >= *this->listsItselfAt || this->peers.isReader(this->topic)) {
-        return false;
-    }
     if (this->peers.isAnyAhead(this->topic, 0)) {
         this->pullFromPeers();
         if (this->isRead) {
             this->setListed();
+            return true;
         }
     }
-    return true;
+    auto now = this->clock.now();
+    if (!this->listsItselfAt) {
+        this->listsItselfAt = now + this->peers.listingGrace();
+    }
+    if (now < *this->listsItselfAt && !this->peers.isReader(this->topic)) {
+        return true;
+    }
+    // If this listing fails, the next one comes after another pause.
+    this->listsItselfAt.reset();
+    return false;
 }
 
 FeedPage FeedFollower::listWhole()
@@ -172,7 +179,7 @@
     FeedPage whole;
     std::optional<std::string> lastKey;
     for (bool hasMore = true; hasMore;) {
-        auto listing = this->feed.listNewest(this->topic, lastKey, this->clock.now() + answerLimit);
+        auto listing = this->feed.listNewest(this->topic, lastKey, this->clock.now() + listingLimit);
         // Records that come while the pages are read are read again from the end of the first page.
         whole.nextOffset = lastKey ? std::min(whole.nextOffset, listing.page.nextOffset) : listing.page.nextOffset;
         hasMore = listing.hasMore && !listing.page.records.empty();
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -32,8 +32,11 @@
     virtual TimePoint coveredUntil(FeedTopic topic) const = 0;
     virtual bool isSettled() const = 0;
 
-    /** So long a node that starts lets others list the topics for it; zero where there are few nodes. */
-    virtual Duration listingGrace() const = 0;
+    /**
+     * So long a node that starts lets others list the topics for it: longer the more of them there are, and partly random, so that few list them
+     * at a time. Zero where there are few nodes.
+     */
+    virtual Duration listingGrace() = 0;
 
     /** A random pause that is the longer the more nodes there are, up to a second, so that not all of them call the store at once. */
     virtual Duration spread() = 0;
@@ -133,6 +136,8 @@
     FeedTopic topic;
     FeedPace pace;
     bool isListed = false;
+    /** The store has dropped records that this node lacks, so only a listing by itself helps. */
+    bool hasExpired = false;
     std::atomic<bool> isRead = false;
     std::atomic<Duration::rep> readAt = 0;
     std::uint64_t nextOffset = 0;
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -48,6 +48,9 @@
 constexpr Duration shortestListingGrace = milliseconds(100);
 constexpr Duration listingGracePerPeer = milliseconds(20);
 
+/** Then one node of the group after another lists them, so often. A listing takes megabytes, and all regions share their links for it. */
+constexpr Duration listingPause = milliseconds(200);
+
 /** Nodes that call the store all by themselves do so one in 10 ms, and each within a second: some of the bounds are 2.5 s. */
 constexpr Duration spreadPerNode = milliseconds(10);
 constexpr Duration longestSpread = seconds(1);
@@ -254,11 +257,16 @@
     return std::chrono::duration_cast<Duration>(longest * this->random.unit());
 }
 
-Duration PeerTable::listingGrace() const
+Duration PeerTable::listingGrace()
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     const auto &outline = this->outline();
-    return outline.isCrowded ? shortestListingGrace + listingGracePerPeer * static_cast<std::int64_t>(outline.groupSize()) : Duration(0);
+    if (!outline.isCrowded) {
+        return Duration(0);
+    }
+    auto peers = static_cast<std::int64_t>(outline.groupSize());
+    auto turn = std::chrono::duration_cast<Duration>(listingPause * peers * this->random.unit());
+    return shortestListingGrace + listingGracePerPeer * peers + turn;
 }
 
 TimePoint PeerTable::readAt(TimePoint coveredUntil)
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -60,7 +60,7 @@
 
     /** See PeerFeed. */
     Duration spread();
-    Duration listingGrace() const;
+    Duration listingGrace();
 
     /** Addresses of the group. A peer that was silent for long is only tried now and then. */
     std::vector<std::string> groupTargets();
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -45,6 +45,7 @@
 /** Hosts that start together have announced themselves by then. */
 constexpr Duration firstDirectoryPause = milliseconds(700);
 constexpr Duration directoryRetry = seconds(1);
+constexpr int directoryRetrySpread = 4;
 constexpr Duration directoryLimit = milliseconds(700);
 
 constexpr Duration drainCheckPause = milliseconds(20);
@@ -73,7 +74,7 @@
             return this->clock.now() + (isFirst ? firstDirectoryPause : directoryPause);
         } catch (const Error &error) {
             this->events.write("directory_failed", { { "announced", this->isAnnounced }, { "reason", error.what() } });
-            return this->clock.now() + directoryRetry;
+            return this->clock.now() + directoryRetry + directoryRetrySpread * this->peers.spread();
         }
     }
 
--- a/Tests/LibGateway/FeedFakes.h
+++ b/Tests/LibGateway/FeedFakes.h
@@ -134,7 +134,7 @@
         return this->settled;
     }
 
-    Duration listingGrace() const override
+    Duration listingGrace() override
     {
         return this->grace;
     }
--- a/Tests/LibGateway/PeerFleet.cpp
+++ b/Tests/LibGateway/PeerFleet.cpp
@@ -81,7 +81,7 @@
     return this->peers.spread();
 }
 
-Duration PeerFleet::Node::listingGrace() const
+Duration PeerFleet::Node::listingGrace()
 {
     return this->peers.listingGrace();
 }
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -77,6 +77,7 @@
 TEST_CASE("Hundreds of nodes: every node knows of a leaving upstream in time, with few calls to the store")
 {
     PeerFleet fleet(300, 6, lossShare);
+    fleet.feeds[0].write("config", "1");
     for (int upstream = 0; upstream < 300; ++upstream) {
         fleet.writeUpstream(fmt::format("engine-{}", upstream), "1");
     }
@@ -108,6 +109,23 @@
     CHECK(fleet.feeds[1].calls < 12 * 40);
 }
 
+TEST_CASE("Hundreds of nodes start together and no listing succeeds at first: few ask for one at a time")
+{
+    PeerFleet fleet(300, 6, lossShare);
+    for (int upstream = 0; upstream < 3000; ++upstream) {
+        fleet.writeUpstream(fmt::format("engine-{}", upstream), "1");
+    }
+    auto &feed = fleet.feeds[1];
+    feed.isDown = true;
+    constexpr int outageMs = 6000;
+    fleet.play(milliseconds(outageMs));
+    // Twelve relays ask each 0.4 s, and of each domain's others one in 0.2 s.
+    CHECK(feed.calls <= 12 * (outageMs / 400 + 1) + 6 * (outageMs / 200 + 1));
+    feed.isDown = false;
+    fleet.play(seconds(2));
+    CHECK(fleet.countCurrent(FeedTopic::Upstreams) == fleet.size());
+}
+
 TEST_CASE("The relays of a domain and both readers die: the others learn of changes in time")
 {
     PeerFleet fleet(100, 6, lossShare);
