LibForward: Record and log the rate limits that upstreams state

Placement doesn't use the limits yet.

A response without the field ends a limit only if its request was sent after the limit was last stated, so that responses that overtake each other don't drop it, and only with id and stamp.

--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -11,6 +11,7 @@
 #include <LibGateway/OutputLengthPredictor.h>
 #include <LibGateway/PoolRetryBudgets.h>
 #include <LibGateway/RequestPlacer.h>
+#include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
@@ -43,6 +44,7 @@
     TokenTimeTracker &tokenTimes;
     UpstreamHealth &health;
     UpstreamRefusals &refusals;
+    StatedRateLimits &rateLimits;
     PoolRetryBudgets &retries;
     OutputLengthPredictor &outputLengths;
     const ForwardProtocol &protocol;
--- a/Libraries/LibForward/ResponseInspector.cpp
+++ b/Libraries/LibForward/ResponseInspector.cpp
@@ -4,9 +4,9 @@
 
 namespace Lovageward {
 
-ResponseMetadata ResponseInspector::inspect(const RequestId &request, const UpstreamRecord &upstream, const Poco::Net::HTTPResponse &head) const
+ResponseMetadata ResponseInspector::inspect(const RequestId &request, const UpstreamRecord &upstream, const UpstreamCall &call) const
 {
-    auto metadata = this->dependencies.protocol.decodeResponse(head);
+    auto metadata = this->dependencies.protocol.decodeResponse(call.head());
     auto isOwn = !metadata.isInstanceMismatch && (metadata.requestId.isEmpty() || metadata.requestId == request);
     if (isOwn && metadata.isShuttingDown) {
         this->recordLeave(request, upstream);
@@ -14,6 +14,9 @@
     if (isOwn && metadata.retryAfter > Duration(0)) {
         this->recordRefusal(request, upstream, metadata.retryAfter);
     }
+    if (isOwn) {
+        this->recordRateLimit(request, upstream, metadata, call.sentAt());
+    }
     return metadata;
 }
 
@@ -38,6 +41,35 @@
         { { "request", request.value() }, { "upstream", upstream.id.value() }, { "wait_ms", std::chrono::duration_cast<milliseconds>(wait).count() } });
 }
 
+void ResponseInspector::recordRateLimit(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, TimePoint sentAt) const
+{
+    if (metadata.requestsPerSecond) {
+        if (this->dependencies.rateLimits.recordLimit(upstream, *metadata.requestsPerSecond)) {
+            this->dependencies.counters.counter("lovageward_upstream_rate_limits_stated_total").add();
+            this->writeRateLimitEvent("upstream_rate_limit", request, upstream, *metadata.requestsPerSecond);
+        }
+        return;
+    }
+    if (metadata.hasRateLimit) {
+        this->writeRateLimitEvent("upstream_rate_limit_malformed", request, upstream, this->dependencies.rateLimits.limit(upstream).value_or(0));
+        return;
+    }
+    // A response without id or stamp may not come from the upstream itself, which would repeat its limit.
+    auto isGenuine = metadata.hasServerStamp && metadata.requestId == request;
+    if (isGenuine && this->dependencies.rateLimits.recordUnlimited(upstream, sentAt)) {
+        this->writeRateLimitEvent("upstream_rate_limit_ended", request, upstream, 0);
+    }
+}
+
+void ResponseInspector::writeRateLimitEvent(const char *event, const RequestId &request, const UpstreamRecord &upstream, double requestsPerSecond) const
+{
+    this->dependencies.events.write(event,
+                                    { { "request", request.value() },
+                                      { "upstream", upstream.id.value() },
+                                      { "boot", upstream.boot.value() },
+                                      { "requests_per_second", requestsPerSecond } });
+}
+
 void ResponseInspector::countExceededLimit(const UpstreamCall &call) const
 {
     if (!call.exceededLimit().empty()) {
--- a/Libraries/LibForward/ResponseInspector.h
+++ b/Libraries/LibForward/ResponseInspector.h
@@ -5,7 +5,10 @@
 
 namespace Lovageward {
 
-/** Decodes the heads of upstream responses and records the notices in them: that the upstream shuts down soon, or accepts no requests for a time. */
+/**
+ * Decodes the heads of upstream responses and records the notices in them: that the upstream shuts down soon, accepts no requests for a time, or limits
+ * the rate of requests.
+ */
 class ResponseInspector
 {
 public:
@@ -13,8 +16,8 @@
     {
     }
 
-    /** Returns the decoded head. Notices are recorded only from responses to this request, since others may come from another upstream. */
-    ResponseMetadata inspect(const RequestId &request, const UpstreamRecord &upstream, const Poco::Net::HTTPResponse &head) const;
+    /** Returns the decoded head of the call. Notices are recorded only from responses to this request, since others may come from another upstream. */
+    ResponseMetadata inspect(const RequestId &request, const UpstreamRecord &upstream, const UpstreamCall &call) const;
 
     /** Increments the counter of the limit that the call exceeded, if any. */
     void countExceededLimit(const UpstreamCall &call) const;
@@ -22,6 +25,8 @@
 private:
     void recordLeave(const RequestId &request, const UpstreamRecord &upstream) const;
     void recordRefusal(const RequestId &request, const UpstreamRecord &upstream, Duration wait) const;
+    void recordRateLimit(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, TimePoint sentAt) const;
+    void writeRateLimitEvent(const char *event, const RequestId &request, const UpstreamRecord &upstream, double requestsPerSecond) const;
 
     const ForwardDependencies &dependencies;
 };
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -175,7 +175,7 @@
 
 StreamRelay::StepResult StreamRelay::processHead()
 {
-    auto metadata = this->inspector.inspect(this->work.request.id, this->placement.upstream, this->call->head());
+    auto metadata = this->inspector.inspect(this->work.request.id, this->placement.upstream, *this->call);
     auto status = static_cast<int>(this->call->head().getStatus());
     this->dependencies.events.write("answer_head",
                                     { { "request", this->work.request.id.value() },
--- a/Libraries/LibForward/UnaryForwarder.cpp
+++ b/Libraries/LibForward/UnaryForwarder.cpp
@@ -124,7 +124,7 @@
     if (!call.hasHead()) {
         return AttemptResult::Failed;
     }
-    auto metadata = this->inspector.inspect(work.request.id, attempt.placement.upstream, call.head());
+    auto metadata = this->inspector.inspect(work.request.id, attempt.placement.upstream, call);
     if (metadata.requestId != work.request.id && !metadata.requestId.isEmpty()) {
         return AttemptResult::Failed;
     }
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -18,12 +18,13 @@
 }
 
 UpstreamCall::UpstreamCall(const Clock &clock, const std::string &address, const std::string &method, TimePoint connectDeadline, const ResponseLimits &limits)
-    : method(method), limits(limits), channel(SocketChannel::connect(clock, address, connectDeadline))
+    : clock(clock), method(method), limits(limits), sendTime(clock.now()), channel(SocketChannel::connect(clock, address, connectDeadline))
 {
 }
 
 void UpstreamCall::send(std::string_view bytes, TimePoint deadline)
 {
+    this->sendTime = this->clock.now();
     if (!this->channel.write(bytes, deadline)) {
         this->advance();
     }
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -80,6 +80,12 @@
         return this->exceeded;
     }
 
+    /** Time at which the request was sent; the time of the connection attempt before send(). */
+    TimePoint sentAt() const
+    {
+        return this->sendTime;
+    }
+
     int descriptor() const
     {
         return this->channel.descriptor();
@@ -94,8 +100,10 @@
     void fail(const std::string &reason);
     void failWithExceededLimit(std::string_view limit, std::uint64_t bytes);
 
+    const Clock &clock;
     std::string method;
     ResponseLimits limits;
+    TimePoint sendTime;
     SocketChannel channel;
     std::optional<Poco::Net::HTTPResponse> response;
     std::optional<BodyDecoder> decoder;
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -132,6 +132,10 @@
     }
     call->send(this->dependencies.protocol.encodeRequest(work.request, options), work.deadline);
     ++retryState.sentRequests;
+    auto rateLimit = this->dependencies.rateLimits.limit(placement.upstream);
+    if (rateLimit) {
+        this->dependencies.counters.counter("lovageward_sent_to_rate_limited_total").add();
+    }
     this->dependencies.events.write("sent",
                                     { { "request", work.request.id.value() },
                                       { "upstream", placement.upstream.id.value() },
@@ -139,6 +143,7 @@
                                       { "runs_there", placement.load.runs },
                                       { "peak_tokens_there", placement.load.peakTokens },
                                       { "failure_share", placement.failureRate },
+                                      { "limited", rateLimit.has_value() },
                                       { "token_us_there", placement.tokenTime.count() },
                                       { "expected_tokens", work.footprint.expectedOutputTokens },
                                       { "time_left_ms", std::chrono::duration_cast<milliseconds>(options.remainingTime).count() },
--- a/Libraries/LibGateway/ForwardProtocol.h
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -58,6 +58,10 @@
     bool isShuttingDown = false;
     /** Time for which this node must not send requests to the upstream, which has refused this one; zero if the response names no time. */
     Duration retryAfter = Duration(0);
+    /** The response states a rate limit, which may be malformed. */
+    bool hasRateLimit = false;
+    /** Requests per second that the upstream accepts from all nodes together; nullopt if it states no limit or a malformed one. */
+    std::optional<double> requestsPerSecond;
 };
 
 /** Response to a request that copies the KV cache of a run. */
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -131,6 +131,7 @@
         , tokenTimeTracker(this->clock)
         , upstreamHealth(this->clock)
         , upstreamRefusals(this->clock)
+        , statedRateLimits(this->clock)
         , coldStartLimiter(this->clock, this->random)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
@@ -176,10 +177,23 @@
         , directory(this->clock, this->events, dependencies.directory, this->peerTable, settings)
         , readiness(this->config, this->upstreamFollower, this->drainState)
         , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
-        , forwardDependencies { this->clock,           this->random,           this->events,          this->counters,
-                                this->config,          this->upstreamRegistry, this->requestPlacer,   this->tokenTimeTracker,
-                                this->upstreamHealth,  this->upstreamRefusals, this->retryBudgets,    this->outputLengthPredictor,
-                                dependencies.protocol, this->drainState,       this->digestTransport, settings.responseLimits }
+        , forwardDependencies { this->clock,
+                                this->random,
+                                this->events,
+                                this->counters,
+                                this->config,
+                                this->upstreamRegistry,
+                                this->requestPlacer,
+                                this->tokenTimeTracker,
+                                this->upstreamHealth,
+                                this->upstreamRefusals,
+                                this->statedRateLimits,
+                                this->retryBudgets,
+                                this->outputLengthPredictor,
+                                dependencies.protocol,
+                                this->drainState,
+                                this->digestTransport,
+                                settings.responseLimits }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
     {
         for (const auto &seed : settings.seedAddresses) {
@@ -206,6 +220,7 @@
     TokenTimeTracker tokenTimeTracker;
     UpstreamHealth upstreamHealth;
     UpstreamRefusals upstreamRefusals;
+    StatedRateLimits statedRateLimits;
     ColdStartLimiter coldStartLimiter;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -137,6 +137,7 @@
     TokenTimeTracker tokenTimes { clock };
     UpstreamHealth health { clock };
     UpstreamRefusals refusals { clock };
+    StatedRateLimits rateLimits { clock };
     ColdStartLimiter coldStartLimiter { clock, random };
     FakeFleet fleet { 1 };
     UpstreamPicker picker { NodeLocation { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random, 0.35 };
@@ -145,8 +146,8 @@
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
-    ForwardDependencies dependencies { clock,  random,   events,  counters,      config,   registry, placer,     tokenTimes,
-                                       health, refusals, retries, outputLengths, protocol, drain,    placements, {} };
+    ForwardDependencies dependencies { clock,    random,     events,  counters,      config,   registry, placer,     tokenTimes, health,
+                                       refusals, rateLimits, retries, outputLengths, protocol, drain,    placements, {} };
     std::unique_ptr<GatewayServer> server;
 };
 
--- a/Tests/LibForward/TestProtocol.h
+++ b/Tests/LibForward/TestProtocol.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <cctype>
 #include <sstream>
 #include <string>
 
@@ -63,6 +64,11 @@
         metadata.hasNotRun = head.has("Not-Run");
         metadata.isShuttingDown = head.has("Leaving");
         metadata.retryAfter = milliseconds(std::stoi(head.get("Wait-Ms", "0")));
+        metadata.hasRateLimit = head.has("Limit");
+        auto limit = head.get("Limit", "none");
+        if (std::isdigit(static_cast<unsigned char>(limit.front())) != 0) {
+            metadata.requestsPerSecond = std::stod(limit);
+        }
         return metadata;
     }
 
--- a/Tests/LibForward/TestUpstreamNotices.cpp
+++ b/Tests/LibForward/TestUpstreamNotices.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <tuple>
+
 using namespace Lovageward;
 
 namespace {
@@ -124,3 +126,50 @@
     CHECK(refusing.requests().size() <= 1);
     CHECK(free.requests().size() == 5);
 }
+
+TEST_CASE("The rate limit in any response of an upstream is recorded until a genuine response lacks it")
+{
+    const std::vector<std::pair<std::string, ScriptedUpstream::Script>> responses = {
+        { "whole", [](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done", "Mark: m\r\nLimit: 2.5\r\n"); } },
+        { "error", [](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "done", "Mark: m\r\nLimit: 2.5\r\n"); } },
+        { "refusal", [](ScriptedConnection &connection, const std::string &request) { connection.respond(503, request, "", "Not-Run: 1\r\nLimit: 2.5\r\n"); } },
+    };
+    for (const auto &[name, script] : responses) {
+        for (const auto *path : { "/once/book", "/long/plan" }) {
+            CAPTURE(name, path);
+            ScriptedUpstream upstream(script);
+            GatewayFixture fixture;
+            fixture.add("s1", upstream, std::string(path) == "/once/book" ? "services" : "engines");
+            RawCaller caller(fixture);
+            caller.request(path, "r1");
+            caller.readUntil("Id: r1\r\n");
+            UpstreamRecord record;
+            record.id = UpstreamId("s1");
+            record.boot = BootId("1");
+            CHECK(fixture.rateLimits.limit(record) == 2.5);
+        }
+    }
+}
+
+TEST_CASE("Only a response of the upstream itself ends its rate limit")
+{
+    const std::vector<std::tuple<std::string, std::string, bool>> responses = {
+        { "with stamp", "Mark: m\r\n", true },
+        { "without stamp", "", false },
+        { "malformed limit", "Mark: m\r\nLimit: many\r\n", false },
+    };
+    for (const auto &[name, fields, isEnd] : responses) {
+        CAPTURE(name);
+        ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "failed", fields); });
+        GatewayFixture fixture;
+        fixture.add("s1", upstream, "services");
+        UpstreamRecord record;
+        record.id = UpstreamId("s1");
+        record.boot = BootId("1");
+        fixture.rateLimits.recordLimit(record, 100);
+        RawCaller caller(fixture);
+        caller.request("/once/book", "r1");
+        caller.readUntil("failed");
+        CHECK(fixture.rateLimits.limit(record).has_value() == !isEnd);
+    }
+}
--- a/Tests/platform/TestPlatformProtocol.cpp
+++ b/Tests/platform/TestPlatformProtocol.cpp
@@ -3,6 +3,7 @@
 #include <platform/PlatformProtocol.h>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace Lovageward;
 
@@ -140,6 +141,25 @@
     CHECK(marksOf("HTTP/1.1 500 Error\r\nRetry-After: 2\r\n\r\n").retryAfter == Duration(0));
 }
 
+TEST_CASE("Decoding a response yields the rate limit that the upstream states, and whether the statement is malformed")
+{
+    auto marksOf = [](const std::string &head) { return PlatformProtocol().decodeResponse(parseResponseHead(head)); };
+    CHECK_FALSE(marksOf("HTTP/1.1 200 OK\r\n\r\n").hasRateLimit);
+    CHECK_FALSE(marksOf("HTTP/1.1 200 OK\r\n\r\n").requestsPerSecond);
+    for (const auto *status : { "200 OK", "500 Error", "503 Service Unavailable" }) {
+        CAPTURE(status);
+        auto limitOf = [&](const std::string &value) { return marksOf(fmt::format("HTTP/1.1 {}\r\nServer-Limit: {}\r\n\r\n", status, value)); };
+        CHECK(limitOf("3.3").requestsPerSecond == 3.3);
+        CHECK(limitOf(" 12 ").requestsPerSecond == 12.0);
+        CHECK(limitOf("0").requestsPerSecond == 0.0);
+        for (const auto *malformed : { "", "-1", "nan", "inf", "many", "3,3" }) {
+            CAPTURE(malformed);
+            CHECK(limitOf(malformed).hasRateLimit);
+            CHECK_FALSE(limitOf(malformed).requestsPerSecond);
+        }
+    }
+}
+
 TEST_CASE("A move call names run and target, and only a successful response with a handle counts as a copy")
 {
     PlatformProtocol protocol;
