LibGateway: Rename ColdStartLimiter to UpstreamRateLimiter

The class divides a request rate of one upstream among the nodes, whatever sets the rate. Only names change.

--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -23,7 +23,7 @@
                              const TokenTimeTracker &tokenTimes,
                              const UpstreamHealth &health,
                              const UpstreamRefusals &refusals,
-                             ColdStartLimiter &coldStartLimiter,
+                             UpstreamRateLimiter &rateLimiter,
                              const UpstreamPicker &picker,
                              RandomSource &random,
                              const FleetView &fleet)
@@ -33,7 +33,7 @@
     , tokenTimes(tokenTimes)
     , health(health)
     , refusals(refusals)
-    , coldStartLimiter(coldStartLimiter)
+    , rateLimiter(rateLimiter)
     , picker(picker)
     , random(random)
     , fleet(fleet)
@@ -62,7 +62,7 @@
         }
         const auto &chosen = candidates[pick.position];
         auto isCold = constraints.pool.coldRequestsPerSecond > 0 && this->clock.now() < chosen.record.coldUntil;
-        if (isCold && !this->coldStartLimiter.tryAcquire(chosen.record.id, constraints.pool.coldRequestsPerSecond, this->fleet.nodeCount())) {
+        if (isCold && !this->rateLimiter.tryAcquire(chosen.record.id, constraints.pool.coldRequestsPerSecond, this->fleet.nodeCount())) {
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick.position));
             continue;
         }
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibCore/Clock.h>
-#include <LibGateway/ColdStartLimiter.h>
 #include <LibGateway/FleetView.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamPicker.h>
+#include <LibGateway/UpstreamRateLimiter.h>
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
 
@@ -55,7 +55,7 @@
  * Places requests on upstreams and reserves their load in one step, so that two threads don't use the same capacity. In a hierarchical fleet a request
  * considers only a random sample of the upstreams, and only few far ones: their loads are known only as sums, so all nodes would send to the one that
  * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the leaf locks of the
- * registry, the load tracker, the token times, the health scores, the refusals and the cold start limiter.
+ * registry, the load tracker, the token times, the health scores, the refusals and the rate limiter.
  */
 class RequestPlacer
 {
@@ -66,7 +66,7 @@
                   const TokenTimeTracker &tokenTimes,
                   const UpstreamHealth &health,
                   const UpstreamRefusals &refusals,
-                  ColdStartLimiter &coldStartLimiter,
+                  UpstreamRateLimiter &rateLimiter,
                   const UpstreamPicker &picker,
                   RandomSource &random,
                   const FleetView &fleet);
@@ -94,7 +94,7 @@
     const TokenTimeTracker &tokenTimes;
     const UpstreamHealth &health;
     const UpstreamRefusals &refusals;
-    ColdStartLimiter &coldStartLimiter;
+    UpstreamRateLimiter &rateLimiter;
     const UpstreamPicker &picker;
     RandomSource &random;
     const FleetView &fleet;
--- a/Libraries/LibGateway/ColdStartLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -1,4 +1,4 @@
-#include <LibGateway/ColdStartLimiter.h>
+#include <LibGateway/UpstreamRateLimiter.h>
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
 
 }
 
-bool ColdStartLimiter::tryAcquire(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodeCount)
+bool UpstreamRateLimiter::tryAcquire(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodeCount)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto now = this->clock.now();
--- a/Libraries/LibGateway/ColdStartLimiter.h
+++ b/Libraries/LibGateway/UpstreamRateLimiter.h
@@ -14,10 +14,10 @@
  * handle. Each node gets an equal share of the rate and starts at a random offset, so that the nodes don't send in step. Load pattern: capacity
  * that comes back cold under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf lock.
  */
-class ColdStartLimiter
+class UpstreamRateLimiter
 {
 public:
-    ColdStartLimiter(const Clock &clock, RandomSource &random) : clock(clock), random(random)
+    UpstreamRateLimiter(const Clock &clock, RandomSource &random) : clock(clock), random(random)
     {
     }
 
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -132,7 +132,7 @@
         , upstreamHealth(this->clock)
         , upstreamRefusals(this->clock)
         , statedRateLimits(this->clock)
-        , coldStartLimiter(this->clock, this->random)
+        , rateLimiter(this->clock, this->random)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
         , requestPlacer(this->clock,
@@ -141,7 +141,7 @@
                         this->tokenTimeTracker,
                         this->upstreamHealth,
                         this->upstreamRefusals,
-                        this->coldStartLimiter,
+                        this->rateLimiter,
                         this->upstreamPicker,
                         this->random,
                         this->peerTable)
@@ -221,7 +221,7 @@
     UpstreamHealth upstreamHealth;
     UpstreamRefusals upstreamRefusals;
     StatedRateLimits statedRateLimits;
-    ColdStartLimiter coldStartLimiter;
+    UpstreamRateLimiter rateLimiter;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
     RequestPlacer requestPlacer;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -138,10 +138,10 @@
     UpstreamHealth health { clock };
     UpstreamRefusals refusals { clock };
     StatedRateLimits rateLimits { clock };
-    ColdStartLimiter coldStartLimiter { clock, random };
+    UpstreamRateLimiter rateLimiter { clock, random };
     FakeFleet fleet { 1 };
     UpstreamPicker picker { NodeLocation { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random, 0.35 };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, coldStartLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimiter, picker, random, fleet };
     PoolRetryBudgets retries { clock, RetryBudgetLimits { 0.2, 100, seconds(10) }, fleet };
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -2,12 +2,12 @@
 
 #include <LibCore/ManualClock.h>
 #include <LibCore/SeededRandom.h>
-#include <LibGateway/ColdStartLimiter.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/RequestPlacer.h>
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamPicker.h>
+#include <LibGateway/UpstreamRateLimiter.h>
 #include <LibGateway/UpstreamRegistry.h>
 #include <Support/FakeFleet.h>
 
@@ -83,10 +83,10 @@
     TokenTimeTracker tokenTimes { clock };
     UpstreamHealth health { clock };
     UpstreamRefusals refusals { clock };
-    ColdStartLimiter coldStartLimiter { clock, random };
+    UpstreamRateLimiter rateLimiter { clock, random };
     FakeFleet fleet;
     UpstreamPicker picker { testLocation(), random, standbyUtilizationLimit };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, coldStartLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimiter, picker, random, fleet };
     Route route = streamRoute();
     UpstreamPool pool = enginePool();
 
--- a/Tests/LibGateway/TestPauses.cpp
+++ b/Tests/LibGateway/TestPauses.cpp
@@ -51,7 +51,7 @@
 {
     ManualClock clock;
     SeededRandom random(3);
-    ColdStartLimiter limiter(clock, random);
+    UpstreamRateLimiter limiter(clock, random);
     UpstreamId cold("cold");
     constexpr double requestsPerSecond = 10;
     constexpr std::size_t nodes = 7;
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -49,7 +49,7 @@
         PlacementFixture fixture;
         fixture.fleet.count = nodes;
         SeededRandom random(node + 1);
-        ColdStartLimiter limiter(fixture.clock, random);
+        UpstreamRateLimiter limiter(fixture.clock, random);
         RequestPlacer placer(fixture.clock,
                              fixture.registry,
                              fixture.loadTracker,
@@ -107,7 +107,7 @@
                              fixture.tokenTimes,
                              fixture.health,
                              fixture.refusals,
-                             fixture.coldStartLimiter,
+                             fixture.rateLimiter,
                              fixture.picker,
                              random,
                              fixture.fleet);
