LibGateway: Keep all nodes together within the rate limit that an upstream states

What upstreams saw: an upstream in trouble that stated 3.3 requests per second got 35 in 4 s (25 are allowed), one that stated 3.6 got 55 (27 are allowed). Callers saw no error from it.

Cause: the limit was read by nobody. A limit that holds for all nodes together needs two parts, the newest statement of each process and a division among the nodes, and placement had them only for cold upstreams and retries.

Change: RequestPlacer takes a request out of the upstream's rate before it places one there, at the stated limit or the rate of its pool while it is cold, whichever is lower. Each node uses an equal part of it (UpstreamRateLimiter). A limit near zero is raised to one request in ten seconds for all nodes, so that its end shows. It works because each request of a placement, first attempts, retries and resumed streams alike, passes RequestPlacer::place, and the parts of all nodes sum up to less than the limit.

Not covered yet: requests that continue a run at another engine (moves, takeovers) don't pass RequestPlacer::place.

--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -13,6 +13,9 @@
 /** Number of near upstreams that a request considers. The least loaded of 16 is nearly the least loaded of all. */
 constexpr std::size_t nearSampleSize = 16;
 
+/** Requests per second that all nodes together send to an upstream that accepts none or hardly any. Only a response shows the end of a stated limit. */
+constexpr double lowestRequestRate = 0.1;
+
 constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
 
 }
@@ -23,6 +26,7 @@
                              const TokenTimeTracker &tokenTimes,
                              const UpstreamHealth &health,
                              const UpstreamRefusals &refusals,
+                             const StatedRateLimits &rateLimits,
                              UpstreamRateLimiter &rateLimiter,
                              const UpstreamPicker &picker,
                              RandomSource &random,
@@ -33,6 +37,7 @@
     , tokenTimes(tokenTimes)
     , health(health)
     , refusals(refusals)
+    , rateLimits(rateLimits)
     , rateLimiter(rateLimiter)
     , picker(picker)
     , random(random)
@@ -54,15 +59,14 @@
     }
     while (true) {
         auto pick = this->picker.pick(candidates, constraints.pool, constraints.footprint);
-        // An upstream that is skipped only because it is cold will have capacity later.
-        auto hasSkippedCold = candidates.size() < result.candidates;
-        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkippedCold ? PickOutcome::NoRoom : pick.outcome;
+        // An upstream that is skipped only because of its request rate will accept requests later.
+        auto hasSkipped = candidates.size() < result.candidates;
+        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkipped ? PickOutcome::NoRoom : pick.outcome;
         if (pick.outcome != PickOutcome::Picked) {
             return result;
         }
         const auto &chosen = candidates[pick.position];
-        auto isCold = constraints.pool.coldRequestsPerSecond > 0 && this->clock.now() < chosen.record.coldUntil;
-        if (isCold && !this->rateLimiter.tryAcquire(chosen.record.id, constraints.pool.coldRequestsPerSecond, this->fleet.nodeCount())) {
+        if (!this->tryAcquireRate(chosen.record, constraints.pool)) {
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick.position));
             continue;
         }
@@ -98,6 +102,15 @@
     return result;
 }
 
+bool RequestPlacer::tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool)
+{
+    auto rate = this->rateLimits.limit(upstream);
+    if (pool.coldRequestsPerSecond > 0 && this->clock.now() < upstream.coldUntil) {
+        rate = std::min(rate.value_or(pool.coldRequestsPerSecond), pool.coldRequestsPerSecond);
+    }
+    return !rate || this->rateLimiter.tryAcquire(upstream.id, std::max(*rate, lowestRequestRate), this->fleet.nodeCount());
+}
+
 PoolId RequestPlacer::choosePool(const Route &route, double draw)
 {
     double total = 0;
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -4,6 +4,7 @@
 #include <LibGateway/FleetView.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
+#include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamPicker.h>
@@ -55,7 +56,8 @@
  * Places requests on upstreams and reserves their load in one step, so that two threads don't use the same capacity. In a hierarchical fleet a request
  * considers only a random sample of the upstreams, and only few far ones: their loads are known only as sums, so all nodes would send to the one that
  * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the leaf locks of the
- * registry, the load tracker, the token times, the health scores, the refusals and the rate limiter.
+ * registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate
+ * limiter.
  */
 class RequestPlacer
 {
@@ -66,6 +68,7 @@
                   const TokenTimeTracker &tokenTimes,
                   const UpstreamHealth &health,
                   const UpstreamRefusals &refusals,
+                  const StatedRateLimits &rateLimits,
                   UpstreamRateLimiter &rateLimiter,
                   const UpstreamPicker &picker,
                   RandomSource &random,
@@ -85,6 +88,8 @@
 private:
     /** The upstreams that may run the request now. If there are none because of refusals, sets `refusedUntil` to the earliest end of a refusal. */
     std::vector<Candidate> collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil) const;
+    /** Takes a request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. */
+    bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
     /** Load of the upstream. Loads that are known only as a sum are divided equally among the usable upstreams of the pool and domain. */
     UpstreamLoad estimateLoad(const UpstreamRecord &record) const;
 
@@ -94,6 +99,7 @@
     const TokenTimeTracker &tokenTimes;
     const UpstreamHealth &health;
     const UpstreamRefusals &refusals;
+    const StatedRateLimits &rateLimits;
     UpstreamRateLimiter &rateLimiter;
     const UpstreamPicker &picker;
     RandomSource &random;
--- a/Libraries/LibGateway/UpstreamRateLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -9,7 +9,7 @@
 /** Share of the rate that is used. The rest is a margin for nodes that aren't counted and for requests that arrive in bursts. */
 constexpr double usableRateShare = 0.7;
 
-/** Number of entries above which expired ones are removed. Upstreams are cold for seconds only, so most entries have expired by then. */
+/** Number of entries above which expired ones are removed. Upstreams have a rate for some time only, so most entries have expired by then. */
 constexpr std::size_t maximumEntries = 1000;
 
 }
--- a/Libraries/LibGateway/UpstreamRateLimiter.h
+++ b/Libraries/LibGateway/UpstreamRateLimiter.h
@@ -10,9 +10,9 @@
 namespace Lovageward {
 
 /**
- * Limits the rate of requests from this node to an upstream that is still cold, so that all nodes together stay below the rate that the upstream can
- * handle. Each node gets an equal share of the rate and starts at a random offset, so that the nodes don't send in step. Load pattern: capacity
- * that comes back cold under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf lock.
+ * Limits the rate of requests from this node to an upstream, so that all nodes together stay below the rate that the upstream accepts. Each node gets
+ * an equal share of the rate and starts at a random offset, so that the nodes don't send in step. Load patterns: capacity that comes back cold, and
+ * an upstream that states a rate limit, under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf lock.
  */
 class UpstreamRateLimiter
 {
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -141,6 +141,7 @@
                         this->tokenTimeTracker,
                         this->upstreamHealth,
                         this->upstreamRefusals,
+                        this->statedRateLimits,
                         this->rateLimiter,
                         this->upstreamPicker,
                         this->random,
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -141,7 +141,7 @@
     UpstreamRateLimiter rateLimiter { clock, random };
     FakeFleet fleet { 1 };
     UpstreamPicker picker { NodeLocation { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random, 0.35 };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, picker, random, fleet };
     PoolRetryBudgets retries { clock, RetryBudgetLimits { 0.2, 100, seconds(10) }, fleet };
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
--- a/Tests/LibForward/TestRateLimits.cpp
+++ b/Tests/LibForward/TestRateLimits.cpp
@@ -68,7 +68,7 @@
 }
 
 // Guards against a gateway that goes on sending at its full rate to an upstream that states a rate limit (incident evcilkare-lovageward-inc1).
-TEST_CASE("The nodes together send no more requests to an upstream than the rate limit that it states", "[.][rate-limit]")
+TEST_CASE("The nodes together send no more requests to an upstream than the rate limit that it states")
 {
     constexpr double requestsPerSecond = 0.5;
     constexpr std::size_t nodeCount = 3;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -83,10 +83,11 @@
     TokenTimeTracker tokenTimes { clock };
     UpstreamHealth health { clock };
     UpstreamRefusals refusals { clock };
+    StatedRateLimits rateLimits { clock };
     UpstreamRateLimiter rateLimiter { clock, random };
     FakeFleet fleet;
     UpstreamPicker picker { testLocation(), random, standbyUtilizationLimit };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, picker, random, fleet };
     Route route = streamRoute();
     UpstreamPool pool = enginePool();
 
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -56,6 +56,7 @@
                              fixture.tokenTimes,
                              fixture.health,
                              fixture.refusals,
+                             fixture.rateLimits,
                              limiter,
                              fixture.picker,
                              random,
@@ -93,6 +94,40 @@
     CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::Picked);
 }
 
+TEST_CASE("A request goes to another upstream while the request rate of a limited one is used up")
+{
+    PlacementFixture fixture;
+    fixture.fleet.count = 1;
+    auto limited = upstreamRecord("limited");
+    fixture.registry.put(limited);
+    fixture.rateLimits.recordLimit(limited, 0.5);
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
+    fixture.clock.advance(seconds(10));
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::Picked);
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
+    fixture.registry.put(upstreamRecord("unlimited", "b1"));
+    CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("unlimited"));
+    fixture.rateLimits.recordUnlimited(limited, fixture.clock.now());
+    CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("limited"));
+}
+
+TEST_CASE("An upstream that accepts no requests at all still gets a few, which show when its limit ends")
+{
+    PlacementFixture fixture;
+    fixture.fleet.count = 1;
+    auto limited = upstreamRecord("limited");
+    fixture.registry.put(limited);
+    fixture.rateLimits.recordLimit(limited, 0);
+    std::size_t sent = 0;
+    for (int tick = 0; tick < 600; ++tick) {
+        sent += fixture.placer.place(fixture.makeConstraints(10, 1)).outcome == PickOutcome::Picked ? 1 : 0;
+        fixture.clock.advance(milliseconds(100));
+    }
+    CHECK(sent >= 1);
+    // At most one in ten seconds.
+    CHECK(sent <= 6);
+}
+
 TEST_CASE("An engine joins empty while the others are busy: only some nodes of a hierarchical fleet choose it")
 {
     constexpr int nodes = 60;
@@ -107,6 +142,7 @@
                              fixture.tokenTimes,
                              fixture.health,
                              fixture.refusals,
+                             fixture.rateLimits,
                              fixture.rateLimiter,
                              fixture.picker,
                              random,
