LibForward: Keep requests that continue a run within the upstream's request rate

A migration, the takeover by a standby copy and the continuation after a crash sent their requests without a look at the rate limit that the upstream states, or at the rate of an upstream that is still cold.

Now a migration takes its request out of the target's rate when it is placed, so that the run isn't copied in vain, and a standby's request when it is sent. Engines with a limit get no standby copies. The calls that copy a run's memory are not counted: they have no request of a caller, and they relieve their upstream.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -317,7 +317,8 @@
     auto target = std::move(*this->backup);
     this->backup.reset();
     auto isAvailable = this->dependencies.placer.acceptsRequests(target.upstream)
-        && this->dependencies.registry.evacuationReason(target.upstream.id, target.upstream.boot) == EvacuationReason::None;
+        && this->dependencies.registry.evacuationReason(target.upstream.id, target.upstream.boot) == EvacuationReason::None
+        && this->dependencies.placer.tryAcquireRate(target.upstream, *this->work.pool);
     if (!isAvailable) {
         return false;
     }
--- a/Libraries/LibForward/StreamRelayMigration.cpp
+++ b/Libraries/LibForward/StreamRelayMigration.cpp
@@ -50,6 +50,9 @@
         // The backup copy of a new run may still be in transfer. A migration would transfer the same memory again.
         return true;
     }
+    if (!this->dependencies.placer.tryAcquireRate(this->backup->upstream, *this->work.pool)) {
+        return false;
+    }
     ++this->backupTakeoverAttempts;
     this->nextTakeoverAt = this->dependencies.clock.now() + backupTakeoverInterval;
     auto target = std::move(*this->backup);
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -86,9 +86,14 @@
     std::optional<TimePoint> refusedUntil;
     auto candidates = this->collectCandidates(constraints, refusedUntil);
     result.candidates = candidates.size();
-    auto position = this->picker.pickCopyTarget(candidates, constraints.pool, constraints.footprint, runner, purpose);
+    auto pick = [&] { return this->picker.pickCopyTarget(candidates, constraints.pool, constraints.footprint, runner, purpose); };
+    auto position = pick();
+    while (position && !this->admitsCopy(candidates[*position].record, constraints.pool, purpose)) {
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*position));
+        position = pick();
+    }
     if (!position) {
-        result.outcome = candidates.empty() ? PickOutcome::NoUpstream : PickOutcome::NoRoom;
+        result.outcome = result.candidates == 0 ? PickOutcome::NoUpstream : PickOutcome::NoRoom;
         return result;
     }
     const auto &chosen = candidates[*position];
@@ -111,6 +116,11 @@
     return !rate || this->rateLimiter.tryAcquire(upstream.id, std::max(*rate, lowestRequestRate), this->fleet.nodeCount());
 }
 
+bool RequestPlacer::admitsCopy(const UpstreamRecord &upstream, const UpstreamPool &pool, CopyPurpose purpose)
+{
+    return purpose == CopyPurpose::Migration ? this->tryAcquireRate(upstream, pool) : !this->rateLimits.limit(upstream);
+}
+
 PoolId RequestPlacer::choosePool(const Route &route, double draw)
 {
     double total = 0;
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -76,20 +76,29 @@
 
     PlacementResult place(const PlacementConstraints &constraints);
 
-    /** Places a copy of the KV cache of a run of `runner` at another engine. The outcome is never PickOutcome::Refused. */
+    /**
+     * Places a copy of the KV cache of a run of `runner` at another engine. A migration takes the request that continues the run out of the engine's
+     * request rate; engines with a rate limit get no standby copies. The outcome is never PickOutcome::Refused.
+     */
     PlacementResult placeCopy(const PlacementConstraints &constraints, const UpstreamRecord &runner, CopyPurpose purpose);
 
     /** Whether a request may be sent to the upstream now: it is usable and doesn't refuse requests from this node. */
     bool acceptsRequests(const UpstreamRecord &upstream) const;
 
+    /**
+     * Takes a request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. Returns false if
+     * the rate is used up. To be called for requests to an upstream that was chosen before, such as the engine with a standby copy.
+     */
+    bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
+
     /** Selects a pool by the weights of the route. `draw` is a random number, uniform in [0, 1). */
     static PoolId choosePool(const Route &route, double draw);
 
 private:
     /** The upstreams that may run the request now. If there are none because of refusals, sets `refusedUntil` to the earliest end of a refusal. */
     std::vector<Candidate> collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil) const;
-    /** Takes a request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. */
-    bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
+    /** Whether the candidate may get a copy now. Takes a request out of its rate for a migration. */
+    bool admitsCopy(const UpstreamRecord &upstream, const UpstreamPool &pool, CopyPurpose purpose);
     /** Load of the upstream. Loads that are known only as a sum are divided equally among the usable upstreams of the pool and domain. */
     UpstreamLoad estimateLoad(const UpstreamRecord &record) const;
 
--- a/Tests/LibForward/TestRateLimits.cpp
+++ b/Tests/LibForward/TestRateLimits.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+UpstreamRecord makeUpstream(const std::string &id)
+{
+    UpstreamRecord upstream;
+    upstream.id = UpstreamId(id);
+    upstream.boot = BootId("1");
+    return upstream;
+}
+
+/** Number of nodes with which this node's share of a rate limit allows no request for hours. */
+constexpr std::size_t hugeFleet = 10'000;
+
 /** Callers that each send requests to one node, one after the other. */
 class RateLimitFixture
 {
@@ -33,11 +44,8 @@
     /** Number of nodes that know a rate limit of the upstream. */
     std::size_t countInformedNodes(const std::string &id) const
     {
-        UpstreamRecord upstream;
-        upstream.id = UpstreamId(id);
-        upstream.boot = BootId("1");
         return static_cast<std::size_t>(
-            std::count_if(this->nodes.begin(), this->nodes.end(), [&](const auto &node) { return node->rateLimits.limit(upstream).has_value(); }));
+            std::count_if(this->nodes.begin(), this->nodes.end(), [&](const auto &node) { return node->rateLimits.limit(makeUpstream(id)).has_value(); }));
     }
 
     /** Sends a request to each node. Returns the number of responses with status 200. */
@@ -96,3 +104,81 @@
         CHECK(static_cast<double>(limited.requests().size()) <= allowedRequests(requestsPerSecond, nodeCount, start));
     }
 }
+
+// Guards against requests that continue a run and exceed the rate limit of an upstream, because they don't pass the placement of new requests.
+TEST_CASE("An interrupted run isn't continued at a backup whose request rate is used up")
+{
+    Gate crash;
+    ScriptedUpstream engine([&](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(0);
+        crash.await();
+        connection.reset();
+    });
+    ScriptedUpstream standby([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(1);
+        connection.endStream();
+    });
+    GatewayFixture fixture;
+    fixture.fleet.count = hugeFleet;
+    fixture.add("e1", engine);
+    fixture.health.recordFailure(UpstreamId("e2"), 1);
+    fixture.add("e2", standby);
+    RawCaller caller(fixture);
+    caller.request("/long/plan", "r1");
+    caller.readUntil("data: e0\n\n");
+    REQUIRE(ScriptedConnection::field(engine.requests().front(), "Backup") == standby.address());
+    fixture.rateLimits.recordLimit(makeUpstream("e2"), 1);
+    crash.open();
+    CHECK_FALSE(caller.readAll().ends_with("0\r\n\r\n"));
+    CHECK(standby.requests().empty());
+}
+
+TEST_CASE("The run of a leaving engine isn't transferred to an engine whose request rate is used up")
+{
+    auto hasBackup = GENERATE(false, true);
+    CAPTURE(hasBackup);
+    Gate finish;
+    Gate offered;
+    ScriptedUpstream engine([&](ScriptedConnection &connection, const std::string &request) {
+        if (request.starts_with("POST /move")) {
+            connection.respond(200, request, "h1");
+            return;
+        }
+        connection.beginStream(request);
+        connection.sendEvent(0);
+        finish.await();
+        connection.sendEvent(1);
+        connection.endStream();
+    });
+    ScriptedUpstream limited([&](ScriptedConnection &connection, const std::string &request) {
+        offered.open();
+        connection.beginStream(request);
+        connection.sendEvent(1);
+        connection.endStream();
+    });
+    ScriptedUpstream other([&](ScriptedConnection &connection, const std::string &request) {
+        offered.open();
+        connection.respond(503, request, "", "Not-Run: 1\r\n");
+    });
+    GatewayFixture fixture;
+    fixture.fleet.count = hugeFleet;
+    fixture.add("e1", engine);
+    fixture.health.recordFailure(UpstreamId("e2"), 1);
+    if (hasBackup) {
+        fixture.add("e2", limited);
+    }
+    RawCaller caller(fixture);
+    caller.request("/long/plan", "r1");
+    caller.readUntil("data: e0\n\n");
+    fixture.rateLimits.recordLimit(makeUpstream("e2"), 1);
+    fixture.add("e2", limited);
+    fixture.add("e3", other);
+    fixture.add("e1", engine, "engines", true);
+    // The run is offered to the engine without a limit instead, which refuses it.
+    offered.await();
+    finish.open();
+    CHECK(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
+    CHECK(limited.requests().empty());
+}
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -111,6 +111,32 @@
     CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("limited"));
 }
 
+TEST_CASE("Runs are moved to an engine within its request rate, stated or cold, and standby copies aren't kept at an engine with a rate limit")
+{
+    PlacementFixture fixture;
+    fixture.fleet.count = 1;
+    auto runner = upstreamRecord("runner");
+    auto target = upstreamRecord("target");
+    auto isLimited = GENERATE(true, false);
+    CAPTURE(isLimited);
+    if (isLimited) {
+        fixture.rateLimits.recordLimit(target, 1);
+    } else {
+        fixture.pool.coldRequestsPerSecond = 1;
+        target.coldUntil = fixture.clock.now() + minutes(1);
+    }
+    fixture.registry.put(target);
+    std::size_t moved = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+        moved += fixture.placer.placeCopy(fixture.makeConstraints(10, 1), runner, CopyPurpose::Migration).outcome == PickOutcome::Picked ? 1 : 0;
+        fixture.clock.advance(milliseconds(100));
+    }
+    CHECK(moved >= 4);
+    CHECK(moved <= 10);
+    auto hasStandby = fixture.placer.placeCopy(fixture.makeConstraints(10, 1), runner, CopyPurpose::Standby).outcome == PickOutcome::Picked;
+    CHECK(hasStandby == !isLimited);
+}
+
 TEST_CASE("An upstream that accepts no requests at all still gets a few, which show when its limit ends")
 {
     PlacementFixture fixture;
