LibGateway: Report new, changed and ended rate limits of upstreams to peers

Each node learned of a limit only by its own requests. In a fleet of 340 nodes, an upstream that states 3.3 requests per second would get the usual traffic of each node until it has answered that node, and after the end of the limit a node with a 340th part of it would go on for up to two and a half minutes, until its next request shows the end.

Digests now contain the changes of the last three seconds, as they do for shutdown notices, with the age of the response: a report is dropped if the receiver knows of a newer response, so a delayed one doesn't bring an ended limit back. Limits are rounded to thousandths where they are recorded; otherwise a report of a limit with many decimals would count as a change at each node.

In simulated fleets of 9 and 100 nodes with 1% losses all nodes know of a limit, its change and its end within 2.5 s. A digest with one value less, as of the version before, or more is decoded (test).

--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -17,7 +17,14 @@
 
 DigestTransport::DigestTransport(const DigestTransportDependencies &dependencies, const KnownHost &self)
     : dependencies(dependencies)
-    , agent({ dependencies.clock, dependencies.loadTracker, dependencies.tokenTimes, dependencies.peers, dependencies.mirror, dependencies.registry, *this },
+    , agent({ dependencies.clock,
+              dependencies.loadTracker,
+              dependencies.tokenTimes,
+              dependencies.peers,
+              dependencies.mirror,
+              dependencies.registry,
+              dependencies.rateLimits,
+              *this },
             self.host,
             self.failureDomain)
 {
@@ -88,9 +95,9 @@
     this->wakeSender();
 }
 
-void DigestTransport::upstreamLeaveAnnounced()
+void DigestTransport::upstreamNoticeReceived()
 {
-    this->agent.announceUpstreamLeave();
+    this->agent.announceUpstreamNotice();
     this->wakeSender();
 }
 
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -29,6 +29,7 @@
     PeerTable &peers;
     const FeedMirror &mirror;
     UpstreamRegistry &registry;
+    StatedRateLimits &rateLimits;
     const DrainState &drain;
 };
 
@@ -47,7 +48,7 @@
 
     /** Schedules the next digest without delay, as do the three functions below. */
     void loadChanged() override;
-    void upstreamLeaveAnnounced() override;
+    void upstreamNoticeReceived() override;
     void onRecordsRead(const FeedBatch &batch) override;
     void onRecordsComplete(FeedTopic topic) override;
 
--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -27,8 +27,8 @@
     /** The load that this node places on upstreams has changed: a request was placed, its prompt was processed, or it ended. */
     virtual void loadChanged() = 0;
 
-    /** An upstream announced in a response that it shuts down. */
-    virtual void upstreamLeaveAnnounced() = 0;
+    /** A response has shown that an upstream shuts down, or that its rate limit has changed. */
+    virtual void upstreamNoticeReceived() = 0;
 };
 
 /** Dependencies of request forwarding. All references must outlive the connections. */
@@ -49,7 +49,7 @@
     OutputLengthPredictor &outputLengths;
     const ForwardProtocol &protocol;
     const DrainState &drain;
-    /** Notified of placements and leaving upstreams, which peers must learn of without delay. */
+    /** Notified of placements and of notices in responses, which peers must learn of without delay. */
     PlacementListener &placementListener;
     ResponseLimits responseLimits;
 };
--- a/Libraries/LibForward/ResponseInspector.cpp
+++ b/Libraries/LibForward/ResponseInspector.cpp
@@ -29,7 +29,7 @@
     this->dependencies.events.write(
         "upstream_leaving",
         { { "request", request.value() }, { "upstream", upstream.id.value() }, { "boot", upstream.boot.value() }, { "told_by", "answer" } });
-    this->dependencies.placementListener.upstreamLeaveAnnounced();
+    this->dependencies.placementListener.upstreamNoticeReceived();
 }
 
 void ResponseInspector::recordRefusal(const RequestId &request, const UpstreamRecord &upstream, Duration wait) const
@@ -47,6 +47,7 @@
         if (this->dependencies.rateLimits.recordLimit(upstream, *metadata.requestsPerSecond)) {
             this->dependencies.counters.counter("lovageward_upstream_rate_limits_stated_total").add();
             this->writeRateLimitEvent("upstream_rate_limit", request, upstream, *metadata.requestsPerSecond);
+            this->dependencies.placementListener.upstreamNoticeReceived();
         }
         return;
     }
@@ -58,6 +59,7 @@
     auto isGenuine = metadata.hasServerStamp && metadata.requestId == request;
     if (isGenuine && this->dependencies.rateLimits.recordUnlimited(upstream, sentAt)) {
         this->writeRateLimitEvent("upstream_rate_limit_ended", request, upstream, 0);
+        this->dependencies.placementListener.upstreamNoticeReceived();
     }
 }
 
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -59,6 +59,7 @@
         this->addTokenTimes(digest.shares);
     }
     digest.leavingUpstreams = this->dependencies.registry.recentShutdownNotices(maximumLeavingUpstreams);
+    digest.rateLimits = this->dependencies.rateLimits.recentChanges(maximumRateLimits);
     return digest;
 }
 
@@ -217,6 +218,11 @@
             this->scheduler.markFreshnessChanged();
         }
     }
+    for (const auto &report : digest.rateLimits) {
+        if (this->dependencies.rateLimits.recordPeerReport(report)) {
+            this->scheduler.markFreshnessChanged();
+        }
+    }
     for (const auto &peer : digest.knownPeers) {
         this->dependencies.peers.addKnownHost(peer);
     }
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -6,6 +6,7 @@
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/PeerDigest.h>
 #include <LibGateway/PeerTable.h>
+#include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
 
@@ -50,6 +51,7 @@
     PeerTable &peers;
     const FeedMirror &mirror;
     UpstreamRegistry &registry;
+    StatedRateLimits &rateLimits;
     FeedInbox &inbox;
 };
 
@@ -76,8 +78,8 @@
         this->scheduler.markLoadChanged();
     }
 
-    /** An upstream has announced its shutdown in a response to this node. */
-    void announceUpstreamLeave()
+    /** A response to this node has shown that an upstream shuts down, or that its rate limit has changed. */
+    void announceUpstreamNotice()
     {
         this->scheduler.markLoadChanged();
         this->scheduler.markFreshnessChanged();
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -5,6 +5,7 @@
 #include <LibPeer/MessageWriter.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Lovageward {
 
@@ -23,8 +24,9 @@
 /** Largest time per token that is sent; longer ones are clamped. */
 constexpr Duration maximumTokenTime = minutes(1);
 
-/** Number of values in a digest, and in one of an older version without leaving upstreams. */
-constexpr std::size_t fieldCount = 12;
+/** Number of values in a digest, and in those of older versions without rate limits and without leaving upstreams. */
+constexpr std::size_t fieldCount = 13;
+constexpr std::size_t fieldCountWithoutRateLimits = 12;
 constexpr std::size_t fieldCountWithoutLeavingUpstreams = 11;
 
 /** Limit of the values in an array to which newer versions can append. */
@@ -42,6 +44,12 @@
 /** Largest read age that is sent; longer ones are clamped. */
 constexpr Duration maximumReadAge = minutes(1);
 
+/** Largest age of a response with or without a rate limit that is sent; longer ones are clamped. */
+constexpr Duration maximumRateLimitAge = minutes(1);
+
+/** Largest rate limit that is sent, multiplied by rateLimitScale; larger ones are clamped. */
+constexpr std::uint64_t maximumScaledRateLimit = 1'000'000'000;
+
 std::vector<UpstreamLoadReport> selectLargestShares(std::vector<UpstreamLoadReport> shares)
 {
     if (shares.size() > maximumShares) {
@@ -178,6 +186,36 @@
     return leaves;
 }
 
+void writeRateLimits(MessageWriter &writer, const std::vector<UpstreamRateLimitReport> &reports)
+{
+    auto count = std::min(reports.size(), maximumRateLimits);
+    writer.array(count);
+    for (std::size_t position = 0; position < count; ++position) {
+        const auto &report = reports[position];
+        auto scaled = std::min(report.requestsPerSecond.value_or(0) * rateLimitScale, static_cast<double>(maximumScaledRateLimit));
+        writer.array(5).text(report.upstream.value()).text(report.boot.value()).flag(report.requestsPerSecond.has_value());
+        writer.number(static_cast<std::uint64_t>(std::llround(scaled)));
+        writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(report.age, Duration(0), maximumRateLimitAge) / milliseconds(1)));
+    }
+}
+
+std::vector<UpstreamRateLimitReport> readRateLimits(MessageReader &reader)
+{
+    std::vector<UpstreamRateLimitReport> reports(reader.beginArray(0, maximumRateLimits));
+    for (auto &report : reports) {
+        reader.beginArray(5, maximumFields);
+        report.upstream = UpstreamId(reader.text());
+        report.boot = BootId(reader.text());
+        auto isLimited = reader.flag();
+        auto requestsPerSecond = static_cast<double>(reader.number(maximumScaledRateLimit)) / rateLimitScale;
+        report.requestsPerSecond = isLimited ? std::optional<double>(requestsPerSecond) : std::nullopt;
+        report.age = milliseconds(reader.number(static_cast<std::uint64_t>(maximumRateLimitAge / milliseconds(1))));
+        reader.endArray();
+    }
+    reader.endArray();
+    return reports;
+}
+
 }
 
 Duration fullStateInterval(std::size_t peers)
@@ -219,6 +257,7 @@
     writeSummary(writer, digest.summary);
     writeBatch(writer, digest);
     writeLeavingUpstreams(writer, digest.leavingUpstreams);
+    writeRateLimits(writer, digest.rateLimits);
     return writer.encoded();
 }
 
@@ -262,9 +301,12 @@
     reader.endArray();
     digest.summary = readSummary(reader);
     readBatch(reader, digest);
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutRateLimits) {
         digest.leavingUpstreams = readLeavingUpstreams(reader);
     }
+    if (fields >= fieldCount) {
+        digest.rateLimits = readRateLimits(reader);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/LoadTracker.h>
+#include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
 
 #include <array>
@@ -69,6 +70,8 @@
     bool isBatchForGroup = false;
     /** Upstreams that recently announced their shutdown in a response, to the sender or to another node that reported it. */
     std::vector<UpstreamShutdownNotice> leavingUpstreams;
+    /** Rate limits of upstreams that were recently new, changed or ended. */
+    std::vector<UpstreamRateLimitReport> rateLimits;
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
@@ -83,6 +86,9 @@
 /** Limit of the leaving upstreams in one digest; beyond it the newest are sent. */
 inline constexpr std::size_t maximumLeavingUpstreams = 16;
 
+/** Limit of the rate limits in one digest; beyond it the newest changes are sent. */
+inline constexpr std::size_t maximumRateLimits = 16;
+
 /** Interval of the full states that a node sends to each of `peers` nodes. */
 Duration fullStateInterval(std::size_t peers);
 
--- a/Libraries/LibGateway/StatedRateLimits.cpp
+++ b/Libraries/LibGateway/StatedRateLimits.cpp
@@ -1,11 +1,20 @@
 #include <LibGateway/StatedRateLimits.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Lovageward {
 
 namespace {
 
-/** Time after which a limit that wasn't stated again is removed. The process has probably ended by then. */
-constexpr Duration limitRetention = minutes(60);
+/** Time after which a statement that wasn't repeated is removed. The process has probably ended by then. */
+constexpr Duration statementRetention = minutes(60);
+
+/** Time for which a change is reported to peers; long enough to make up for lost datagrams. */
+constexpr Duration reportingTime = seconds(3);
+
+/** Age added to a peer's report, which is more than a datagram takes, so that a delayed report doesn't replace a newer response. */
+constexpr Duration hopAgeAllowance = milliseconds(50);
 
 }
 
@@ -13,29 +22,62 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     this->removeExpired();
-    auto [entry, isNew] = this->limits.try_emplace(upstream.id);
-    auto &known = entry->second;
-    auto isChanged = isNew || known.boot != upstream.boot || known.requestsPerSecond != requestsPerSecond;
-    known = StatedLimit { upstream.boot, requestsPerSecond, this->clock.now() };
-    return isChanged;
+    return this->replace(upstream.id, upstream.boot, roundRateLimit(requestsPerSecond), this->clock.now());
 }
 
 bool StatedRateLimits::recordUnlimited(const UpstreamRecord &upstream, TimePoint sentAt)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    auto known = this->limits.find(upstream.id);
-    if (known == this->limits.end() || known->second.boot != upstream.boot || sentAt < known->second.statedAt) {
+    auto known = this->statements.find(upstream.id);
+    auto isEnd = known != this->statements.end() && known->second.boot == upstream.boot && known->second.requestsPerSecond && sentAt >= known->second.statedAt;
+    return isEnd && this->replace(upstream.id, upstream.boot, std::nullopt, this->clock.now());
+}
+
+bool StatedRateLimits::recordPeerReport(const UpstreamRateLimitReport &report)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->removeExpired();
+    auto statedAt = this->clock.now() - report.age - hopAgeAllowance;
+    auto known = this->statements.find(report.upstream);
+    if (known != this->statements.end() && statedAt <= known->second.statedAt) {
         return false;
     }
-    this->limits.erase(known);
-    return true;
+    return this->replace(report.upstream, report.boot, report.requestsPerSecond, statedAt);
+}
+
+bool StatedRateLimits::replace(const UpstreamId &upstream, const BootId &boot, std::optional<double> requestsPerSecond, TimePoint statedAt)
+{
+    auto [entry, isNew] = this->statements.try_emplace(upstream);
+    auto &known = entry->second;
+    auto isChanged = isNew || known.boot != boot || known.requestsPerSecond != requestsPerSecond;
+    known = Statement { boot, requestsPerSecond, statedAt, isChanged ? this->clock.now() : known.changedAt };
+    return isChanged;
+}
+
+std::vector<UpstreamRateLimitReport> StatedRateLimits::recentChanges(std::size_t maximumCount) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto now = this->clock.now();
+    std::vector<std::pair<TimePoint, UpstreamRateLimitReport>> recent;
+    for (const auto &[upstream, statement] : this->statements) {
+        if (now < statement.changedAt + reportingTime) {
+            recent.emplace_back(statement.changedAt,
+                                UpstreamRateLimitReport { upstream, statement.boot, statement.requestsPerSecond, now - statement.statedAt });
+        }
+    }
+    std::sort(recent.begin(), recent.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<UpstreamRateLimitReport> reports;
+    for (std::size_t position = 0; position < std::min(maximumCount, recent.size()); ++position) {
+        reports.push_back(std::move(recent[position].second));
+    }
+    return reports;
 }
 
 std::optional<double> StatedRateLimits::limit(const UpstreamRecord &upstream) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    auto known = this->limits.find(upstream.id);
-    if (known == this->limits.end() || known->second.boot != upstream.boot) {
+    auto known = this->statements.find(upstream.id);
+    if (known == this->statements.end() || known->second.boot != upstream.boot) {
         return std::nullopt;
     }
     return known->second.requestsPerSecond;
@@ -44,7 +86,7 @@
 void StatedRateLimits::removeExpired()
 {
     auto now = this->clock.now();
-    std::erase_if(this->limits, [&](const auto &entry) { return entry.second.statedAt + limitRetention < now; });
+    std::erase_if(this->statements, [&](const auto &entry) { return entry.second.statedAt + statementRetention < now; });
 }
 
 }
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -156,6 +156,7 @@
                             this->peerTable,
                             this->feedMirror,
                             this->upstreamRegistry,
+                            this->statedRateLimits,
                             this->drainState },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -47,7 +47,7 @@
     {
     }
 
-    void upstreamLeaveAnnounced() override
+    void upstreamNoticeReceived() override
     {
     }
 };
--- a/Tests/LibForward/TestUpstreamNotices.cpp
+++ b/Tests/LibForward/TestUpstreamNotices.cpp
@@ -160,7 +160,8 @@
     };
     for (const auto &[name, fields, isEnd] : responses) {
         CAPTURE(name);
-        ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "failed", fields); });
+        ScriptedUpstream upstream(
+            [&fields = fields](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "failed", fields); });
         GatewayFixture fixture;
         fixture.add("s1", upstream, "services");
         UpstreamRecord record;
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -73,6 +73,7 @@
         UpstreamRegistry registry;
         LoadTracker loads;
         TokenTimeTracker tokenTimes;
+        StatedRateLimits rateLimits;
         PeerTable peers;
         PeerAgent agent;
         FeedFollower operators;
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -101,6 +101,31 @@
     CHECK(changes[0].load.runs == 0);
 }
 
+TEST_CASE("Digests of an older version without rate limits, and of a newer one with further values, are decoded")
+{
+    PeerDigest digest;
+    digest.host = HostId("front-1");
+    digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
+    auto bytes = encodeDigest(digest);
+    // The digest is an array, and its last value is an empty array.
+    constexpr char arrayOf12 = '\x9c';
+    constexpr char arrayOf13 = '\x9d';
+    constexpr char arrayOf14 = '\x9e';
+    constexpr char emptyArray = '\x90';
+    REQUIRE(bytes.front() == arrayOf13);
+    REQUIRE(bytes.back() == emptyArray);
+    auto newer = bytes + emptyArray;
+    newer.front() = arrayOf14;
+    auto older = bytes.substr(0, bytes.size() - 1);
+    older.front() = arrayOf12;
+    for (const auto &version : { older, newer }) {
+        auto decoded = decodeDigest(version);
+        CHECK(decoded.host == HostId("front-1"));
+        CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
+        CHECK(decoded.rateLimits.empty());
+    }
+}
+
 TEST_CASE("A digest is unchanged after encoding and decoding")
 {
     PeerDigest digest;
@@ -118,8 +143,10 @@
     digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
     digest.isBatchForGroup = true;
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1700000000000") }, { UpstreamId("e2"), BootId() } };
+    digest.rateLimits = { { UpstreamId("e1"), BootId("1700000000000"), 3.25, milliseconds(40) }, { UpstreamId("e2"), BootId(), std::nullopt, seconds(2) } };
     auto decoded = decodeDigest(encodeDigest(digest));
     REQUIRE(decoded.batch);
+    CHECK(decoded.rateLimits == digest.rateLimits);
     CHECK(decoded.isBatchForGroup);
     CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
     CHECK(decoded.isRelay);
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -194,7 +194,7 @@
         fleet.run(seconds(8));
         auto &informedNode = fleet.at(nodes / 2);
         CHECK(informedNode.registry.recordShutdownNotice({ UpstreamId("e1"), BootId("1") }));
-        informedNode.agent.announceUpstreamLeave();
+        informedNode.agent.announceUpstreamNotice();
         fleet.run(propagationLimit);
         std::size_t informedCount = 0;
         for (std::size_t node = 0; node < fleet.size(); ++node) {
@@ -204,6 +204,37 @@
     }
 }
 
+TEST_CASE("The rate limit of an upstream, its changes and its end, stated in responses to one node, reach all nodes")
+{
+    for (auto [nodes, domains] : { std::pair(std::size_t(9), std::size_t(3)), std::pair(std::size_t(100), std::size_t(6)) }) {
+        CAPTURE(nodes);
+        SimulatedFleet fleet(nodes, domains, lossShare);
+        fleet.run(seconds(8));
+        auto &informedNode = fleet.at(nodes / 2);
+        UpstreamRecord upstream;
+        upstream.id = UpstreamId("e1");
+        upstream.boot = BootId("1");
+        auto countNodesWith = [&](std::optional<double> limit) {
+            std::size_t count = 0;
+            for (std::size_t node = 0; node < fleet.size(); ++node) {
+                count += fleet.at(node).rateLimits.limit(upstream) == limit ? 1 : 0;
+            }
+            return count;
+        };
+        for (auto limit : { 3.3, 1.25 }) {
+            CAPTURE(limit);
+            CHECK(informedNode.rateLimits.recordLimit(upstream, limit));
+            informedNode.agent.announceUpstreamNotice();
+            fleet.run(propagationLimit);
+            CHECK(countNodesWith(limit) == nodes);
+        }
+        CHECK(informedNode.rateLimits.recordUnlimited(upstream, fleet.clock.now()));
+        informedNode.agent.announceUpstreamNotice();
+        fleet.run(propagationLimit);
+        CHECK(countNodesWith(std::nullopt) == nodes);
+    }
+}
+
 TEST_CASE("After the readers lose the store, no node trusts their reports for too long, even if other nodes repeat them")
 {
     // Reports are trusted for 1.5 s after the store's last response, which is up to 0.6 s old when the store fails. One hop takes 20 ms.
--- a/Tests/LibGateway/TestStatedRateLimits.cpp
+++ b/Tests/LibGateway/TestStatedRateLimits.cpp
@@ -1,5 +1,6 @@
 #include "GatewayFixture.h"
 
+#include <LibGateway/PeerDigest.h>
 #include <LibGateway/StatedRateLimits.h>
 
 #include <catch2/catch.hpp>
@@ -94,6 +95,65 @@
     CHECK(limits.limit(upstream) == 3.3);
 }
 
+TEST_CASE("A peer's report on a rate limit applies unless this node knows of a newer response")
+{
+    ManualClock clock;
+    clock.advance(minutes(1));
+    StatedRateLimits limits(clock);
+    auto upstream = upstreamRecord("e1");
+    auto report = [&](std::optional<double> requestsPerSecond, Duration age) {
+        return UpstreamRateLimitReport { upstream.id, upstream.boot, requestsPerSecond, age };
+    };
+    CHECK(limits.recordPeerReport(report(3.3, milliseconds(10))));
+    CHECK(limits.limit(upstream) == 3.3);
+    clock.advance(seconds(1));
+    CHECK(limits.recordLimit(upstream, 2));
+    CHECK_FALSE(limits.recordPeerReport(report(3.3, milliseconds(20))));
+    CHECK_FALSE(limits.recordPeerReport(report(std::nullopt, milliseconds(20))));
+    CHECK(limits.limit(upstream) == 2.0);
+    clock.advance(seconds(1));
+    CHECK(limits.recordPeerReport(report(std::nullopt, milliseconds(20))));
+    CHECK_FALSE(limits.limit(upstream));
+    CHECK_FALSE(limits.recordPeerReport(report(2, milliseconds(900))));
+    CHECK_FALSE(limits.limit(upstream));
+}
+
+TEST_CASE("A peer's report that repeats a limit with many decimals isn't a change")
+{
+    ManualClock clock;
+    clock.advance(minutes(1));
+    StatedRateLimits own(clock);
+    StatedRateLimits peer(clock);
+    own.recordLimit(upstreamRecord("e1"), 10.0 / 3);
+    clock.advance(milliseconds(100));
+    peer.recordLimit(upstreamRecord("e1"), 10.0 / 3);
+    PeerDigest digest;
+    digest.rateLimits = peer.recentChanges(9);
+    REQUIRE(digest.rateLimits.size() == 1);
+    CHECK_FALSE(own.recordPeerReport(decodeDigest(encodeDigest(digest)).rateLimits.front()));
+    CHECK_FALSE(own.recordLimit(upstreamRecord("e1"), 10.0 / 3));
+}
+
+TEST_CASE("Changes of rate limits are reported to peers for a few seconds, newest first, repeated statements are not")
+{
+    ManualClock clock;
+    StatedRateLimits limits(clock);
+    for (const auto *id : { "e1", "e2" }) {
+        limits.recordLimit(upstreamRecord(id), 2);
+        clock.advance(seconds(1));
+    }
+    auto changes = limits.recentChanges(9);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes.front() == UpstreamRateLimitReport { UpstreamId("e2"), BootId("1"), 2.0, seconds(1) });
+    CHECK(limits.recentChanges(1).size() == 1);
+    clock.advance(seconds(3));
+    limits.recordLimit(upstreamRecord("e1"), 2);
+    CHECK(limits.recentChanges(9).empty());
+    limits.recordUnlimited(upstreamRecord("e1"), clock.now());
+    REQUIRE(limits.recentChanges(9).size() == 1);
+    CHECK_FALSE(limits.recentChanges(9).front().requestsPerSecond);
+}
+
 TEST_CASE("An upstream in trouble: all nodes together stay within its rate limit while each has more requests for it than it accepts")
 {
     constexpr Duration simulatedTime = seconds(40);
