LibGateway: Apply a changed rate limit at once

UpstreamRateLimiter kept the time of the next request that followed from the rate at the last one. A node among eight that had sent a request to an upstream with a limit near zero waited for up to two minutes after the limit had been raised or had been replaced by the rate of a cold upstream; a lowered limit allowed each node one request at the earlier interval, all at nearly the same time.

A slot now belongs to the rate for which it was assigned, and is assigned anew at a random offset when the rate changes.

--- a/Libraries/LibGateway/UpstreamRateLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -18,22 +18,24 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto now = this->clock.now();
-    if (this->nextAllowedAt.size() > maximumEntries) {
-        std::erase_if(this->nextAllowedAt, [&](const auto &entry) { return entry.second < now; });
+    if (this->slots.size() > maximumEntries) {
+        std::erase_if(this->slots, [&](const auto &entry) { return entry.second.startsAt < now; });
     }
     auto rate = usableRateShare * requestsPerSecond / static_cast<double>(std::max<std::size_t>(nodeCount, 1));
     if (rate <= 0) {
         return false;
     }
-    auto interval = std::chrono::duration<double>(1 / rate);
-    auto [entry, isNew] = this->nextAllowedAt.try_emplace(upstream, now);
-    if (isNew) {
-        entry->second += std::chrono::duration_cast<Duration>(interval * this->random.unit());
+    auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    auto [entry, isNew] = this->slots.try_emplace(upstream);
+    auto &slot = entry->second;
+    if (isNew || slot.requestsPerSecond != requestsPerSecond) {
+        auto offset = std::chrono::duration_cast<Duration>(interval * this->random.unit());
+        slot = Slot { now + offset, requestsPerSecond };
     }
-    if (now < entry->second) {
+    if (now < slot.startsAt) {
         return false;
     }
-    entry->second = now + std::chrono::duration_cast<Duration>(interval);
+    slot.startsAt = now + interval;
     return true;
 }
 
--- a/Libraries/LibGateway/UpstreamRateLimiter.h
+++ b/Libraries/LibGateway/UpstreamRateLimiter.h
@@ -11,8 +11,9 @@
 
 /**
  * Limits the rate of requests from this node to an upstream, so that all nodes together stay below the rate that the upstream accepts. Each node gets
- * an equal share of the rate and starts at a random offset, so that the nodes don't send in step. Load patterns: capacity that comes back cold, and
- * an upstream that states a rate limit, under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf lock.
+ * an equal share of the rate and starts at a random offset, also after the rate has changed, so that the nodes don't send in step. Load patterns:
+ * capacity that comes back cold, and an upstream that states a rate limit, under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf
+ * lock.
  */
 class UpstreamRateLimiter
 {
@@ -22,17 +23,24 @@
     }
 
     /**
-     * Returns true if the node's share of `requestsPerSecond` allows a request to the upstream now. `nodeCount` is the number of nodes that may send
-     * to the upstream, this node included.
+     * Takes a request out of the node's share. Returns true if the node's share of `requestsPerSecond` allows a request to the upstream now. `nodeCount`
+     * is the number of nodes that may send to the upstream, this node included.
      */
     bool tryAcquire(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodeCount);
 
 private:
+    /** The next request that this node may send to an upstream. */
+    struct Slot
+    {
+        TimePoint startsAt;
+        /** Rate of the upstream for which the slot was assigned. */
+        double requestsPerSecond = 0;
+    };
+
     const Clock &clock;
     RandomSource &random;
     mutable std::mutex mutex;
-    /** Earliest time of the next request to each upstream. */
-    std::map<UpstreamId, TimePoint> nextAllowedAt;
+    std::map<UpstreamId, Slot> slots;
 };
 
 }
--- a/Tests/LibGateway/TestStatedRateLimits.cpp
+++ b/Tests/LibGateway/TestStatedRateLimits.cpp
@@ -175,3 +175,24 @@
     // The limit isn't enforced by sending hardly any requests.
     CHECK(static_cast<double>(sentTimes.size()) > 0.4 * requestsPerSecond * std::chrono::duration<double>(simulatedTime).count());
 }
+
+TEST_CASE("A rate limit that is raised or lowered applies at once, not after the interval between two requests at the earlier limit")
+{
+    constexpr std::size_t nodeCount = 8;
+    LimitedNode node(nodeCount, 1, 0);
+    node.tryPlace();
+    auto countSent = [&](Duration time) {
+        std::size_t sent = 0;
+        for (Duration elapsed(0); elapsed < time; elapsed += milliseconds(10)) {
+            sent += node.tryPlace() ? 1 : 0;
+            node.fixture.clock.advance(milliseconds(10));
+        }
+        return sent;
+    };
+    // One request in ten seconds for all nodes together.
+    CHECK(countSent(seconds(2)) <= 1);
+    node.fixture.rateLimits.recordLimit(node.upstream, 80);
+    CHECK(countSent(seconds(2)) >= 10);
+    node.fixture.rateLimits.recordLimit(node.upstream, 0);
+    CHECK(countSent(seconds(2)) <= 1);
+}
