LibGateway: Let unused slots of a request rate lapse

A node kept one unused permission for any time. After a lull, or when the other upstreams of a pool fail, all nodes that had been idle could send to a limited or cold upstream in the same moment: the test "... stay within its rate limit when traffic returns after a lull" counted 95 requests of 95 nodes and 340 of 340 within four seconds at 3.3 requests per second, where 24.8 are allowed.

Slots now follow each other at the interval of the node's share and lapse, after a part of it that leaves a few nodes and one second's worth of the rate with a usable slot at a time. With 8 nodes and 3.3 requests per second 79% of each interval can be used, with 10 requests per second or more all of it.

--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -47,8 +47,7 @@
 /** Largest age of a response with or without a rate limit that is sent; longer ones are clamped. */
 constexpr Duration maximumRateLimitAge = minutes(1);
 
-/** Largest rate limit that is sent, multiplied by rateLimitScale; larger ones are clamped. */
-constexpr std::uint64_t maximumScaledRateLimit = 1'000'000'000;
+constexpr auto maximumScaledRateLimit = static_cast<std::uint64_t>(maximumRateLimit * rateLimitScale);
 
 std::vector<UpstreamLoadReport> selectLargestShares(std::vector<UpstreamLoadReport> shares)
 {
@@ -192,9 +191,8 @@
     writer.array(count);
     for (std::size_t position = 0; position < count; ++position) {
         const auto &report = reports[position];
-        auto scaled = std::min(report.requestsPerSecond.value_or(0) * rateLimitScale, static_cast<double>(maximumScaledRateLimit));
         writer.array(5).text(report.upstream.value()).text(report.boot.value()).flag(report.requestsPerSecond.has_value());
-        writer.number(static_cast<std::uint64_t>(std::llround(scaled)));
+        writer.number(static_cast<std::uint64_t>(std::llround(report.requestsPerSecond.value_or(0) * rateLimitScale)));
         writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(report.age, Duration(0), maximumRateLimitAge) / milliseconds(1)));
     }
 }
--- a/Libraries/LibGateway/UpstreamRateLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -9,9 +9,24 @@
 /** Share of the rate that is used. The rest is a margin for nodes that aren't counted and for requests that arrive in bursts. */
 constexpr double usableRateShare = 0.7;
 
+/** Number of nodes that may hold an unused slot at a time, apart from one second's worth of the rate. All of them may send in the same moment. */
+constexpr double usableSlots = 3;
+
 /** Number of entries above which expired ones are removed. Upstreams have a rate for some time only, so most entries have expired by then. */
 constexpr std::size_t maximumEntries = 1000;
 
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/** Start of the current slot, or of the next one if the current one has lapsed. Slots follow each other at `interval` and lapse after `usableTime`. */
+TimePoint skipLapsedSlots(TimePoint startsAt, Duration interval, Duration usableTime, TimePoint now)
+{
+    auto lapsedTime = now - startsAt - usableTime;
+    return lapsedTime <= Duration(0) ? startsAt : startsAt + (lapsedTime + interval - Duration(1)) / interval * interval;
+}
+
 }
 
 bool UpstreamRateLimiter::tryAcquire(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodeCount)
@@ -21,17 +36,20 @@
     if (this->slots.size() > maximumEntries) {
         std::erase_if(this->slots, [&](const auto &entry) { return entry.second.startsAt < now; });
     }
-    auto rate = usableRateShare * requestsPerSecond / static_cast<double>(std::max<std::size_t>(nodeCount, 1));
+    auto nodes = static_cast<double>(std::max<std::size_t>(nodeCount, 1));
+    auto rate = usableRateShare * requestsPerSecond / nodes;
     if (rate <= 0) {
         return false;
     }
-    auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+    auto interval = std::max(toDuration(1 / rate), Duration(1));
     auto [entry, isNew] = this->slots.try_emplace(upstream);
     auto &slot = entry->second;
     if (isNew || slot.requestsPerSecond != requestsPerSecond) {
-        auto offset = std::chrono::duration_cast<Duration>(interval * this->random.unit());
-        slot = Slot { now + offset, requestsPerSecond };
+        slot = Slot { now + toDuration(this->random.unit() / rate), requestsPerSecond };
     }
+    // Unused slots lapse, or all nodes that were idle could send at the same time when traffic returns.
+    auto usableTime = toDuration(std::min(1.0, (usableSlots + requestsPerSecond) / nodes) / rate);
+    slot.startsAt = skipLapsedSlots(slot.startsAt, interval, usableTime, now);
     if (now < slot.startsAt) {
         return false;
     }
--- a/Tests/LibGateway/TestStatedRateLimits.cpp
+++ b/Tests/LibGateway/TestStatedRateLimits.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 using namespace Lovageward;
@@ -134,6 +135,19 @@
     CHECK_FALSE(own.recordLimit(upstreamRecord("e1"), 10.0 / 3));
 }
 
+TEST_CASE("A rate limit of any size is recorded, reported and enforced")
+{
+    auto requestsPerSecond = GENERATE(0.0, 1e-300, 1e6, 1e9, 1e300, std::numeric_limits<double>::max());
+    CAPTURE(requestsPerSecond);
+    LimitedNode node(8, 1, requestsPerSecond);
+    node.tryPlace();
+    node.fixture.clock.advance(seconds(1));
+    CHECK(node.tryPlace() == (requestsPerSecond > 1));
+    PeerDigest digest;
+    digest.rateLimits = node.fixture.rateLimits.recentChanges(1);
+    CHECK(decodeDigest(encodeDigest(digest)).rateLimits == digest.rateLimits);
+}
+
 TEST_CASE("Changes of rate limits are reported to peers for a few seconds, newest first, repeated statements are not")
 {
     ManualClock clock;
@@ -176,6 +190,28 @@
     CHECK(static_cast<double>(sentTimes.size()) > 0.4 * requestsPerSecond * std::chrono::duration<double>(simulatedTime).count());
 }
 
+// Guards against nodes that keep an unused permission during a lull and all send when traffic returns.
+TEST_CASE("An upstream in trouble: all nodes together stay within its rate limit when traffic returns after a lull")
+{
+    constexpr Duration tick = milliseconds(20);
+    auto nodeCount = GENERATE(std::size_t(8), std::size_t(95), std::size_t(340));
+    auto requestsPerSecond = GENERATE(1.0, 3.3, 40.0);
+    CAPTURE(nodeCount, requestsPerSecond);
+    std::vector<TimePoint> sentTimes;
+    for (std::size_t seed = 1; seed <= nodeCount; ++seed) {
+        LimitedNode node(nodeCount, seed, requestsPerSecond);
+        node.tryPlace();
+        node.fixture.clock.advance(minutes(30));
+        for (Duration elapsed(0); elapsed < countingWindow; elapsed += tick) {
+            if (node.tryPlace()) {
+                sentTimes.push_back(node.fixture.clock.now());
+            }
+            node.fixture.clock.advance(tick);
+        }
+    }
+    CHECK(static_cast<double>(largestCountInWindow(sentTimes)) <= acceptedRequests(requestsPerSecond));
+}
+
 TEST_CASE("A rate limit that is raised or lowered applies at once, not after the interval between two requests at the earlier limit")
 {
     constexpr std::size_t nodeCount = 8;
