--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -31,11 +31,12 @@
 Error UpstreamDialer::noCapacityError(const PlacementResult &result, const std::string &message) const
 {
     RetryAfterPolicy advice(this->dependencies.random);
+    // Also if this node's share of the request rates is used up, because the caller's next attempt reaches another node.
     auto retryAfter = advice.delayWhenFull();
     if (result.outcome == PickOutcome::NoUpstream) {
         retryAfter = advice.delayWhenNotReady();
     } else if (result.outcome == PickOutcome::Refused) {
-        retryAfter = advice.delayUntil(this->dependencies.clock.now(), result.refusedUntil);
+        retryAfter = advice.delayUntil(this->dependencies.clock.now(), result.availableAt);
     }
     return Error(ResultCode::NoCapacity, RunState::NotRun, message, retryAfter);
 }
@@ -47,6 +48,8 @@
         reason = "all upstreams are full";
     } else if (result.outcome == PickOutcome::Refused) {
         reason = "all upstreams refuse requests for a time";
+    } else if (result.outcome == PickOutcome::RateLimited) {
+        reason = "the request rates of all upstreams are used up";
     }
     this->dependencies.events.write("no_room",
                                     { { "request", work.request.id.value() },
@@ -71,8 +74,9 @@
             this->dependencies.placementListener.loadChanged();
             return std::move(result.run);
         }
-        // Refusals carry the time of the next attempt, so waiting here would only delay the error response.
-        if (result.outcome == PickOutcome::Refused || this->dependencies.clock.now() >= waitDeadline) {
+        // Waiting for an upstream that isn't available in time would only delay the error response.
+        auto isTooLate = result.outcome == PickOutcome::Refused || (result.outcome == PickOutcome::RateLimited && result.availableAt >= waitDeadline);
+        if (isTooLate || this->dependencies.clock.now() >= waitDeadline) {
             this->rejectForCapacity(work, result);
         }
         DescriptorPoller poller;
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -54,19 +54,20 @@
     result.candidates = candidates.size();
     if (refusedUntil) {
         result.outcome = PickOutcome::Refused;
-        result.refusedUntil = *refusedUntil;
+        result.availableAt = *refusedUntil;
         return result;
     }
+    result.availableAt = TimePoint::max();
     while (true) {
         auto pick = this->picker.pick(candidates, constraints.pool, constraints.footprint);
-        // An upstream that is skipped only because of its request rate will accept requests later.
         auto hasSkipped = candidates.size() < result.candidates;
-        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkipped ? PickOutcome::NoRoom : pick.outcome;
+        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkipped ? PickOutcome::RateLimited : pick.outcome;
         if (pick.outcome != PickOutcome::Picked) {
             return result;
         }
         const auto &chosen = candidates[pick.position];
         if (!this->tryAcquireRate(chosen.record, constraints.pool)) {
+            result.availableAt = std::min(result.availableAt, this->rateLimiter.nextSlotAt(chosen.record.id));
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick.position));
             continue;
         }
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -48,8 +48,8 @@
     PickOutcome outcome = PickOutcome::NoUpstream;
     PlacedRun run;
     std::size_t candidates = 0;
-    /** With PickOutcome::Refused: the earliest time at which one of the upstreams accepts requests again. */
-    TimePoint refusedUntil;
+    /** With PickOutcome::Refused and RateLimited: the earliest time at which one of the upstreams accepts requests from this node again. */
+    TimePoint availableAt;
 };
 
 /**
@@ -78,7 +78,8 @@
 
     /**
      * Places a copy of the KV cache of a run of `runner` at another engine. A migration takes the request that continues the run out of the engine's
-     * request rate; engines with a rate limit get no standby copies. The outcome is never PickOutcome::Refused.
+     * request rate; engines with a rate limit get no standby copies. The outcome is never PickOutcome::Refused
+     * or RateLimited.
      */
     PlacementResult placeCopy(const PlacementConstraints &constraints, const UpstreamRecord &runner, CopyPurpose purpose);
 
--- a/Libraries/LibGateway/UpstreamPicker.h
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -42,6 +42,8 @@
     NoRoom,
     /** All upstreams that may run the request currently refuse requests from this node. */
     Refused,
+    /** This node has used up its share of the request rates of all upstreams that may run the request. */
+    RateLimited,
 };
 
 struct Pick
--- a/Libraries/LibGateway/UpstreamRateLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -57,4 +57,11 @@
     return true;
 }
 
+TimePoint UpstreamRateLimiter::nextSlotAt(const UpstreamId &upstream) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->slots.find(upstream);
+    return found == this->slots.end() ? this->clock.now() : found->second.startsAt;
+}
+
 }
--- a/Libraries/LibGateway/UpstreamRateLimiter.h
+++ b/Libraries/LibGateway/UpstreamRateLimiter.h
@@ -28,6 +28,9 @@
      */
     bool tryAcquire(const UpstreamId &upstream, double requestsPerSecond, std::size_t nodeCount);
 
+    /** Start of this node's next slot for a request to the upstream. Valid after tryAcquire() for it. */
+    TimePoint nextSlotAt(const UpstreamId &upstream) const;
+
 private:
     /** The next request that this node may send to an upstream. */
     struct Slot
--- a/Tests/LibForward/TestRateLimits.cpp
+++ b/Tests/LibForward/TestRateLimits.cpp
@@ -182,3 +182,24 @@
     CHECK(caller.readUntil("0\r\n\r\n").ends_with("0\r\n\r\n"));
     CHECK(limited.requests().empty());
 }
+
+TEST_CASE("A request is refused at once if no upstream accepts it within the time for which requests wait for capacity")
+{
+    for (const auto *path : { "/patient/book", "/patient-long/plan" }) {
+        CAPTURE(path);
+        ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done"); });
+        GatewayFixture fixture;
+        fixture.fleet.count = hugeFleet;
+        fixture.add("s1", upstream, std::string(path) == "/patient/book" ? "services" : "engines");
+        fixture.rateLimits.recordLimit(makeUpstream("s1"), 1);
+        RawCaller caller(fixture);
+        caller.request(path, "r1");
+        auto response = caller.readUntil("not_run");
+        CHECK(response.starts_with("HTTP/1.1 503"));
+        // These routes wait for capacity for 15 s, after which the reason would be that all upstreams are full.
+        CHECK(response.find("request rates of all upstreams are used up") != std::string::npos);
+        // Other nodes have shares of their own, so the caller may return soon.
+        CHECK(std::stod(ScriptedConnection::field(response, "Retry-After")) < 1);
+        CHECK(upstream.requests().empty());
+    }
+}
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -74,7 +74,7 @@
     CHECK(static_cast<double>(sent) <= bound);
 }
 
-TEST_CASE("The outcome is NoRoom, not NoUpstream, if the only upstream is cold and its request rate is used up")
+TEST_CASE("The outcome is RateLimited, with the time of the next request, if the only upstream is cold and its request rate is used up")
 {
     PlacementFixture fixture;
     fixture.pool.coldRequestsPerSecond = 1;
@@ -84,12 +84,13 @@
     fixture.fleet.count = 1;
     auto first = fixture.placer.place(fixture.makeConstraints());
     for (int tick = 0; first.outcome != PickOutcome::Picked && tick < 2000; ++tick) {
-        CHECK(first.outcome == PickOutcome::NoRoom);
+        CHECK(first.outcome == PickOutcome::RateLimited);
+        CHECK(first.availableAt > fixture.clock.now());
         fixture.clock.advance(milliseconds(1));
         first = fixture.placer.place(fixture.makeConstraints());
     }
     CHECK(first.outcome == PickOutcome::Picked);
-    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::RateLimited);
     fixture.clock.advance(seconds(10));
     CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::Picked);
 }
@@ -101,10 +102,10 @@
     auto limited = upstreamRecord("limited");
     fixture.registry.put(limited);
     fixture.rateLimits.recordLimit(limited, 0.5);
-    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::RateLimited);
     fixture.clock.advance(seconds(10));
     CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::Picked);
-    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
+    CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::RateLimited);
     fixture.registry.put(upstreamRecord("unlimited", "b1"));
     CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("unlimited"));
     fixture.rateLimits.recordUnlimited(limited, fixture.clock.now());
@@ -265,7 +266,7 @@
     fixture.refusals.recordRefusal(shedding, seconds(2));
     auto result = fixture.placer.place(fixture.makeConstraints());
     CHECK(result.outcome == PickOutcome::Refused);
-    CHECK(result.refusedUntil == fixture.clock.now() + seconds(2));
+    CHECK(result.availableAt == fixture.clock.now() + seconds(2));
     CHECK_FALSE(fixture.placer.acceptsRequests(shedding));
     CHECK(fixture.placer.placeCopy(fixture.makeConstraints(), upstreamRecord("runner"), CopyPurpose::Migration).outcome != PickOutcome::Picked);
 
@@ -284,7 +285,7 @@
         fixture.registry.put(other);
         fixture.refusals.recordRefusal(other, seconds(5));
         fixture.clock.advance(seconds(1));
-        CHECK(fixture.placer.place(fixture.makeConstraints()).refusedUntil == fixture.clock.now() + seconds(1));
+        CHECK(fixture.placer.place(fixture.makeConstraints()).availableAt == fixture.clock.now() + seconds(1));
     }
     SECTION("a later refusal with a shorter wait doesn't end the first")
     {
