Tests: Let upstreams of the soak state rate limits

Half of the soak's upstreams state a limit of two requests per second from 1.5 s after their start on, for twelve seconds. From 4 s after the first statement an upstream must not get more than 17 requests in 4 s (one and a half times the limit, and five), counted over all nodes, refusals and continued runs included, in windows without an unplanned fault.

--- a/Tests/platform/soak/Deployment.cpp
+++ b/Tests/platform/soak/Deployment.cpp
@@ -24,6 +24,8 @@
 constexpr Duration stopTolerance = seconds(1);
 /** Covers the platform's limit on the propagation of a drain and the longest response of an upstream. */
 constexpr Duration minimumDrainTime = milliseconds(5000);
+/** Requests per second that half of the upstreams accept for some time. */
+constexpr double limitedUpstreamRate = 2;
 constexpr Duration startTimeout = seconds(20);
 constexpr auto retryInterval = milliseconds(20);
 constexpr long requestTimeoutSeconds = 1;
@@ -70,6 +72,7 @@
         this->upstreams[index].id = fmt::format("u{}", index);
         this->upstreams[index].domain = fmt::format("d{}", index % 2);
         this->upstreams[index].pool = index % 4 < 2 ? "services" : "engines";
+        this->upstreams[index].rateLimit = index % 2 == 1 ? limitedUpstreamRate : 0;
         this->upstreams[index].link = std::make_unique<LinkProxy>("127.0.0.1:1");
     }
 }
@@ -110,9 +113,13 @@
         } else if (keyword == "run") {
             this->checker.recordRun(upstream, argument);
         } else if (keyword == "continued") {
-            this->checker.recordContinuedRun();
+            this->checker.recordContinuedRun(upstream);
         } else if (keyword == "refused") {
-            this->checker.recordUpstreamRefusal(argument);
+            this->checker.recordUpstreamRefusal(upstream, argument);
+        } else if (keyword == "limited") {
+            this->checker.recordRateLimit(upstream, std::stod(argument));
+        } else if (keyword == "unlimited") {
+            this->checker.recordRateLimitEnd(upstream);
         }
     });
     if (portFuture.wait_for(startTimeout) != std::future_status::ready) {
@@ -150,7 +157,7 @@
 {
     ++upstream.incarnation;
     int port = 0;
-    upstream.process = this->startStandIn({ "upstream", "--id", upstream.id }, upstream.id, port);
+    upstream.process = this->startStandIn({ "upstream", "--id", upstream.id, "--rate-limit", fmt::format("{}", upstream.rateLimit) }, upstream.id, port);
     upstream.link->setTarget(fmt::format("127.0.0.1:{}", port));
     this->checker.recordColdStart(upstream.id);
     this->publishUpstream(upstream, false);
--- a/Tests/platform/soak/Deployment.h
+++ b/Tests/platform/soak/Deployment.h
@@ -64,6 +64,8 @@
         std::string id;
         std::string domain;
         std::string pool;
+        /** Requests per second that the upstream accepts for some time; zero if it never states a limit. */
+        double rateLimit = 0;
         std::unique_ptr<LinkProxy> link;
         std::unique_ptr<ChildProcess> process;
         int incarnation = 0;
--- a/Tests/platform/soak/InvariantChecker.cpp
+++ b/Tests/platform/soak/InvariantChecker.cpp
@@ -18,6 +18,11 @@
 /** The platform's limits on requests to cold upstreams and on retries. */
 constexpr double coldFactor = 1.5;
 constexpr double coldSlack = 5;
+/** Time after the first statement of a rate limit from which the limit is checked (the platform's bound on contact), and its tolerance. */
+constexpr Duration rateLimitPropagationLimit = seconds(4);
+constexpr Duration rateLimitWindow = seconds(4);
+constexpr double rateLimitFactor = 1.5;
+constexpr double rateLimitSlack = 5;
 constexpr double retryRatio = 0.2;
 constexpr double retrySlack = 50;
 
@@ -52,6 +57,7 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     this->upstreamsByRequest[request].push_back(upstream);
+    this->countArrival(upstream);
     auto drain = this->drainStartByUpstream.find(upstream);
     auto now = this->clock.now();
     for (auto &cold : this->coldPeriods) {
@@ -62,21 +68,52 @@
     }
 }
 
-void InvariantChecker::recordContinuedRun()
+void InvariantChecker::recordContinuedRun(const std::string &upstream)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    this->countArrival(upstream);
     ++this->continuedRuns;
 }
 
-void InvariantChecker::recordUpstreamRefusal(const std::string &request)
+void InvariantChecker::recordRateLimit(const std::string &upstream, double requestsPerSecond)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    this->rateLimitPeriods.push_back({ upstream, requestsPerSecond, this->clock.now(), false, {} });
+}
+
+void InvariantChecker::recordRateLimitEnd(const std::string &upstream)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->endRateLimit(upstream);
+}
+
+void InvariantChecker::endRateLimit(const std::string &upstream)
+{
+    for (auto &period : this->rateLimitPeriods) {
+        period.hasEnded = period.hasEnded || period.upstream == upstream;
+    }
+}
+
+void InvariantChecker::countArrival(const std::string &upstream)
+{
+    for (auto &period : this->rateLimitPeriods) {
+        if (period.upstream == upstream && !period.hasEnded) {
+            period.arrivals.push_back(this->clock.now());
+        }
+    }
+}
+
+void InvariantChecker::recordUpstreamRefusal(const std::string &upstream, const std::string &request)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    this->countArrival(upstream);
     ++this->refusalsByRequest[request];
 }
 
 void InvariantChecker::recordColdStart(const std::string &upstream)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    this->endRateLimit(upstream);
     this->coldPeriods.push_back({ upstream, this->clock.now() + coldDuration, 0 });
 }
 
@@ -157,6 +194,7 @@
         }
     }
     this->checkRetries();
+    this->checkRateLimits();
     return { { this->violations.begin(), this->violations.end() }, { this->timingViolations.begin(), this->timingViolations.end() } };
 }
 
@@ -194,6 +232,24 @@
     }
 }
 
+void InvariantChecker::checkRateLimits()
+{
+    for (const auto &period : this->rateLimitPeriods) {
+        auto bound = rateLimitFactor * period.requestsPerSecond * std::chrono::duration<double>(rateLimitWindow).count() + rateLimitSlack;
+        auto firstChecked = std::lower_bound(period.arrivals.begin(), period.arrivals.end(), period.statedAt + rateLimitPropagationLimit);
+        for (auto begin = firstChecked; begin != period.arrivals.end(); ++begin) {
+            auto count = std::upper_bound(begin, period.arrivals.end(), *begin + rateLimitWindow) - begin;
+            if (static_cast<double>(count) > bound && this->isWithoutFault(*begin - rateLimitPropagationLimit, *begin + rateLimitWindow)) {
+                this->timingViolations.insert(fmt::format("{}: more than {:.0f} requests in {} s although it states a rate limit of {} per second",
+                                                          period.upstream,
+                                                          bound,
+                                                          rateLimitWindow / seconds(1),
+                                                          period.requestsPerSecond));
+            }
+        }
+    }
+}
+
 void InvariantChecker::checkRequestWithoutFault(const RequestOutcome &outcome)
 {
     if (outcome.isComplete || outcome.isReportedNotRun || outcome.kind == RequestKind::UnknownKey || !this->isWithoutFault(outcome.sentAt, outcome.endedAt)) {
--- a/Tests/platform/soak/InvariantChecker.h
+++ b/Tests/platform/soak/InvariantChecker.h
@@ -44,7 +44,8 @@
 /**
  * Records what callers, upstreams and the logs of the nodes show, and checks it against the guarantees of the system: responses are complete and belong to
  * their request, a non-idempotent request runs at most once, a request that is reported as not run did not run, planned operations interrupt no request, a
- * draining upstream gets no new requests, and a node never applies an older configuration after a newer one. Thread-safe; its mutex is a leaf lock.
+ * draining upstream gets no new requests, an upstream that states a rate limit gets no more, and a node never applies an older configuration after a newer
+ * one. Thread-safe; its mutex is a leaf lock.
  */
 class InvariantChecker
 {
@@ -60,8 +61,11 @@
 
     void recordRun(const std::string &upstream, const std::string &request);
     /** Records that a run continues at another upstream from its copied memory; this doesn't count as a second run. */
-    void recordContinuedRun();
-    void recordUpstreamRefusal(const std::string &request);
+    void recordContinuedRun(const std::string &upstream);
+    void recordUpstreamRefusal(const std::string &upstream, const std::string &request);
+    /** Records that the upstream has stated a rate limit for the first time. It ends when the upstream starts again. */
+    void recordRateLimit(const std::string &upstream, double requestsPerSecond);
+    void recordRateLimitEnd(const std::string &upstream);
     void recordOutcome(const RequestOutcome &outcome);
     /** Records that the upstream has started and is cold for coldDuration from now on. */
     void recordColdStart(const std::string &upstream);
@@ -98,6 +102,10 @@
     bool isWithoutFault(TimePoint from, TimePoint to) const;
     void checkRequestWithoutFault(const RequestOutcome &outcome);
     void checkRetries();
+    void checkRateLimits();
+    /** Counts a request that has arrived at the upstream, also if it was refused. */
+    void countArrival(const std::string &upstream);
+    void endRateLimit(const std::string &upstream);
     void addViolation(const std::string &violation);
 
     const Clock &clock;
@@ -120,6 +128,15 @@
         std::size_t runs = 0;
     };
     std::vector<ColdPeriod> coldPeriods;
+    struct RateLimitPeriod
+    {
+        std::string upstream;
+        double requestsPerSecond = 0;
+        TimePoint statedAt;
+        bool hasEnded = false;
+        std::vector<TimePoint> arrivals;
+    };
+    std::vector<RateLimitPeriod> rateLimitPeriods;
     std::map<std::string, std::size_t> refusalsByRequest;
     std::size_t continuedRuns = 0;
     std::map<std::string, std::uint64_t> configVersionByProcess;
--- a/Tests/platform/soak/UpstreamRole.cpp
+++ b/Tests/platform/soak/UpstreamRole.cpp
@@ -31,10 +31,14 @@
 /** One in this number of requests is refused as if the upstream were full, so that each run contains refusals. */
 constexpr std::size_t refusalInterval = 40;
 
+/** Time after its start at which an upstream begins to state its rate limit, and for which it does. */
+constexpr auto rateLimitDelay = std::chrono::milliseconds(1500);
+constexpr auto rateLimitTime = std::chrono::seconds(12);
+
 class UpstreamHandler final : public RoleHandler
 {
 public:
-    explicit UpstreamHandler(std::string id) : id(std::move(id))
+    UpstreamHandler(std::string id, double rateLimit) : id(std::move(id)), rateLimit(rateLimit), limitedFrom(Clock::now() + rateLimitDelay)
     {
     }
 
@@ -47,6 +51,7 @@
         auto requestId = request.get(WireNames::requestId, "");
         response.set(WireNames::serverStamp, this->id);
         response.set(WireNames::requestId, requestId);
+        this->stateRateLimit(response);
         auto isMisdirected = request.get(WireNames::expectedUpstream, "") != this->id;
         auto source = request.get(WireNames::kvCacheSource, "");
         auto handle = source.substr(source.find('/') + 1);
@@ -75,6 +80,22 @@
     }
 
 private:
+    using Clock = std::chrono::steady_clock;
+
+    /** States the rate limit for some time, and prints the first statement and its end. */
+    void stateRateLimit(HTTPServerResponse &response)
+    {
+        auto now = Clock::now();
+        auto isLimited = this->rateLimit > 0 && now >= this->limitedFrom && now < this->limitedFrom + rateLimitTime;
+        if (isLimited) {
+            response.set(WireNames::rateLimit, fmt::format("{:.1f}", this->rateLimit));
+        }
+        if (this->hasStatedLimit.exchange(isLimited) != isLimited) {
+            fmt::print("{}\n", isLimited ? fmt::format("limited {}", this->rateLimit) : "unlimited");
+            std::fflush(stdout);
+        }
+    }
+
     /** Simulates copying the memory of a run to another upstream, which only needs the handle. The run itself continues. */
     void copyRunMemory(HTTPServerRequest &request, HTTPServerResponse &response)
     {
@@ -122,6 +143,10 @@
     }
 
     std::string id;
+    /** Requests per second; zero if the upstream never states a limit. */
+    double rateLimit;
+    Clock::time_point limitedFrom;
+    std::atomic<bool> hasStatedLimit = false;
     std::atomic<std::uint64_t> runs = 0;
     std::mutex mutex;
     /** Runs of the active streams, by request id. */
@@ -131,9 +156,9 @@
 
 }
 
-int runUpstreamRole(const std::string &id)
+int runUpstreamRole(const std::string &id, double rateLimit)
 {
-    UpstreamHandler handler(id);
+    UpstreamHandler handler(id, rateLimit);
     return serveRole(handler);
 }
 
--- a/Tests/platform/soak/main.cpp
+++ b/Tests/platform/soak/main.cpp
@@ -105,6 +105,8 @@
     cxxopts::Options options("lovageward-soak", "Runs the gateway as processes under random faults and checks the results that callers and upstreams observe.");
     options.add_options()("role", "run, store or upstream", cxxopts::value<std::string>()->default_value("run"));
     options.add_options()("id", "id of the upstream", cxxopts::value<std::string>()->default_value("u0"));
+    options.add_options()(
+        "rate-limit", "requests per second that the upstream accepts for some time; 0 for any number", cxxopts::value<double>()->default_value("0"));
     options.add_options()("program", "path of lovageward", cxxopts::value<std::string>()->default_value("Build/Services/lovageward/lovageward"));
     options.add_options()("logs", "directory for the logs of failed seeds", cxxopts::value<std::string>()->default_value("Build/soak-logs"));
     options.add_options()("from", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
@@ -123,7 +125,7 @@
             return runStoreRole();
         }
         if (role == "upstream") {
-            return runUpstreamRole(parsed["id"].as<std::string>());
+            return runUpstreamRole(parsed["id"].as<std::string>(), parsed["rate-limit"].as<double>());
         }
         return runSeeds({ parsed["program"].as<std::string>(),
                           std::filesystem::read_symlink("/proc/self/exe").string(),
