--- a/Tests/LibForward/TestUpstreamNotices.cpp
+++ b/Tests/LibForward/TestUpstreamNotices.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <tuple>
 
 using namespace Lovageward;
@@ -13,18 +14,22 @@
     return fixture.registry.evacuationReason(UpstreamId(id), BootId("1")) == EvacuationReason::Draining;
 }
 
+/** Scripts of an upstream whose responses have the header field: a complete response, an error, and a refusal to run the request. */
+std::map<std::string, ScriptedUpstream::Script> scriptsWithField(const std::string &field)
+{
+    auto respond = [field](int status, const std::string &body, const std::string &mark) {
+        return [=](ScriptedConnection &connection, const std::string &request) { connection.respond(status, request, body, mark + "\r\n" + field + "\r\n"); };
+    };
+    return { { "whole", respond(200, "run_state", "Mark: m") },
+             { "error", respond(500, "run_state", "Mark: m") },
+             { "refusal", respond(503, "", "Not-Run: 1") } };
+}
+
 }
 
 TEST_CASE("An upstream that announces in any response that it leaves gets no new requests")
 {
-    const std::vector<std::pair<std::string, ScriptedUpstream::Script>> responses = {
-        { "whole",
-          [](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "run_state", "Mark: m\r\nLeaving: 1\r\n"); } },
-        { "error",
-          [](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "run_state", "Mark: m\r\nLeaving: 1\r\n"); } },
-        { "refusal", [](ScriptedConnection &connection, const std::string &request) { connection.respond(503, request, "", "Not-Run: 1\r\nLeaving: 1\r\n"); } },
-    };
-    for (const auto &[name, script] : responses) {
+    for (const auto &[name, script] : scriptsWithField("Leaving: 1")) {
         for (const auto *path : { "/once/book", "/long/plan" }) {
             CAPTURE(name, path);
             ScriptedUpstream upstream(script);
@@ -129,12 +134,7 @@
 
 TEST_CASE("The rate limit in any response of an upstream is recorded until a genuine response lacks it")
 {
-    const std::vector<std::pair<std::string, ScriptedUpstream::Script>> responses = {
-        { "whole", [](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done", "Mark: m\r\nLimit: 2.5\r\n"); } },
-        { "error", [](ScriptedConnection &connection, const std::string &request) { connection.respond(500, request, "done", "Mark: m\r\nLimit: 2.5\r\n"); } },
-        { "refusal", [](ScriptedConnection &connection, const std::string &request) { connection.respond(503, request, "", "Not-Run: 1\r\nLimit: 2.5\r\n"); } },
-    };
-    for (const auto &[name, script] : responses) {
+    for (const auto &[name, script] : scriptsWithField("Limit: 2.5")) {
         for (const auto *path : { "/once/book", "/long/plan" }) {
             CAPTURE(name, path);
             ScriptedUpstream upstream(script);
