LibGateway: Bind only new requests to the rate of cold engines

- Requests that continue a run pass the limit that an upstream states (`tryAcquireRateLimit`), not the cold rate.
- An upstream that is only cold counts as available at the end of its cold start.
- In a hierarchical fleet such a request waits as before, since the next placement draws other candidates.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -318,7 +318,7 @@
     this->backup.reset();
     auto isAvailable = this->dependencies.placer.acceptsRequests(target.upstream)
         && this->dependencies.registry.evacuationReason(target.upstream.id, target.upstream.boot) == EvacuationReason::None
-        && this->dependencies.placer.tryAcquireRate(target.upstream, *this->work.pool);
+        && this->dependencies.placer.tryAcquireRateLimit(target.upstream);
     if (!isAvailable) {
         return false;
     }
--- a/Libraries/LibForward/StreamRelayMigration.cpp
+++ b/Libraries/LibForward/StreamRelayMigration.cpp
@@ -50,7 +50,7 @@
         // The backup copy of a new run may still be in transfer. A migration would transfer the same memory again.
         return true;
     }
-    if (!this->dependencies.placer.tryAcquireRate(this->backup->upstream, *this->work.pool)) {
+    if (!this->dependencies.placer.tryAcquireRateLimit(this->backup->upstream)) {
         return false;
     }
     ++this->backupTakeoverAttempts;
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -61,13 +61,15 @@
     while (true) {
         auto pick = this->picker.pick(candidates, constraints.pool, constraints.footprint);
         auto hasSkipped = candidates.size() < result.candidates;
-        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkipped ? PickOutcome::RateLimited : pick.outcome;
+        // In a hierarchical fleet the next placement draws other candidates, so it may succeed before.
+        auto skippedOutcome = this->fleet.isHierarchical() ? PickOutcome::NoRoom : PickOutcome::RateLimited;
+        result.outcome = pick.outcome == PickOutcome::NoUpstream && hasSkipped ? skippedOutcome : pick.outcome;
         if (pick.outcome != PickOutcome::Picked) {
             return result;
         }
         const auto &chosen = candidates[pick.position];
         if (!this->tryAcquireRate(chosen.record, constraints.pool)) {
-            result.availableAt = std::min(result.availableAt, this->rateLimiter.nextSlotAt(chosen.record.id));
+            result.availableAt = std::min(result.availableAt, this->nextAvailableAt(chosen.record));
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick.position));
             continue;
         }
@@ -89,7 +91,7 @@
     result.candidates = candidates.size();
     auto pick = [&] { return this->picker.pickCopyTarget(candidates, constraints.pool, constraints.footprint, runner, purpose); };
     auto position = pick();
-    while (position && !this->admitsCopy(candidates[*position].record, constraints.pool, purpose)) {
+    while (position && !this->admitsCopy(candidates[*position].record, purpose)) {
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*position));
         position = pick();
     }
@@ -117,9 +119,21 @@
     return !rate || this->rateLimiter.tryAcquire(upstream.id, std::max(*rate, lowestRequestRate), this->fleet.nodeCount());
 }
 
-bool RequestPlacer::admitsCopy(const UpstreamRecord &upstream, const UpstreamPool &pool, CopyPurpose purpose)
+bool RequestPlacer::tryAcquireRateLimit(const UpstreamRecord &upstream)
 {
-    return purpose == CopyPurpose::Migration ? this->tryAcquireRate(upstream, pool) : !this->rateLimits.limit(upstream);
+    auto limit = this->rateLimits.limit(upstream);
+    return !limit || this->rateLimiter.tryAcquire(upstream.id, std::max(*limit, lowestRequestRate), this->fleet.nodeCount());
+}
+
+TimePoint RequestPlacer::nextAvailableAt(const UpstreamRecord &upstream) const
+{
+    auto nextSlotAt = this->rateLimiter.nextSlotAt(upstream.id);
+    return this->rateLimits.limit(upstream) ? nextSlotAt : std::min(nextSlotAt, upstream.coldUntil);
+}
+
+bool RequestPlacer::admitsCopy(const UpstreamRecord &upstream, CopyPurpose purpose)
+{
+    return purpose == CopyPurpose::Migration ? this->tryAcquireRateLimit(upstream) : !this->rateLimits.limit(upstream);
 }
 
 PoolId RequestPlacer::choosePool(const Route &route, double draw)
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -56,8 +56,7 @@
  * Places requests on upstreams and reserves their load in one step, so that two threads don't use the same capacity. In a hierarchical fleet a request
  * considers only a random sample of the upstreams, and only few far ones: their loads are known only as sums, so all nodes would send to the one that
  * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the leaf locks of the
- * registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate
- * limiter.
+ * registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate limiter.
  */
 class RequestPlacer
 {
@@ -78,8 +77,7 @@
 
     /**
      * Places a copy of the KV cache of a run of `runner` at another engine. A migration takes the request that continues the run out of the engine's
-     * request rate; engines with a rate limit get no standby copies. The outcome is never PickOutcome::Refused
-     * or RateLimited.
+     * rate limit; engines with a rate limit get no standby copies. The outcome is never PickOutcome::Refused or RateLimited.
      */
     PlacementResult placeCopy(const PlacementConstraints &constraints, const UpstreamRecord &runner, CopyPurpose purpose);
 
@@ -87,10 +85,10 @@
     bool acceptsRequests(const UpstreamRecord &upstream) const;
 
     /**
-     * Takes a request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. Returns false if
-     * the rate is used up. To be called for requests to an upstream that was chosen before, such as the engine with a standby copy.
+     * Takes a request that continues a run out of the rate limit that the upstream states, if any. Returns false if the limit is used up. The rate of
+     * cold upstreams doesn't bind such requests: a node's share of it is smaller than the number of runs that a leaving engine has to hand over.
      */
-    bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
+    bool tryAcquireRateLimit(const UpstreamRecord &upstream);
 
     /** Selects a pool by the weights of the route. `draw` is a random number, uniform in [0, 1). */
     static PoolId choosePool(const Route &route, double draw);
@@ -98,8 +96,12 @@
 private:
     /** The upstreams that may run the request now. If there are none because of refusals, sets `refusedUntil` to the earliest end of a refusal. */
     std::vector<Candidate> collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil) const;
-    /** Whether the candidate may get a copy now. Takes a request out of its rate for a migration. */
-    bool admitsCopy(const UpstreamRecord &upstream, const UpstreamPool &pool, CopyPurpose purpose);
+    /** Takes a new request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. */
+    bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
+    /** Time at which this node may send a request to an upstream whose request rate is used up: its next slot, or the end of a cold start before. */
+    TimePoint nextAvailableAt(const UpstreamRecord &upstream) const;
+    /** Whether the candidate may get a copy now. Takes a request out of its rate limit for a migration. */
+    bool admitsCopy(const UpstreamRecord &upstream, CopyPurpose purpose);
     /** Load of the upstream. Loads that are known only as a sum are divided equally among the usable upstreams of the pool and domain. */
     UpstreamLoad estimateLoad(const UpstreamRecord &record) const;
 
--- a/Libraries/LibGateway/UpstreamRateLimiter.cpp
+++ b/Libraries/LibGateway/UpstreamRateLimiter.cpp
@@ -9,7 +9,7 @@
 /** Share of the rate that is used. The rest is a margin for nodes that aren't counted and for requests that arrive in bursts. */
 constexpr double usableRateShare = 0.7;
 
-/** Number of nodes that may hold an unused slot at a time, apart from one second's worth of the rate. All of them may send in the same moment. */
+/** Number of idle nodes that may send in the same moment, on average. One second's worth of the rate is added to it. */
 constexpr double usableSlots = 3;
 
 /** Number of entries above which expired ones are removed. Upstreams have a rate for some time only, so most entries have expired by then. */
--- a/Libraries/LibGateway/UpstreamRateLimiter.h
+++ b/Libraries/LibGateway/UpstreamRateLimiter.h
@@ -11,9 +11,9 @@
 
 /**
  * Limits the rate of requests from this node to an upstream, so that all nodes together stay below the rate that the upstream accepts. Each node gets
- * an equal share of the rate and starts at a random offset, also after the rate has changed, so that the nodes don't send in step. Load patterns:
- * capacity that comes back cold, and an upstream that states a rate limit, under full traffic from hundreds of nodes. Thread-safe; its mutex is a leaf
- * lock.
+ * an equal share of the rate as slots, each for one request. Slots start at a random offset, also after the rate has changed, so that the nodes don't
+ * send in step, and unused ones lapse. Load patterns: capacity that comes back cold, and an upstream that states a rate limit, under full traffic from
+ * hundreds of nodes. Thread-safe; its mutex is a leaf lock.
  */
 class UpstreamRateLimiter
 {
