LibForward: Log the shared prompt parts of requests, and connections lost during a run

The line admitted now has prompt_parts, the ids of all parts but the last, which belongs to one request or session. A call that ends because its connection is lost writes upstream_connection_lost with upstream, boot, the parts and whether the upstream was leaving, and counts in lovageward_upstream_connections_lost_total. RunOutcomeRecorder is the one place for plain calls, streams and takeovers. No decision changes.

--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibForward/GatewayConnection.h>
 
 #include <LibForward/HttpHeads.h>
+#include <LibForward/RunOutcomeRecorder.h>
 #include <LibHttp/ErrorBody.h>
 
 #include <Poco/Exception.h>
@@ -123,6 +124,7 @@
                                     { "config", work.config->version().value() },
                                     { "prompt_tokens", work.request.promptTokens.value() },
                                     { "expected_tokens", work.footprint.expectedOutputTokens },
+                                    { "prompt_parts", joinSharedPromptParts(work.request) },
                                     { "maximum_tokens", work.request.maximumOutputTokens.value() },
                                     { "time_left_ms", std::chrono::duration_cast<milliseconds>(work.deadline - dependencies.clock.now()).count() } });
         auto isComplete = this->forward(work, caller, isKeepAlive);
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -31,6 +31,7 @@
     const ForwardDependencies &dependencies, const UpstreamDialer &dialer, const AdmittedRequest &work, CallerChannel &caller, bool isKeepAlive)
     : dependencies(dependencies)
     , inspector(dependencies)
+    , outcomes(dependencies)
     , dialer(dialer)
     , work(work)
     , caller(caller)
@@ -287,6 +288,7 @@
 {
     this->dependencies.health.recordFailure(this->placement.upstream.id, interruptionWeight);
     this->inspector.countExceededLimit(*this->call);
+    this->outcomes.recordFailure(this->work.request, this->placement.upstream, *this->call);
     this->dependencies.events.write("run_interrupted",
                                     { { "request", this->work.request.id.value() },
                                       { "upstream", this->placement.upstream.id.value() },
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ResponseInspector.h>
 #include <LibForward/RunMigration.h>
+#include <LibForward/RunOutcomeRecorder.h>
 #include <LibForward/StreamForwarder.h>
 #include <LibForward/StreamTiming.h>
 #include <LibForward/UpstreamDialer.h>
@@ -65,6 +66,7 @@
 
     const ForwardDependencies &dependencies;
     ResponseInspector inspector;
+    RunOutcomeRecorder outcomes;
     const UpstreamDialer &dialer;
     const AdmittedRequest &work;
     CallerChannel &caller;
--- a/Libraries/LibForward/StreamRelayMigration.cpp
+++ b/Libraries/LibForward/StreamRelayMigration.cpp
@@ -88,6 +88,7 @@
     auto state = attempt.call->advance();
     if (!attempt.call->hasHead()) {
         if (state == UpstreamCall::State::Failed) {
+            this->outcomes.recordFailure(this->work.request, attempt.placement.upstream, *attempt.call);
             this->abortTakeover(attempt.call->failureReason());
         } else if (this->dependencies.clock.now() >= attempt.deadline) {
             this->abortTakeover("the copy's engine did not respond in time");
--- a/Libraries/LibForward/UnaryForwarder.cpp
+++ b/Libraries/LibForward/UnaryForwarder.cpp
@@ -143,6 +143,7 @@
 {
     const auto &call = *attempt.call;
     this->inspector.countExceededLimit(call);
+    this->outcomes.recordFailure(work.request, attempt.placement.upstream, call);
     this->dependencies.events.write("answer",
                                     { { "request", work.request.id.value() },
                                       { "upstream", attempt.placement.upstream.id.value() },
--- a/Libraries/LibForward/UnaryForwarder.h
+++ b/Libraries/LibForward/UnaryForwarder.h
@@ -2,6 +2,7 @@
 
 #include <LibForward/ForwardOutcome.h>
 #include <LibForward/ResponseInspector.h>
+#include <LibForward/RunOutcomeRecorder.h>
 #include <LibForward/UpstreamDialer.h>
 
 #include <Poco/Net/HTTPResponse.h>
@@ -27,7 +28,8 @@
 class UnaryForwarder
 {
 public:
-    explicit UnaryForwarder(const ForwardDependencies &dependencies) : dependencies(dependencies), inspector(dependencies), dialer(dependencies)
+    explicit UnaryForwarder(const ForwardDependencies &dependencies)
+        : dependencies(dependencies), inspector(dependencies), outcomes(dependencies), dialer(dependencies)
     {
     }
 
@@ -58,6 +60,7 @@
 
     const ForwardDependencies &dependencies;
     ResponseInspector inspector;
+    RunOutcomeRecorder outcomes;
     UpstreamDialer dialer;
 };
 
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -44,11 +44,11 @@
             if (this->decoder && this->decoder->handleConnectionClosed() == BodyDecoder::State::Complete) {
                 this->currentState = State::Complete;
             } else {
-                this->fail("the connection was closed before the response was complete");
+                this->failWithLostConnection("the connection was closed before the response was complete");
             }
             break;
         case SocketChannel::ReceiveResult::Reset:
-            this->fail("the connection was reset");
+            this->failWithLostConnection("the connection was reset");
             break;
         }
     }
@@ -132,6 +132,12 @@
     this->currentState = State::Failed;
 }
 
+void UpstreamCall::failWithLostConnection(const std::string &reason)
+{
+    this->hasLostConnection = true;
+    this->fail(reason);
+}
+
 void UpstreamCall::failWithExceededLimit(std::string_view limit, std::uint64_t bytes)
 {
     this->exceeded = limit;
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -74,6 +74,12 @@
         return this->failure;
     }
 
+    /** True if the upstream closed or reset the connection before the response was complete, as it does when its process ends. */
+    bool isConnectionLost() const
+    {
+        return this->hasLostConnection;
+    }
+
     /** Name of the limit that the response exceeded, as in the metrics; empty if none. */
     std::string_view exceededLimit() const
     {
@@ -98,6 +104,7 @@
     void decode();
     bool processHead();
     void fail(const std::string &reason);
+    void failWithLostConnection(const std::string &reason);
     void failWithExceededLimit(std::string_view limit, std::uint64_t bytes);
 
     const Clock &clock;
@@ -114,6 +121,7 @@
     std::size_t interimSize = 0;
     std::string failure;
     std::string_view exceeded;
+    bool hasLostConnection = false;
     State currentState = State::AwaitingHead;
 };
 
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,12 @@
     HeaderFields forwardedHeaders;
     std::string body;
     bool hasBody = false;
+
+    /** The parts of the prompt that other requests may share: all but the last one. */
+    std::span<const PromptPart> sharedPromptParts() const
+    {
+        return { this->promptParts.data(), this->promptParts.empty() ? 0 : this->promptParts.size() - 1 };
+    }
 };
 
 }
