--- a/Tests/LibForward/TestProtocol.h
+++ b/Tests/LibForward/TestProtocol.h
@@ -3,6 +3,7 @@
 #include <LibCore/Error.h>
 #include <LibGateway/ForwardProtocol.h>
 
+#include <Poco/StringTokenizer.h>
 #include <fmt/format.h>
 
 #include <cctype>
@@ -29,6 +30,10 @@
         request.deadline = arrivedAt + milliseconds(std::stoi(head.get("Wait-Ms", "20000")));
         request.promptTokens = TokenCount(1000);
         request.maximumOutputTokens = TokenCount(1000);
+        Poco::StringTokenizer parts(head.get("Parts", ""), ",");
+        for (const auto &part : parts) {
+            request.promptParts.push_back(PromptPart { part, TokenCount(100) });
+        }
         for (const auto &[name, value] : head) {
             if (name != "Content-Length" && name != "Transfer-Encoding" && name != "Connection") {
                 request.forwardedHeaders.emplace_back(name, value);
