LibGateway: Refuse queries of death once several upstreams have crashed under them

Cause: no state connects crashes with what the requests have in common. A lost connection counts as a failure of its upstream, so the request is repeated at another engine, and the next request with the same prompt part is placed like any other one. The class of the fault: a retry and placement policy that attributes each failure to the upstream and never to the request.

Evidence: in the incident all 36 interrupted attempts at the route were interrupted before their first event, 16 of 20 requests ended two engines, and the rate didn't fall. The test "Once several engines have crashed under requests with a prompt part, such requests are refused, and requests that share their other parts aren't" counted 30 crashes on a route with two attempts and 15 on a route with one, where 8 are allowed, and no refusal.

Change: RunOutcomeRecorder reports each call whose connection ended within a run, and each success, to QueryOfDeathDetector. A part is quarantined for ten minutes if processes have crashed under it at three times at least 100 ms apart, no run with it has succeeded within 30 s, and no other quarantined part explains these crashes. Nodes report crashes and successes in their digests; such notices no longer wait for the pace of load changes. UpstreamDialer refuses requests, new ones and repeats, with the new code PromptQuarantined; an interrupted run isn't continued from its backup. It works because a deadly part is the only one that is present at each of its crashes and never succeeds, while the parts of other runs there succeed elsewhere or crash only together with it.

--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -38,6 +38,7 @@
     { ResultCode::NodeIsolated, "NodeIsolated", 503 },
     { ResultCode::NodeStarting, "NodeStarting", 503 },
     { ResultCode::RetryBudgetExhausted, "RetryBudgetExhausted", 503 },
+    { ResultCode::PromptQuarantined, "PromptQuarantined", 503 },
     { ResultCode::UpstreamUnavailable, "UpstreamUnavailable", 502 },
     { ResultCode::UpstreamRefused, "UpstreamRefused", 503 },
     { ResultCode::UpstreamConnectionLost, "UpstreamConnectionLost", 502 },
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -37,6 +37,7 @@
     NodeIsolated = 205,
     NodeStarting = 206,
     RetryBudgetExhausted = 207,
+    PromptQuarantined = 208,
 
     // 3xx: the upstream failed.
     UpstreamUnavailable = 300,
--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -24,6 +24,7 @@
               dependencies.mirror,
               dependencies.registry,
               dependencies.rateLimits,
+              dependencies.queriesOfDeath,
               *this },
             self.host,
             self.failureDomain)
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -30,6 +30,7 @@
     const FeedMirror &mirror;
     UpstreamRegistry &registry;
     StatedRateLimits &rateLimits;
+    QueryOfDeathDetector &queriesOfDeath;
     const DrainState &drain;
 };
 
--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -10,6 +10,7 @@
 #include <LibGateway/ForwardProtocol.h>
 #include <LibGateway/OutputLengthPredictor.h>
 #include <LibGateway/PoolRetryBudgets.h>
+#include <LibGateway/QueryOfDeathDetector.h>
 #include <LibGateway/RequestPlacer.h>
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/UpstreamHealth.h>
@@ -27,7 +28,7 @@
     /** The load that this node places on upstreams has changed: a request was placed, its prompt was processed, or it ended. */
     virtual void loadChanged() = 0;
 
-    /** A response has shown that an upstream shuts down, or that its rate limit has changed. */
+    /** A call has shown that an upstream shuts down or has crashed, or that its rate limit has changed. */
     virtual void upstreamNoticeReceived() = 0;
 };
 
@@ -45,6 +46,7 @@
     UpstreamHealth &health;
     UpstreamRefusals &refusals;
     StatedRateLimits &rateLimits;
+    QueryOfDeathDetector &queriesOfDeath;
     PoolRetryBudgets &retries;
     OutputLengthPredictor &outputLengths;
     const ForwardProtocol &protocol;
--- a/Libraries/LibForward/RunOutcomeRecorder.cpp
+++ b/Libraries/LibForward/RunOutcomeRecorder.cpp
@@ -2,9 +2,16 @@
 
 namespace Lovageward {
 
+void RunOutcomeRecorder::recordSuccess(const ForwardedRequest &request) const
+{
+    if (this->dependencies.queriesOfDeath.recordSuccess(request.sharedPromptParts())) {
+        this->dependencies.placementListener.upstreamNoticeReceived();
+    }
+}
+
 void RunOutcomeRecorder::recordFailure(const ForwardedRequest &request, const UpstreamRecord &upstream, const UpstreamCall &call) const
 {
-    if (!call.isConnectionLost()) {
+    if (!call.hasConnectionEnded()) {
         return;
     }
     // An upstream that shuts down also cuts the runs that outlast its notice.
@@ -16,6 +23,14 @@
                                       { "boot", upstream.boot.value() },
                                       { "prompt_parts", joinSharedPromptParts(request) },
                                       { "leaving", isLeaving } });
+    if (isLeaving || !this->dependencies.queriesOfDeath.recordCrash(upstream, request.sharedPromptParts())) {
+        return;
+    }
+    this->dependencies.placementListener.upstreamNoticeReceived();
+    if (auto quarantine = this->dependencies.queriesOfDeath.findQuarantine(request.sharedPromptParts())) {
+        this->dependencies.events.write("prompt_part_quarantined",
+                                        { { "request", request.id.value() }, { "part", quarantine->part }, { "until", toMilliseconds(quarantine->until) } });
+    }
 }
 
 std::string joinSharedPromptParts(const ForwardedRequest &request)
--- a/Libraries/LibForward/RunOutcomeRecorder.h
+++ b/Libraries/LibForward/RunOutcomeRecorder.h
@@ -15,7 +15,10 @@
     {
     }
 
-    /** Records a call that has failed. Only a lost connection is evidence that the upstream has crashed; other failures are ignored. */
+    /** Records that an upstream has executed the request with success, or has produced output for so long that the request doesn't crash it. */
+    void recordSuccess(const ForwardedRequest &request) const;
+
+    /** Records a call that has failed. Only the end of the connection is evidence that the upstream has crashed; other failures are ignored. */
     void recordFailure(const ForwardedRequest &request, const UpstreamRecord &upstream, const UpstreamCall &call) const;
 
 private:
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -17,6 +17,9 @@
 /** Time without an event after which a stream counts as stalled: its upstream is lost, or the engine has preempted the run. */
 constexpr Duration stallTimeout = milliseconds(1500);
 
+/** Time for which a run has to produce output before it counts as evidence that its prompt doesn't crash engines. */
+constexpr Duration soundOutputTime = seconds(2);
+
 // Urgency of generations, derived from the request's priority. Engines admit the more urgent ones first and never preempt them for less urgent ones.
 constexpr std::uint32_t urgencyOfHighestPriority = 3;
 constexpr std::uint32_t lowestUrgency = 9;
@@ -239,10 +242,14 @@
                 throw CallerDisconnected();
             }
             this->timing.recordEvent();
+            this->lastEventAt = this->dependencies.clock.now();
             if (this->timing.eventCount() == 1) {
                 this->dependencies.placementListener.loadChanged();
             }
-            this->lastEventAt = this->dependencies.clock.now();
+            if (!this->hasProvenSound && this->timing.timeSinceFirstEvent() >= soundOutputTime) {
+                this->hasProvenSound = true;
+                this->outcomes.recordSuccess(this->work.request);
+            }
             this->reportProgress();
         }
     } catch (const Error &error) {
@@ -265,6 +272,7 @@
 {
     if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->timing.eventCount() > 0) {
         this->dependencies.health.recordSuccess(this->placement.upstream.id);
+        this->outcomes.recordSuccess(this->work.request);
         this->recordOutputLength();
         return this->caller.endStream() ? StepResult::Complete : StepResult::Truncated;
     }
@@ -313,7 +321,9 @@
 
 bool StreamRelay::continueFromBackup()
 {
-    if (!this->backup || this->timing.eventCount() == 0) {
+    // A copy of the run would crash its engine as well.
+    auto isQuarantined = this->dependencies.queriesOfDeath.findQuarantine(this->work.request.sharedPromptParts()).has_value();
+    if (!this->backup || this->timing.eventCount() == 0 || isQuarantined) {
         return false;
     }
     auto target = std::move(*this->backup);
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -100,6 +100,8 @@
     /** The response head was sent to the caller. */
     bool hasSentHead = false;
     StreamTiming timing;
+    /** The run has produced output for long enough to count as a success of its prompt. */
+    bool hasProvenSound = false;
     /** Measures the token rate of the engine that executes the run. */
     std::optional<TokenTimeSampler> tokenTimeSampler;
     /** Time of the last event, or of the start of the current call if it has sent none. */
--- a/Libraries/LibForward/StreamTiming.h
+++ b/Libraries/LibForward/StreamTiming.h
@@ -42,6 +42,12 @@
         return this->firstEventDelay;
     }
 
+    /** Time from the first event to the last one. */
+    Duration timeSinceFirstEvent() const
+    {
+        return this->lastEventAt - this->arrivedAt - this->firstEventDelay;
+    }
+
     /** Longest time between two events; zero before the second event. */
     Duration longestPause() const
     {
--- a/Libraries/LibForward/UnaryForwarder.cpp
+++ b/Libraries/LibForward/UnaryForwarder.cpp
@@ -71,6 +71,7 @@
             auto isError = static_cast<int>(attempt->call->head().getStatus()) >= firstServerErrorStatus;
             if (!isError) {
                 this->dependencies.health.recordSuccess(upstream);
+                this->recordSuccessfulRun(work, *attempt);
             } else {
                 this->dependencies.health.recordFailure(upstream, errorWeight);
             }
@@ -143,7 +144,9 @@
 {
     const auto &call = *attempt.call;
     this->inspector.countExceededLimit(call);
-    this->outcomes.recordFailure(work.request, attempt.placement.upstream, call);
+    if (call.state() == UpstreamCall::State::Failed) {
+        this->outcomes.recordFailure(work.request, attempt.placement.upstream, call);
+    }
     this->dependencies.events.write("answer",
                                     { { "request", work.request.id.value() },
                                       { "upstream", attempt.placement.upstream.id.value() },
@@ -152,6 +155,13 @@
                                       { "problem", call.failureReason() } });
 }
 
+void UnaryForwarder::recordSuccessfulRun(const AdmittedRequest &work, const UpstreamAttempt &attempt) const
+{
+    if (static_cast<int>(attempt.call->head().getStatus()) < firstClientErrorStatus) {
+        this->outcomes.recordSuccess(work.request);
+    }
+}
+
 ForwardOutcome UnaryForwarder::sendBuffered(const BufferedResponse &response, CallerChannel &caller, bool isKeepAlive) const
 {
     auto status = static_cast<int>(response.head.getStatus());
@@ -183,6 +193,7 @@
         this->dependencies.health.recordFailure(attempt.placement.upstream.id, interruptionWeight);
     } else if (isComplete) {
         this->dependencies.health.recordSuccess(attempt.placement.upstream.id);
+        this->recordSuccessfulRun(work, attempt);
     }
     call.cancel();
     return isComplete && caller.endStream() ? ForwardOutcome::Complete : ForwardOutcome::Truncated;
--- a/Libraries/LibForward/UnaryForwarder.h
+++ b/Libraries/LibForward/UnaryForwarder.h
@@ -54,6 +54,8 @@
     ForwardOutcome sendBuffered(const BufferedResponse &response, CallerChannel &caller, bool isKeepAlive) const;
     /** Forwards a large response as it arrives. */
     ForwardOutcome sendProgressively(const AdmittedRequest &work, UpstreamAttempt &attempt, CallerChannel &caller, bool isKeepAlive) const;
+    /** Records a complete response as a success of the request, unless it is a client error, for which the upstream ran nothing. */
+    void recordSuccessfulRun(const AdmittedRequest &work, const UpstreamAttempt &attempt) const;
     void recordAttempt(const AdmittedRequest &work, const UpstreamAttempt &attempt, std::string_view result) const;
     TimePoint attemptDeadline(const AdmittedRequest &work, const RetryState &retryState) const;
     bool mayRetry(const AdmittedRequest &work, const RetryState &retryState) const;
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -41,14 +41,16 @@
         case SocketChannel::ReceiveResult::WouldBlock:
             return this->currentState;
         case SocketChannel::ReceiveResult::Closed:
+            this->connectionEnded = true;
             if (this->decoder && this->decoder->handleConnectionClosed() == BodyDecoder::State::Complete) {
                 this->currentState = State::Complete;
             } else {
-                this->failWithLostConnection("the connection was closed before the response was complete");
+                this->fail("the connection was closed before the response was complete");
             }
             break;
         case SocketChannel::ReceiveResult::Reset:
-            this->failWithLostConnection("the connection was reset");
+            this->connectionEnded = true;
+            this->fail("the connection was reset");
             break;
         }
     }
@@ -132,12 +134,6 @@
     this->currentState = State::Failed;
 }
 
-void UpstreamCall::failWithLostConnection(const std::string &reason)
-{
-    this->hasLostConnection = true;
-    this->fail(reason);
-}
-
 void UpstreamCall::failWithExceededLimit(std::string_view limit, std::uint64_t bytes)
 {
     this->exceeded = limit;
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -74,10 +74,13 @@
         return this->failure;
     }
 
-    /** True if the upstream closed or reset the connection before the response was complete, as it does when its process ends. */
-    bool isConnectionLost() const
+    /**
+     * True if the upstream closed or reset the connection before the end of the response, as it does when its process ends. Also true after a response
+     * without length and chunks, which only its content shows to be incomplete.
+     */
+    bool hasConnectionEnded() const
     {
-        return this->hasLostConnection;
+        return this->connectionEnded;
     }
 
     /** Name of the limit that the response exceeded, as in the metrics; empty if none. */
@@ -104,7 +107,6 @@
     void decode();
     bool processHead();
     void fail(const std::string &reason);
-    void failWithLostConnection(const std::string &reason);
     void failWithExceededLimit(std::string_view limit, std::uint64_t bytes);
 
     const Clock &clock;
@@ -121,7 +123,7 @@
     std::size_t interimSize = 0;
     std::string failure;
     std::string_view exceeded;
-    bool hasLostConnection = false;
+    bool connectionEnded = false;
     State currentState = State::AwaitingHead;
 };
 
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -60,6 +60,17 @@
     throw this->noCapacityError(result, reason);
 }
 
+void UpstreamDialer::rejectIfQuarantined(const AdmittedRequest &work) const
+{
+    auto quarantine = this->dependencies.queriesOfDeath.findQuarantine(work.request.sharedPromptParts());
+    if (quarantine) {
+        throw Error(ResultCode::PromptQuarantined,
+                    RunState::NotRun,
+                    fmt::format("upstreams crash under requests with the prompt part '{}'", quarantine->part),
+                    quarantine->until - this->dependencies.clock.now());
+    }
+}
+
 PlacementConstraints UpstreamDialer::placementNeed(const AdmittedRequest &work, const RetryState &retryState) const
 {
     return PlacementConstraints { *work.route, *work.pool, work.footprint, work.allowedRegions, retryState.excludedUpstreams };
@@ -91,7 +102,10 @@
     const AdmittedRequest &work, RetryState &retryState, const ForwardOptions &options, CallerChannel &caller, const OptionsCompletion &complete) const
 {
     for (std::uint32_t attempt = 0; attempt < maximumConnectAttempts; ++attempt) {
+        this->rejectIfQuarantined(work);
         auto placement = this->awaitCapacity(work, retryState, caller);
+        // The wait may have been long enough for other requests to crash their upstreams.
+        this->rejectIfQuarantined(work);
         auto isRetry = retryState.sentRequests > 0;
         if (isRetry && !this->dependencies.retries.tryRetry(work.pool->id)) {
             throw Error(ResultCode::RetryBudgetExhausted,
--- a/Libraries/LibForward/UpstreamDialer.h
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -46,7 +46,7 @@
 
     /**
      * Places the request, waiting for capacity for at most a fraction of the target latency, and sends it. Throws CallerDisconnected, or Error with
-     * NoCapacity or RetryBudgetExhausted; in both cases this call sent nothing.
+     * NoCapacity, RetryBudgetExhausted or PromptQuarantined; in all cases this call sent nothing.
      */
     UpstreamAttempt open(const AdmittedRequest &work,
                          RetryState &retryState,
@@ -57,6 +57,9 @@
     /** Sends the request to the upstream of an existing placement. Throws Poco::Exception if the connection fails or the deadline has passed. */
     std::unique_ptr<UpstreamCall> sendTo(const AdmittedRequest &work, const PlacedRun &placement, ForwardOptions options, RetryState &retryState) const;
 
+    /** Throws Error(PromptQuarantined) if upstreams crash under requests like this one. */
+    void rejectIfQuarantined(const AdmittedRequest &work) const;
+
     PlacementConstraints placementNeed(const AdmittedRequest &work, const RetryState &retryState) const;
 
 private:
--- a/Libraries/LibGateway/DigestScheduler.cpp
+++ b/Libraries/LibGateway/DigestScheduler.cpp
@@ -35,11 +35,18 @@
     this->hasFreshnessChange = true;
 }
 
+void DigestScheduler::markNotice()
+{
+    this->hasNotice = true;
+}
+
 DueDigests DigestScheduler::takeDue(TimePoint now, std::size_t peers, bool isRelayOrReader)
 {
     DueDigests due;
-    if (isRelayOrReader && (now >= this->freshnessDueAt || (now >= this->freshnessChangeAllowedAt && this->hasFreshnessChange))) {
+    auto hasChange = this->hasNotice || (isRelayOrReader && this->hasFreshnessChange);
+    if ((isRelayOrReader && now >= this->freshnessDueAt) || (now >= this->freshnessChangeAllowedAt && hasChange)) {
         this->hasFreshnessChange = false;
+        this->hasNotice = false;
         due.isFreshnessDue = true;
         this->freshnessDueAt = now + freshnessInterval;
         this->freshnessChangeAllowedAt = now + freshnessChangePause;
@@ -67,6 +74,9 @@
     if (isRelayOrReader) {
         next = std::min(next, this->hasFreshnessChange ? std::min(this->freshnessChangeAllowedAt, this->freshnessDueAt) : this->freshnessDueAt);
     }
+    if (this->hasNotice) {
+        next = std::min(next, this->freshnessChangeAllowedAt);
+    }
     return next;
 }
 
--- a/Libraries/LibGateway/DigestScheduler.h
+++ b/Libraries/LibGateway/DigestScheduler.h
@@ -12,7 +12,7 @@
 {
     /** The complete load of this node. */
     bool isFullStateDue = false;
-    /** The age of its records. Only relays and readers send it (see PeerTable). */
+    /** The age of its records, and notices. Only relays and readers send it regularly (see PeerTable). */
     bool isFreshnessDue = false;
     /** Only the load that changed since the last digest of load. */
     bool isLoadChangeDue = false;
@@ -35,6 +35,9 @@
     /** This node has newer records, or a more recent confirmation that its records are current. */
     void markFreshnessChanged();
 
+    /** This node has evidence about an upstream or a request that its peers need without delay, also if it is neither a relay nor a reader. */
+    void markNotice();
+
     /** Returns the digests that are due to a group of `peers` nodes, and schedules the following ones as if they were sent. */
     DueDigests takeDue(TimePoint now, std::size_t peers, bool isRelayOrReader);
 
@@ -45,6 +48,7 @@
     std::atomic<bool> hasLoadChange = false;
     std::atomic<bool> hasFreshnessChange = false;
     std::atomic<bool> hasNewlyCompleteRecords = false;
+    std::atomic<bool> hasNotice = false;
     /** Earliest time of the next digest of load changes. */
     TimePoint loadChangeAllowedAt;
     /** Earliest time at which a marked freshness change is sent. */
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -27,6 +27,12 @@
 /** Smallest gain in freshness that is announced at once. */
 constexpr Duration minimumFreshnessGain = milliseconds(100);
 
+/** Time for which changed suspicions of prompt parts are part of each digest; long enough to make up for lost datagrams. */
+constexpr Duration suspicionReportingTime = seconds(3);
+
+/** The same for digests of load changes, which are frequent; long enough for the next one. */
+constexpr Duration suspicionReportingTimeWithChanges = milliseconds(300);
+
 std::size_t indexOf(FeedTopic topic)
 {
     return static_cast<std::size_t>(topic);
@@ -60,6 +66,9 @@
     }
     digest.leavingUpstreams = this->dependencies.registry.recentShutdownNotices(maximumLeavingUpstreams);
     digest.rateLimits = this->dependencies.rateLimits.recentChanges(maximumRateLimits);
+    auto suspicionWindow = scope == LoadScope::Changes ? suspicionReportingTimeWithChanges : suspicionReportingTime;
+    // Full states repeat the quarantined parts for nodes that have started since.
+    digest.suspectedParts = this->dependencies.queriesOfDeath.reports(suspicionWindow, scope == LoadScope::Full, maximumSuspectedParts);
     return digest;
 }
 
@@ -223,6 +232,13 @@
             this->scheduler.markFreshnessChanged();
         }
     }
+    for (const auto &report : digest.suspectedParts) {
+        if (this->dependencies.queriesOfDeath.recordPeerReport(report)) {
+            // This node may know of a success that contradicts the suspicion, which the group learns from the next load change.
+            this->scheduler.markLoadChanged();
+            this->scheduler.markFreshnessChanged();
+        }
+    }
     for (const auto &peer : digest.knownPeers) {
         this->dependencies.peers.addKnownHost(peer);
     }
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -6,6 +6,7 @@
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/PeerDigest.h>
 #include <LibGateway/PeerTable.h>
+#include <LibGateway/QueryOfDeathDetector.h>
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
@@ -52,6 +53,7 @@
     const FeedMirror &mirror;
     UpstreamRegistry &registry;
     StatedRateLimits &rateLimits;
+    QueryOfDeathDetector &queriesOfDeath;
     FeedInbox &inbox;
 };
 
@@ -78,11 +80,11 @@
         this->scheduler.markLoadChanged();
     }
 
-    /** A response to this node has shown that an upstream shuts down, or that its rate limit has changed. */
+    /** A response to this node has shown that an upstream shuts down or has crashed, or that its rate limit has changed. */
     void announceUpstreamNotice()
     {
         this->scheduler.markLoadChanged();
-        this->scheduler.markFreshnessChanged();
+        this->scheduler.markNotice();
     }
 
     /** Queues records that this node has read from the store for its peers. */
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -24,8 +24,9 @@
 /** Largest time per token that is sent; longer ones are clamped. */
 constexpr Duration maximumTokenTime = minutes(1);
 
-/** Number of values in a digest, and in those of older versions without rate limits and without leaving upstreams. */
-constexpr std::size_t fieldCount = 13;
+/** Number of values in a digest, and in those of older versions without suspected parts, without rate limits and without leaving upstreams. */
+constexpr std::size_t fieldCount = 14;
+constexpr std::size_t fieldCountWithoutSuspectedParts = 13;
 constexpr std::size_t fieldCountWithoutRateLimits = 12;
 constexpr std::size_t fieldCountWithoutLeavingUpstreams = 11;
 
@@ -47,6 +48,11 @@
 /** Largest age of a response with or without a rate limit that is sent; longer ones are clamped. */
 constexpr Duration maximumRateLimitAge = minutes(1);
 
+/** Limits of a suspected part in a digest: its crashes, of which the newest are sent, their age, and the number of parts before it. */
+constexpr std::size_t maximumReportedCrashes = 6;
+constexpr Duration maximumCrashAge = minutes(60);
+constexpr std::uint32_t maximumPartPosition = 1'000;
+
 constexpr auto maximumScaledRateLimit = static_cast<std::uint64_t>(maximumRateLimit * rateLimitScale);
 
 std::vector<UpstreamLoadReport> selectLargestShares(std::vector<UpstreamLoadReport> shares)
@@ -214,6 +220,57 @@
     return reports;
 }
 
+void writeAge(MessageWriter &writer, Duration age, Duration maximumAge)
+{
+    writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(age, Duration(0), maximumAge) / milliseconds(1)));
+}
+
+Duration readAge(MessageReader &reader, Duration maximumAge)
+{
+    return milliseconds(reader.number(static_cast<std::uint64_t>(maximumAge / milliseconds(1))));
+}
+
+void writeSuspectedParts(MessageWriter &writer, const std::vector<PromptPartReport> &reports)
+{
+    auto count = std::min(reports.size(), maximumSuspectedParts);
+    writer.array(count);
+    for (std::size_t position = 0; position < count; ++position) {
+        const auto &report = reports[position];
+        writer.array(5).number(report.part).number(std::min(report.position, maximumPartPosition)).flag(report.successAge.has_value());
+        writeAge(writer, report.successAge.value_or(Duration(0)), maximumCrashAge);
+        auto crashes = std::min(report.crashes.size(), maximumReportedCrashes);
+        writer.array(crashes);
+        for (std::size_t crash = 0; crash < crashes; ++crash) {
+            writer.array(2).number(report.crashes[crash].process);
+            writeAge(writer, report.crashes[crash].age, maximumCrashAge);
+        }
+    }
+}
+
+std::vector<PromptPartReport> readSuspectedParts(MessageReader &reader)
+{
+    std::vector<PromptPartReport> reports(reader.beginArray(0, maximumSuspectedParts));
+    for (auto &report : reports) {
+        reader.beginArray(5, maximumFields);
+        report.part = reader.number();
+        report.position = static_cast<std::uint32_t>(reader.number(maximumPartPosition));
+        auto hasSucceeded = reader.flag();
+        auto successAge = readAge(reader, maximumCrashAge);
+        report.successAge = hasSucceeded ? std::optional(successAge) : std::nullopt;
+        report.crashes.resize(reader.beginArray(0, maximumReportedCrashes));
+        for (auto &crash : report.crashes) {
+            reader.beginArray(2, maximumFields);
+            crash.process = reader.number();
+            crash.age = readAge(reader, maximumCrashAge);
+            reader.endArray();
+        }
+        reader.endArray();
+        reader.endArray();
+    }
+    reader.endArray();
+    return reports;
+}
+
 }
 
 Duration fullStateInterval(std::size_t peers)
@@ -256,6 +313,7 @@
     writeBatch(writer, digest);
     writeLeavingUpstreams(writer, digest.leavingUpstreams);
     writeRateLimits(writer, digest.rateLimits);
+    writeSuspectedParts(writer, digest.suspectedParts);
     return writer.encoded();
 }
 
@@ -302,9 +360,12 @@
     if (fields >= fieldCountWithoutRateLimits) {
         digest.leavingUpstreams = readLeavingUpstreams(reader);
     }
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutSuspectedParts) {
         digest.rateLimits = readRateLimits(reader);
     }
+    if (fields >= fieldCount) {
+        digest.suspectedParts = readSuspectedParts(reader);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/LoadTracker.h>
+#include <LibGateway/PromptPartReport.h>
 #include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
 
@@ -72,6 +73,8 @@
     std::vector<UpstreamShutdownNotice> leavingUpstreams;
     /** Rate limits of upstreams that were recently new, changed or ended. */
     std::vector<UpstreamRateLimitReport> rateLimits;
+    /** Prompt parts under which upstreams have crashed. */
+    std::vector<PromptPartReport> suspectedParts;
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
@@ -89,6 +92,9 @@
 /** Limit of the rate limits in one digest; beyond it the newest changes are sent. */
 inline constexpr std::size_t maximumRateLimits = 16;
 
+/** Limit of the suspected prompt parts in one digest; beyond it the strongest suspicions are sent. */
+inline constexpr std::size_t maximumSuspectedParts = 8;
+
 /** Interval of the full states that a node sends to each of `peers` nodes. */
 Duration fullStateInterval(std::size_t peers);
 
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -132,6 +132,7 @@
         , upstreamHealth(this->clock)
         , upstreamRefusals(this->clock)
         , statedRateLimits(this->clock)
+        , queryOfDeathDetector(this->clock)
         , rateLimiter(this->clock, this->random)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
@@ -157,6 +158,7 @@
                             this->feedMirror,
                             this->upstreamRegistry,
                             this->statedRateLimits,
+                            this->queryOfDeathDetector,
                             this->drainState },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
@@ -190,6 +192,7 @@
                                 this->upstreamHealth,
                                 this->upstreamRefusals,
                                 this->statedRateLimits,
+                                this->queryOfDeathDetector,
                                 this->retryBudgets,
                                 this->outputLengthPredictor,
                                 dependencies.protocol,
@@ -223,6 +226,7 @@
     UpstreamHealth upstreamHealth;
     UpstreamRefusals upstreamRefusals;
     StatedRateLimits statedRateLimits;
+    QueryOfDeathDetector queryOfDeathDetector;
     UpstreamRateLimiter rateLimiter;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -138,6 +138,7 @@
     UpstreamHealth health { clock };
     UpstreamRefusals refusals { clock };
     StatedRateLimits rateLimits { clock };
+    QueryOfDeathDetector queriesOfDeath { clock };
     UpstreamRateLimiter rateLimiter { clock, random };
     FakeFleet fleet { 1 };
     UpstreamPicker picker { NodeLocation { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random, 0.35 };
@@ -146,8 +147,8 @@
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
-    ForwardDependencies dependencies { clock,    random,     events,  counters,      config,   registry, placer,     tokenTimes, health,
-                                       refusals, rateLimits, retries, outputLengths, protocol, drain,    placements, {} };
+    ForwardDependencies dependencies { clock,    random,     events,         counters, config,        registry, placer, tokenTimes, health,
+                                       refusals, rateLimits, queriesOfDeath, retries,  outputLengths, protocol, drain,  placements, {} };
     std::unique_ptr<GatewayServer> server;
 };
 
--- a/Tests/LibForward/TestQueriesOfDeath.cpp
+++ b/Tests/LibForward/TestQueriesOfDeath.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <LibPolicy/Hashing.h>
+
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -66,8 +68,7 @@
 }
 
 // Guards against a gateway that lets requests with one prompt part crash engine after engine (incident evcilkare-lovageward-inc1, rule BUDGET).
-TEST_CASE("Once several engines have crashed under requests with a prompt part, such requests are refused, and requests that share their other parts aren't",
-          "[.query-of-death]")
+TEST_CASE("Once several engines have crashed under requests with a prompt part, such requests are refused, and requests that share their other parts aren't")
 {
     constexpr std::size_t requestCount = 15;
     for (const auto *path : { "/resumable/verdict", "/long/plan" }) {
@@ -87,3 +88,75 @@
         CHECK(sound.ends_with("0\r\n\r\n"));
     }
 }
+
+TEST_CASE("A repeat of a quarantined request isn't sent, and the caller gets the failure of the first attempt")
+{
+    FragileEngines engines(8);
+    GatewayFixture fixture;
+    engines.addTo(fixture);
+    requestWithParts(fixture, "/resumable/verdict", "d1", "system,deadly,own-1");
+    REQUIRE(engines.crashCount() == 2);
+    std::string response;
+    for (int request = 2; engines.crashCount() < crashesBeforeQuarantine && !response.starts_with("HTTP/1.1 503"); ++request) {
+        response = requestWithParts(fixture, "/resumable/verdict", fmt::format("d{}", request), fmt::format("system,deadly,own-{}", request));
+    }
+    // The third crash was under the first attempt of the second request, whose run may have had effects.
+    CHECK(engines.crashCount() == 3);
+}
+
+// Guards against a copy of a run that takes the next engine down although its prompt is known to crash engines.
+TEST_CASE("An interrupted run whose prompt is quarantined isn't continued at its backup")
+{
+    Gate crash;
+    ScriptedUpstream engine([&](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(0);
+        crash.await();
+        connection.reset();
+    });
+    ScriptedUpstream standby([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(1);
+        connection.endStream();
+    });
+    GatewayFixture fixture;
+    fixture.add("e1", engine);
+    fixture.health.recordFailure(UpstreamId("e2"), 1);
+    fixture.add("e2", standby);
+    RawCaller caller(fixture);
+    caller.request("/long/plan", "r1", "Parts: system,deadly,own\r\n");
+    caller.readUntil("data: e0\n\n");
+    REQUIRE(ScriptedConnection::field(engine.requests().front(), "Backup") == standby.address());
+    PromptPartReport report;
+    report.part = hashText("deadly");
+    report.crashes = { { 1, seconds(3) }, { 2, seconds(2) }, { 3, seconds(1) } };
+    REQUIRE(fixture.queriesOfDeath.recordPeerReport(report));
+    crash.open();
+    CHECK_FALSE(caller.readAll().ends_with("0\r\n\r\n"));
+    CHECK(standby.requests().empty());
+}
+
+TEST_CASE("Streams that leaving upstreams cut at their end don't count as crashes")
+{
+    std::vector<std::unique_ptr<ScriptedUpstream>> engines;
+    GatewayFixture fixture;
+    for (int engine = 0; engine < 4; ++engine) {
+        Gate drained;
+        ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string &request) {
+            connection.beginStream(request);
+            connection.sendEvent(0);
+            drained.await();
+            connection.pause(prefillTime);
+            connection.reset();
+        });
+        auto id = fmt::format("e{}", engine);
+        fixture.add(id, upstream);
+        RawCaller caller(fixture);
+        caller.request("/long/plan", fmt::format("r{}", engine), "Parts: system,story,own\r\nConnection: close\r\n");
+        caller.readUntil("data: e0\n\n");
+        fixture.add(id, upstream, "engines", true);
+        drained.open();
+        caller.readAll();
+    }
+    CHECK_FALSE(fixture.queriesOfDeath.findQuarantine(std::vector<PromptPart> { { "story", TokenCount(1) }, { "system", TokenCount(1) } }));
+}
--- a/Tests/LibForward/TestStreamTiming.cpp
+++ b/Tests/LibForward/TestStreamTiming.cpp
@@ -5,7 +5,7 @@
 
 using namespace Lovageward;
 
-TEST_CASE("StreamTiming measures the time to the first event, the longest pause and its position")
+TEST_CASE("StreamTiming measures the time to the first event, the longest pause and its position, and the time since the first event")
 {
     ManualClock clock;
     auto arrivedAt = clock.now();
@@ -22,4 +22,5 @@
     CHECK(timing.timeToFirstEvent() == milliseconds(900));
     CHECK(timing.longestPause() == milliseconds(250));
     CHECK(timing.eventAfterLongestPause() == 3);
+    CHECK(timing.timeSinceFirstEvent() == milliseconds(300));
 }
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -21,8 +21,11 @@
     , loads(fleet.clock)
     , tokenTimes(fleet.clock)
     , rateLimits(fleet.clock)
+    , queriesOfDeath(fleet.clock)
     , peers(fleet.clock, this->random, self, 8)
-    , agent({ fleet.clock, this->loads, this->tokenTimes, this->peers, this->mirror, this->registry, this->rateLimits, *this }, self.host, self.failureDomain)
+    , agent({ fleet.clock, this->loads, this->tokenTimes, this->peers, this->mirror, this->registry, this->rateLimits, this->queriesOfDeath, *this },
+            self.host,
+            self.failureDomain)
     , operators(fleet.clock,
                 fleet.events,
                 fleet.feeds[0],
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -74,6 +74,7 @@
         LoadTracker loads;
         TokenTimeTracker tokenTimes;
         StatedRateLimits rateLimits;
+        QueryOfDeathDetector queriesOfDeath;
         PeerTable peers;
         PeerAgent agent;
         FeedFollower operators;
