--- a/Tests/platform/TestPlatformDecoder.cpp
+++ b/Tests/platform/TestPlatformDecoder.cpp
@@ -2,6 +2,9 @@
 #include <platform/PlatformDecoder.h>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
 
 using namespace Lovageward;
 
@@ -108,3 +111,89 @@
         CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "i-1", value), Error);
     }
 }
+
+namespace {
+
+std::string repeat(std::string_view text, std::size_t count)
+{
+    std::string repeated;
+    repeated.reserve(text.size() * count);
+    for (std::size_t copy = 0; copy < count; ++copy) {
+        repeated += text;
+    }
+    return repeated;
+}
+
+/** An upstream's entry with an additional or replaced field. */
+std::string entryWith(const std::string &name, const std::string &value)
+{
+    std::map<std::string, std::string> fields { { "service", R"("a")" }, { "address", R"("10.0.0.1:80")" }, { "zone", R"("z")" },
+                                                { "slots", "4" },        { "state", R"("ready")" },         { "born", "1767800328036" } };
+    fields[name] = value;
+    std::string entry;
+    for (const auto &[field, content] : fields) {
+        entry += fmt::format("{}\"{}\":{}", entry.empty() ? "{" : ",", field, content);
+    }
+    return entry + "}";
+}
+
+}
+
+// Guards against entries of another writer that end the process or keep the follower from reading on (issue 32, more reports).
+TEST_CASE("Entries that are nested very deeply, with numbers out of range or with an unusable address are rejected like other malformed ones")
+{
+    std::vector<std::string> values;
+    for (std::size_t depth : std::vector<std::size_t> { 1'000, 100'000, 1'000'000 }) {
+        values.push_back(repeat("[", depth));
+        values.push_back(repeat(R"({"a":)", depth));
+        values.push_back(entryWith("extra", repeat("[", depth) + repeat("]", depth)));
+        values.push_back(entryWith("slots", repeat(R"({"a":)", depth) + "1" + repeat("}", depth)));
+    }
+    for (const auto *number : { "1e400", "-1e400", "1e30", "99999999999999999999999999", "-5", "4294967296", "18446744073709551616", "4.5" }) {
+        values.push_back(entryWith("slots", number));
+    }
+    for (const auto *number : { "1e400", "-1e400", "1e300", "-1e300", "99999999999999999999999999" }) {
+        values.push_back(entryWith("coldLeftMs", number));
+    }
+    for (const auto *address : { "10.0.0.1:99999",
+                                 "10.0.0.1:65536",
+                                 "10.0.0.1:0",
+                                 "10.0.0.1:-1",
+                                 "10.0.0.1:",
+                                 "10.0.0.1",
+                                 "",
+                                 ":80",
+                                 "10.0.0.1:80x",
+                                 "host.example:80",
+                                 "10.0.0.1:http",
+                                 "10.0.0.256:80",
+                                 "10.0.0.1:80:80",
+                                 "10.0.0.1:99999999999999999999" }) {
+        values.push_back(entryWith("address", fmt::format("\"{}\"", address)));
+    }
+    for (const auto &value : values) {
+        CAPTURE(value.substr(0, 200), value.size());
+        CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "i-1", value), Error);
+    }
+    CHECK_NOTHROW(decode(FeedTopic::Upstreams, "i-1", entryWith("coldLeftMs", "0.5")));
+    CHECK_NOTHROW(decode(FeedTopic::Upstreams, "i-1", entryWith("address", R"("[fd00::1]:8080")")));
+    CHECK_NOTHROW(decode(FeedTopic::Upstreams, "i-1", entryWith("address", R"("10.0.0.1:65535")")));
+    CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "", entryWith("slots", "4")), Error);
+}
+
+TEST_CASE("Operators' records that are nested very deeply or with numbers out of range are rejected like other malformed ones")
+{
+    for (const auto &value : std::vector<std::string> {
+             repeat("[", 1'000'000),
+             R"({"version":)" + repeat("[", 1'000'000),
+             std::string(R"({"version":1e400,"routes":[]})"),
+             std::string(R"({"version":-1,"routes":[]})"),
+             std::string(R"({"version":99999999999999999999999,"routes":[]})"),
+             std::string(R"({"version":1,"routes":[7]})"),
+             std::string(R"({"version":1,"routes":[null]})"),
+             std::string(R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"idempotent","service":"a","timeoutMs":1e300}]})"),
+             std::string(R"({"version":1,"routes":[],"tenants":[{"name":"t","apiKeys":[7]}]})") }) {
+        CAPTURE(value.substr(0, 200));
+        CHECK_THROWS_AS(decode(FeedTopic::Operators, "config", value), Error);
+    }
+}
