platform: Read on after a record without a valid key

A record whose key is longer than the record failed the whole page, and since the log keeps it, each later read failed at it as well, until the record was compacted.

The test of malformed responses had this case as a row and demanded an error of the whole read, which was the fault itself; the new test is as strict: the two malformed records have no key, the decoder rejects them for both topics, and the record after them is returned.

--- a/Tests/platform/TestPlatformStore.cpp
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Error.h>
 #include <LibCore/SystemClock.h>
+#include <platform/PlatformDecoder.h>
 #include <platform/PlatformStore.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -165,10 +166,7 @@
 
 TEST_CASE("A truncated or malformed response of the store is an error and not an empty page")
 {
-    const std::vector<std::string> bodies = { "",
-                                              "short",
-                                              encodeBigEndian(9, 8) + encodeBigEndian(0, 8) + encodeBigEndian(100, 4) + "x",
-                                              encodeBigEndian(9, 8) + encodeBigEndian(0, 8) + encodeBigEndian(2, 4) + "\x05x" };
+    const std::vector<std::string> bodies = { "", "short", encodeBigEndian(9, 8) + encodeBigEndian(0, 8) + encodeBigEndian(100, 4) + "x" };
     for (const auto &body : bodies) {
         StoreStandIn standIn([&](const std::string & /*target*/) { return StoreStandIn::Reply { 200, body }; });
         SystemClock clock;
@@ -177,6 +175,27 @@
     }
 }
 
+// Guards against a record of another writer that keeps all nodes from reading the records after it.
+TEST_CASE("A record without a valid key is returned without a key, which the decoder rejects, and doesn't hide the records after it")
+{
+    StoreStandIn standIn([](const std::string & /*target*/) {
+        auto malformed = encodeBigEndian(2, 4) + "\x05x" + encodeBigEndian(0, 4);
+        return StoreStandIn::Reply { 200, encodeBigEndian(9, 8) + encodeBigEndian(0, 8) + malformed + encodeRecord("i-1", "{}") };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto page = store.readFrom(FeedTopic::Upstreams, 4, Duration(0), clock.now() + callTimeout);
+    REQUIRE(page.records.size() == 3);
+    CHECK(page.records[0].key.empty());
+    CHECK(page.records[1].key.empty());
+    CHECK(page.records[2].key == "i-1");
+    CHECK(page.nextOffset == 7);
+    for (auto topic : { FeedTopic::Operators, FeedTopic::Upstreams }) {
+        CHECK_THROWS_AS(PlatformDecoder().decode(topic, page.records[0], clock.now()), Error);
+        CHECK_THROWS_AS(PlatformDecoder().decode(topic, page.records[1], clock.now()), Error);
+    }
+}
+
 TEST_CASE("The newest records are returned in pages, each with the end offset of the log")
 {
     StoreStandIn standIn([](const std::string &target) {
