LibGateway: Ignore a record for which the decoder throws any exception

The follower ignored records for which the decoder throws Error, and any other exception ended its step: the record stood in the mirror already, but the records after it in the same page were lost until the next listing. With a decoder that throws std::invalid_argument the new test failed (step() threw, version 3 of the configuration wasn't applied) and passes now.

--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -280,7 +280,7 @@
         if (change) {
             this->applyChange(*change, record);
         }
-    } catch (const Error &error) {
+    } catch (const std::exception &error) {
         this->events.write("record_ignored", { { "topic", topicName(this->topic) }, { "key", record.key }, { "reason", error.what() } });
         if (this->topic == FeedTopic::Upstreams) {
             // The current state of the upstream is unknown, so it isn't used.
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -279,6 +279,20 @@
     CHECK(fixture.registry.isUsable(UpstreamId("e3")));
 }
 
+// Guards against a record that ends each step of the follower with an exception, so that it never reads the records after it.
+TEST_CASE("A record for which the decoder throws any exception is ignored, and the records after it apply")
+{
+    FollowerFixture fixture(FeedTopic::Operators);
+    fixture.feed.write("config", "1");
+    fixture.follower.step();
+    fixture.feed.write("config", "no number");
+    fixture.feed.write("config", "99999999999999999999999");
+    fixture.feed.write("config", "3");
+    REQUIRE_NOTHROW(fixture.follower.step());
+    REQUIRE(fixture.config.current());
+    CHECK(fixture.config.current()->version() == ConfigVersion(3));
+}
+
 TEST_CASE("A node that isn't a reader doesn't call the store while a reader reports fresh records")
 {
     FollowerFixture fixture(FeedTopic::Operators);
