LibForward: Don't end a stream as complete if its continuation breaks off before an event

Fifteen such answers were tried at the socket. Error texts and heads never reached the stream. One answer ended it like a complete one: status 200 with the stamp, neither a length nor chunks, and closed before an event. The check for an event counted those of the interrupted run.

Change: a call whose end is only known by the end of its connection completes the stream only if it has sent an event itself. The test "A broken stream is truncated if the upstream that should continue it answers with an error or with nothing" failed in that case (received ended with the last chunk) and passes. A stream without length and chunks that ends between events is complete, one that ends inside an event is not; that held before and has a test now.

Also tested, and can't happen on the gateway: an earlier refusal of another request at the place of the response is never taken for one of this request (a connection of its own for each attempt, and the echoed id is checked).

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -268,9 +268,18 @@
     }
 }
 
+bool StreamRelay::isStreamComplete() const
+{
+    if (this->call->state() != UpstreamCall::State::Complete || !this->events.isBetweenEvents() || this->timing.eventCount() == 0) {
+        return false;
+    }
+    // A response without length and chunks that ends before its first event may have been broken off.
+    return !this->call->hasConnectionEnded() || this->timing.eventCount() > this->eventsBeforeCall;
+}
+
 StreamRelay::StepResult StreamRelay::handleCallEnd()
 {
-    if (this->call->state() == UpstreamCall::State::Complete && this->events.isBetweenEvents() && this->timing.eventCount() > 0) {
+    if (this->isStreamComplete()) {
         this->dependencies.health.recordSuccess(this->placement.upstream.id);
         this->outcomes.recordSuccess(this->work.request);
         this->recordOutputLength();
@@ -360,6 +369,7 @@
     this->placement = std::move(newPlacement);
     this->call = std::move(newCall);
     this->hasProcessedHead = false;
+    this->eventsBeforeCall = this->timing.eventCount();
     this->backupTakeoverAttempts = 0;
     this->nextTakeoverAt = TimePoint();
     this->leavingSince.reset();
@@ -385,6 +395,7 @@
         return false;
     }
     this->hasProcessedHead = false;
+    this->eventsBeforeCall = this->timing.eventCount();
     this->tokenTimeSampler.emplace(this->dependencies.clock, this->dependencies.tokenTimes, this->placement.upstream.id);
     this->events.discardPartialEvent();
     this->lastEventAt = this->dependencies.clock.now();
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -41,6 +41,8 @@
     StepResult forwardEvents();
     StepResult handleErrorResponse();
     StepResult handleCallEnd();
+    /** Whether the call has ended, and the stream with it. */
+    bool isStreamComplete() const;
     /** Handles an interrupted call: continues the run from its backup copy or by resuming it, if that is possible. */
     StepResult recover(const std::string &reason);
     bool continueFromBackup();
@@ -99,6 +101,8 @@
     bool hasProcessedHead = false;
     /** The response head was sent to the caller. */
     bool hasSentHead = false;
+    /** Events that were sent to the caller before the current call. */
+    std::uint64_t eventsBeforeCall = 0;
     StreamTiming timing;
     /** The run has produced output for long enough to count as a success of its prompt. */
     bool hasProvenSound = false;
--- a/Tests/LibForward/TestStreamForwarding.cpp
+++ b/Tests/LibForward/TestStreamForwarding.cpp
@@ -370,3 +370,61 @@
     CHECK(all.find("failure") == std::string::npos);
     CHECK_FALSE(all.ends_with("0\r\n\r\n"));
 }
+
+// Guards against an error response, or its text, in the middle of a stream, and against a stream that such a response ends like a complete one.
+TEST_CASE("A broken stream is truncated if the upstream that should continue it answers with an error or with nothing")
+{
+    const std::vector<std::string> responses = {
+        "HTTP/1.1 500 Error\r\nId: r1\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 500 Error\r\nId: r1\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n",
+        "HTTP/1.1 500 Error\r\nId: r1\r\nMark: m\r\n\r\noops",
+        "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 500 Error\r\nId: r1\r\nMark: m\r\nContent-Type: text/event-stream\r\nContent-Length: 18\r\n\r\nid: 1\ndata: oops\n\n",
+        "HTTP/1.1 503 Busy\r\nId: r1\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 404 None\r\nId: r1\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 302 Found\r\nId: r1\r\nMark: m\r\nLocation: /oops\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 204 None\r\nId: r1\r\nMark: m\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n\r\n",
+        "oops\r\n\r\n",
+        "",
+    };
+    for (const auto &response : responses) {
+        CAPTURE(response);
+        ScriptedUpstream broken([](ScriptedConnection &connection, const std::string &request) {
+            connection.beginStream(request);
+            connection.sendEvent(0);
+            connection.reset();
+        });
+        ScriptedUpstream failing([&](ScriptedConnection &connection, const std::string & /*request*/) { connection.send(response); });
+        GatewayFixture fixture;
+        fixture.add("e1", broken);
+        fixture.health.recordFailure(UpstreamId("e2"), 1);
+        fixture.add("e2", failing);
+        RawCaller caller(fixture);
+        caller.request("/resumable/plan", "r1");
+        auto received = caller.readAll();
+        CHECK(failing.requests().size() == 1);
+        CHECK(received.find("data: e0\n\n") != std::string::npos);
+        CHECK(received.find("oops") == std::string::npos);
+        CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+    }
+}
+
+TEST_CASE("A stream without length and chunks is complete if it ends between two events, and broken off if it ends inside one")
+{
+    for (const auto *tail : { "", "id: 1\ndata: e", "id: 1\ndata: e1\n" }) {
+        CAPTURE(tail);
+        ScriptedUpstream engine([&](ScriptedConnection &connection, const std::string & /*request*/) {
+            connection.send(fmt::format("HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: e0\n\n{}", tail));
+        });
+        GatewayFixture fixture;
+        fixture.add("e1", engine);
+        RawCaller caller(fixture);
+        caller.request("/long/plan", "r1", "Connection: close\r\n");
+        CHECK(caller.readAll().ends_with("0\r\n\r\n") == std::string(tail).empty());
+    }
+}
--- a/Tests/LibForward/TestUnaryForwarding.cpp
+++ b/Tests/LibForward/TestUnaryForwarding.cpp
@@ -103,6 +103,33 @@
     }
 }
 
+// Guards against an earlier refusal, repeated by a faulty upstream, that is taken for the refusal of a request that the upstream is running.
+TEST_CASE("A refusal of another request proves nothing about this one: an at-most-once request isn't sent again and its run state is unknown")
+{
+    for (const auto *path : { "/once/book", "/long/plan" }) {
+        for (const auto *status : { "503 Busy", "429 Busy", "421 Other" }) {
+            CAPTURE(path, status);
+            ScriptedUpstream faulty([&](ScriptedConnection &connection, const std::string &request) {
+                connection.send(fmt::format("HTTP/1.1 {}\r\nId: r0\r\nNot-Run: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", status));
+                connection.respond(200, request, "id: 0\ndata: e0\n\n");
+            });
+            ScriptedUpstream other([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done"); });
+            GatewayFixture fixture;
+            const auto *pool = std::string(path) == "/once/book" ? "services" : "engines";
+            fixture.add("faulty", faulty, pool);
+            fixture.health.recordFailure(UpstreamId("other"), 1);
+            fixture.add("other", other, pool);
+            RawCaller caller(fixture);
+            caller.request(path, "r1");
+            auto response = caller.readUntil("run_state");
+            CHECK(response.starts_with("HTTP/1.1 502"));
+            CHECK(response.find("not_run") == std::string::npos);
+            CHECK(faulty.requests().size() == 1);
+            CHECK(other.requests().empty());
+        }
+    }
+}
+
 TEST_CASE("Bytes after a complete response are discarded, and a response without length ends when the connection is closed")
 {
     ScriptedUpstream extra([](ScriptedConnection &connection, const std::string &request) {
