LibForward: Serve the first request of a connection that is accepted during a planned stop

A new connection now waits up to 500 ms for its first request, whatever that signal says, and the stop waits for such connections before it ends the process (GatewayServer::hasUnfinishedWork), so that none is cut between its accept and its first request.

Connections that still wait in the kernel's queue when the process ends are reset, as before.

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -8,6 +8,7 @@
 
 #include <fcntl.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Lovageward {
 
@@ -19,6 +20,9 @@
 /** Callers reuse a connection until four fifths of the idle timeout; the grace period covers a request that is in flight at that moment. */
 constexpr Duration idleGracePeriod = milliseconds(500);
 
+/** Time for which a new connection stays open for its first request when idle ones are closed. The caller sends it right after the handshake. */
+constexpr Duration firstRequestTime = milliseconds(500);
+
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string formatResponseHead(int status, const std::string &reason, const HeaderFields &fields)
@@ -83,7 +87,8 @@
 
 std::optional<ReceivedRequest> CallerChannel::readRequest()
 {
-    if (this->channel.buffer().empty() && !this->awaitNextRequest()) {
+    auto isFirst = !std::exchange(this->hasReceivedRequest, true);
+    if (this->channel.buffer().empty() && !(isFirst && this->awaitFirstRequest()) && !this->awaitNextRequest()) {
         return std::nullopt;
     }
     auto limits = this->limits();
@@ -165,6 +170,14 @@
     return idleSince + this->limits().idleTimeout + idleGracePeriod;
 }
 
+bool CallerChannel::awaitFirstRequest()
+{
+    DescriptorPoller poller;
+    poller.add(this->channel.descriptor());
+    auto deadline = this->clock.now() + firstRequestTime;
+    return poller.wait(this->clock, deadline) && this->receiveMore(deadline);
+}
+
 bool CallerChannel::awaitNextRequest()
 {
     auto idleSince = this->clock.now();
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -93,6 +93,8 @@
 
 private:
     bool awaitNextRequest();
+    /** Waits for the first request of a new connection. Returns false if none arrives in time, or the caller disconnected. */
+    bool awaitFirstRequest();
     TimePoint idleDeadline(TimePoint idleSince) const;
     CallerLimits limits() const;
     /** Waits for more bytes. Returns false if the caller disconnected. Throws Error(RequestTooSlow) at the deadline. */
@@ -104,6 +106,7 @@
     const DrainState &drain;
     SocketChannel channel;
     bool hasClosed = false;
+    bool hasReceivedRequest = false;
     /** True between beginStream() and endStream(). */
     bool isStreaming = false;
 };
--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -8,6 +8,8 @@
 #include <Poco/String.h>
 #include <fmt/format.h>
 
+#include <memory>
+
 namespace Lovageward {
 
 namespace {
@@ -52,6 +54,27 @@
     return now + timeToFirstToken + std::chrono::duration_cast<Duration>(timePerToken * work.footprint.expectedOutputTokens);
 }
 
+/** Increments a counter for its lifetime. */
+class CountedScope
+{
+public:
+    explicit CountedScope(std::atomic<std::size_t> &counter) : counter(counter)
+    {
+        ++this->counter;
+    }
+
+    ~CountedScope()
+    {
+        --this->counter;
+    }
+
+    CountedScope(const CountedScope &) = delete;
+    CountedScope &operator=(const CountedScope &) = delete;
+
+private:
+    std::atomic<std::size_t> &counter;
+};
+
 bool requestsKeepAlive(const Poco::Net::HTTPRequest &head)
 {
     if (head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0) {
@@ -70,18 +93,13 @@
 {
     const auto &dependencies = this->context.dependencies;
     CallerChannel caller(dependencies.clock, dependencies.config, dependencies.drain, this->socket());
+    auto newConnection = std::make_unique<CountedScope>(this->context.newConnections);
     try {
         while (auto received = caller.readRequest()) {
-            ++this->context.activeRequests;
-            bool isKeepAlive = false;
-            try {
-                isKeepAlive = this->handleRequest(*received, caller);
-            } catch (...) {
-                --this->context.activeRequests;
-                throw;
-            }
-            --this->context.activeRequests;
-            if (!isKeepAlive) {
+            // Counted before the connection stops counting as new, so that a shutdown always sees one of both.
+            CountedScope activeRequest(this->context.activeRequests);
+            newConnection.reset();
+            if (!this->handleRequest(*received, caller)) {
                 break;
             }
         }
--- a/Libraries/LibForward/GatewayConnection.h
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -34,6 +34,8 @@
     LatencyHistogram unaryDurations;
     LatencyHistogram streamDurations;
     std::atomic<std::size_t> activeRequests = 0;
+    /** Connections that have sent no complete request yet. */
+    std::atomic<std::size_t> newConnections = 0;
 };
 
 /** Serves the requests of one caller's connection on one thread until it is closed. */
--- a/Libraries/LibForward/GatewayServer.h
+++ b/Libraries/LibForward/GatewayServer.h
@@ -35,6 +35,12 @@
         return this->context.activeRequests;
     }
 
+    /** True while requests are being served, or accepted connections may still send their first request. */
+    bool hasUnfinishedWork() const
+    {
+        return this->context.activeRequests > 0 || this->context.newConnections > 0;
+    }
+
     /** Stops accepting connections. Open ones stay. */
     void stopAccepting();
 
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -286,7 +286,7 @@
             state.drainState.closeIdleConnections();
             hasClosedIdle = true;
         }
-        if (isPastIdleDeadline && state.server.activeRequests() == 0) {
+        if (isPastIdleDeadline && !state.server.hasUnfinishedWork()) {
             break;
         }
         std::this_thread::sleep_for(drainCheckInterval);
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -187,6 +187,12 @@
         return this->received;
     }
 
+    /** Whether bytes or the end of the connection arrive within the time. */
+    bool isReadableWithin(const Poco::Timespan &time)
+    {
+        return this->socket.poll(time, Poco::Net::Socket::SELECT_READ);
+    }
+
     void close()
     {
         this->socket.close();
--- a/Tests/LibForward/TestUnaryForwarding.cpp
+++ b/Tests/LibForward/TestUnaryForwarding.cpp
@@ -293,6 +293,28 @@
     CHECK(engine.requests().size() == 1);
 }
 
+// Guards against a connection that is accepted during a planned stop and closed without a response, because its request comes a moment later.
+TEST_CASE("A connection accepted after idle ones were closed still gets a response to its first request, and is closed if none comes")
+{
+    constexpr int pauseMicroseconds = 100'000;
+    ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done"); });
+    GatewayFixture fixture;
+    fixture.add("s1", upstream, "services");
+    fixture.drain.begin(fixture.clock.now() + seconds(10));
+    RawCaller earlier(fixture);
+    earlier.request("/once/book", "r1");
+    CHECK(earlier.readUntil("done").find("Connection: close") != std::string::npos);
+    fixture.drain.closeIdleConnections();
+    RawCaller caller(fixture);
+    CHECK_FALSE(caller.isReadableWithin(Poco::Timespan(pauseMicroseconds)));
+    CHECK(fixture.server->hasUnfinishedWork());
+    caller.request("/once/book", "r2");
+    CHECK(caller.readAll().starts_with("HTTP/1.1 200"));
+    RawCaller silent(fixture);
+    CHECK(silent.readAll().empty());
+    CHECK_FALSE(fixture.server->hasUnfinishedWork());
+}
+
 // Guards against a lost response: a unary request that was accepted 7.1 s after SIGTERM was aborted when the process exited.
 TEST_CASE("A draining node rejects a unary request that could not complete before the shutdown")
 {
