--- a/Tests/LibGateway/TestQueryOfDeathDetector.cpp
+++ b/Tests/LibGateway/TestQueryOfDeathDetector.cpp
@@ -211,14 +211,17 @@
 // Guards against deadly requests that come at all nodes, each of which sees only some of the crashes.
 TEST_CASE("All nodes of a fleet refuse deadly requests soon after the fifth crash, and only these")
 {
-    for (auto [nodes, domains] : { std::pair(std::size_t(9), std::size_t(3)), std::pair(std::size_t(100), std::size_t(6)) }) {
+    for (auto [nodes, domains] :
+         { std::pair(std::size_t(9), std::size_t(3)), std::pair(std::size_t(100), std::size_t(6)), std::pair(std::size_t(340), std::size_t(6)) }) {
         CAPTURE(nodes);
         constexpr Duration requestInterval = milliseconds(100);
-        constexpr std::size_t requestCount = 100;
+        constexpr std::size_t requestCount = 60;
         SimulatedFleet fleet(nodes, domains, 0.01);
         SeededRandom random(5);
-        auto anyNode
-            = [&]() -> SimulatedFleet::Node & { return fleet.at(std::min(nodes - 1, static_cast<std::size_t>(random.unit() * static_cast<double>(nodes)))); };
+        auto anyNode = [&]() -> SimulatedFleet::Node & {
+            auto position = static_cast<std::size_t>(random.unit() * static_cast<double>(fleet.size()));
+            return fleet.at(std::min(fleet.size() - 1, position));
+        };
         auto recordCrash = [](SimulatedFleet::Node &node, const UpstreamRecord &process, std::initializer_list<std::string> parts) {
             if (node.queriesOfDeath.recordCrash(process, makeParts(parts))) {
                 node.agent.announceUpstreamNotice();
