LibGateway: Defer removals only after an outage that a failed read has shown

Cause: FeedFollower took the silence of the readers for an outage of the store and deferred removals after its own first read, although the store was available all the while. Log of a node that wasn't killed: store_lost "no reader reports fresh records" 1.19 s after the kill, store_regained after 40 ms without a failed read between them, upstream_removed "doubtful":true.

Change: StoreOutageTracker decides by evidence. An outage is a period without an answer to any node in which a read of this node has failed, or one that a peer reports and no answer known here contradicts. Silence only makes a node read the store. Nodes report their outages in their digests, so that nodes whose own read was never due still defer removals after a real one. A reader that only the store's refusal to itself kept away no longer defers either. New events readers_silent and store_outage tell the two facts apart.

Tests, failed before: "After the loss of both readers no node uses an upstream whose entry is removed while the store answers" (4, 9 and 100 nodes: all remaining nodes used it) and "After the readers fell silent, a removal takes effect at once if no read of the store has failed" (both variants). "Registrations that expired during an outage are kept at nodes that follow the readers" demanded the fault: it had silent peers and a removal, but no outage. It now contains the reader's report of the outage, with the same silences and checks, and a second test demands the deferral after the node's own failed read.

Conclusion: the lack of a report isn't a report.

--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -59,6 +59,20 @@
     return follower == nullptr ? TimePoint() : follower->lastReadAt();
 }
 
+std::optional<StoreOutageReport> DigestTransport::recentOutage(FeedTopic topic) const
+{
+    const auto *follower = this->followers[static_cast<std::size_t>(topic)].load();
+    return follower == nullptr ? std::nullopt : follower->recentOutage();
+}
+
+void DigestTransport::recordPeerOutage(FeedTopic topic, const StoreOutageReport &report)
+{
+    auto *follower = this->followers[static_cast<std::size_t>(topic)].load();
+    if (follower != nullptr) {
+        follower->recordPeerOutage(report);
+    }
+}
+
 void DigestTransport::receive(FeedBatch batch)
 {
     auto topic = batch.topic;
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -67,6 +67,8 @@
 
 private:
     TimePoint lastReadAt(FeedTopic topic) const override;
+    std::optional<StoreOutageReport> recentOutage(FeedTopic topic) const override;
+    void recordPeerOutage(FeedTopic topic, const StoreOutageReport &report) override;
     void receive(FeedBatch batch) override;
     void onNewerRecordsAvailable(FeedTopic topic) override;
 
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/FeedFollower.h>
 
 #include <LibCore/Error.h>
+#include <LibGateway/PeerTable.h>
 
 #include <algorithm>
 
@@ -23,12 +24,6 @@
 /** Interval at which a node that follows the readers checks their reports. */
 constexpr Duration peerCheckInterval = milliseconds(400);
 
-/** Outage after which registrations of live upstreams may have expired in the store. */
-constexpr Duration minimumOutage = seconds(1);
-
-/** Time for which removals are deferred after an outage. Live upstreams whose registrations expired register again within 2 s. */
-constexpr Duration removalGrace = milliseconds(2300);
-
 /** Interval at which a starting node checks whether a peer has listed the topic. */
 constexpr Duration listingCheckInterval = milliseconds(50);
 
@@ -56,7 +51,7 @@
                            FeedTargets targets,
                            FeedTopic topic,
                            FeedPollTiming pollTiming)
-    : clock(clock), events(events), feed(feed), decoder(decoder), peers(peers), targets(targets), topic(topic), pollTiming(pollTiming)
+    : clock(clock), events(events), feed(feed), decoder(decoder), peers(peers), targets(targets), topic(topic), pollTiming(pollTiming), storeOutages(clock)
 {
 }
 
@@ -80,15 +75,13 @@
         std::lock_guard<std::mutex> guard(this->receivedMutex);
         batches.swap(this->receivedBatches);
     }
-    if (!batches.empty() && this->hasNoFreshSource) {
-        // A reader can read the store again, even if its digest hasn't arrived yet.
-        this->markStoreRegained();
-    }
     std::sort(batches.begin(), batches.end(), [](const auto &left, const auto &right) { return left.firstOffset < right.firstOffset; });
     for (const auto &batch : batches) {
         auto knownOffset = this->targets.mirror.nextOffset(this->topic);
         // A batch after a gap is dropped: only a pull brings the missing records.
         if (this->isListed && batch.firstOffset <= knownOffset && knownOffset < batch.page.nextOffset) {
+            // Nodes send new records as soon as the store has answered.
+            this->recordAnswer(this->clock.now() - hopAgeAllowance);
             this->applyPage(batch.page);
             this->events.write("peer_records",
                                { { "topic", topicName(this->topic) }, { "records", batch.page.records.size() }, { "offset", batch.page.nextOffset } });
@@ -122,7 +115,9 @@
 
 TimePoint FeedFollower::step()
 {
+    this->recordPeerAnswers();
     this->applyReceivedBatches();
+    auto startedAt = this->clock.now();
     try {
         if (!this->isListed) {
             if (!this->mustRelist && this->shouldWaitForPeers()) {
@@ -145,9 +140,10 @@
             this->mustRelist = true;
             return this->clock.now();
         }
-        this->markStoreLost(error.what());
-        this->hasNoFreshSource = this->hasNoFreshSource || this->peers.freshUntil(this->topic) <= this->clock.now();
+        this->recordFailedRead(startedAt, error.what());
     }
+    // Peers may have been answered while the read of this node was pending.
+    this->recordPeerAnswers();
     this->pullFromPeers();
     if (!this->peers.isReader(this->topic)) {
         // The readers retry at the usual pace. The other nodes retry less often, in case all readers are cut off from the store.
@@ -201,8 +197,7 @@
 {
     auto page = this->fetchListing();
     // Ends an outage before removals are applied, so that they are deferred.
-    this->markStoreRegained();
-    this->lastReadTime = this->clock.now().time_since_epoch().count();
+    this->recordSuccessfulRead();
     this->applyRecords(page.records);
     this->removeUnlisted(page);
     this->nextOffset = page.nextOffset;
@@ -215,8 +210,7 @@
 {
     auto firstOffset = this->nextOffset;
     auto page = this->feed.readFrom(this->topic, firstOffset, this->pollTiming.maximumWait, this->clock.now() + this->pollTiming.maximumWait + readTimeout);
-    this->markStoreRegained();
-    this->lastReadTime = this->clock.now().time_since_epoch().count();
+    this->recordSuccessfulRead();
     auto hasNewRecords = page.nextOffset > this->targets.mirror.nextOffset(this->topic);
     this->applyPage(page);
     if (hasNewRecords && !page.records.empty()) {
@@ -232,15 +226,17 @@
     auto now = this->clock.now();
     auto freshUntil = this->peers.freshUntil(this->topic);
     if (freshUntil <= now) {
-        this->markStoreLost("no reader reports fresh records");
-        this->hasNoFreshSource = true;
+        // The readers may be lost or cut off from the store: only a read of this node's own shows whether the store is available.
         if (!this->fallbackReadAt) {
             this->fallbackReadAt = now + this->peers.drawStoreCallJitter();
+            this->events.write(
+                "readers_silent",
+                { { "topic", topicName(this->topic) }, { "read_in_ms", std::chrono::duration_cast<milliseconds>(*this->fallbackReadAt - now).count() } });
         }
         return now < *this->fallbackReadAt ? this->fallbackReadAt : std::nullopt;
     }
     this->fallbackReadAt.reset();
-    this->markStoreRegained();
+    this->endReadFailure();
     auto knownOffset = this->targets.mirror.nextOffset(this->topic);
     if (this->isPullDue(knownOffset)) {
         this->pullFromPeers();
@@ -308,9 +304,10 @@
                                  { "offset", record.offset } });
         }
     } else if (const auto *removal = std::get_if<UpstreamRemoval>(&change)) {
-        auto isDeferred = this->isInRemovalGrace();
+        auto graceUntil = this->storeOutages.removalGraceUntil();
+        auto isDeferred = this->clock.now() < graceUntil;
         if (isDeferred) {
-            this->targets.registry.scheduleRemoval(removal->upstream, this->removalGraceUntil);
+            this->targets.registry.scheduleRemoval(removal->upstream, graceUntil);
         } else {
             this->targets.registry.remove(removal->upstream);
         }
@@ -325,32 +322,54 @@
     }
 }
 
-bool FeedFollower::isInRemovalGrace() const
+void FeedFollower::recordSuccessfulRead()
 {
-    return this->clock.now() < this->removalGraceUntil;
+    auto now = this->clock.now();
+    this->lastReadTime = now.time_since_epoch().count();
+    this->recordAnswer(now);
+    this->endReadFailure();
 }
 
-void FeedFollower::markStoreRegained()
+void FeedFollower::recordFailedRead(TimePoint startedAt, const std::string &reason)
 {
-    if (!this->storeLostAt) {
+    auto isOutage = this->storeOutages.recordFailedRead(startedAt);
+    if (!this->readsFailSince || isOutage) {
+        this->events.write("store_lost", { { "topic", topicName(this->topic) }, { "reason", reason }, { "outage", isOutage } });
+    }
+    this->readsFailSince = this->readsFailSince.value_or(startedAt);
+}
+
+void FeedFollower::endReadFailure()
+{
+    if (!this->readsFailSince) {
         return;
     }
-    auto now = this->clock.now();
-    auto outage = now - *this->storeLostAt;
-    // Without a fresh peer report the outage was long enough, because reports count as fresh for longer than the minimum outage.
-    if (outage >= minimumOutage || this->hasNoFreshSource) {
-        this->removalGraceUntil = now + removalGrace;
+    auto lostTime = std::chrono::duration_cast<milliseconds>(this->clock.now() - *this->readsFailSince);
+    this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", lostTime.count() } });
+    this->readsFailSince.reset();
+}
+
+void FeedFollower::recordPeerAnswers()
+{
+    auto freshUntil = this->peers.freshUntil(this->topic);
+    if (freshUntil != TimePoint()) {
+        this->recordAnswer(std::min(PeerTable::readTimeOf(freshUntil), this->clock.now()));
     }
-    this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
-    this->storeLostAt.reset();
-    this->hasNoFreshSource = false;
 }
 
-void FeedFollower::markStoreLost(const std::string &reason)
+void FeedFollower::recordAnswer(TimePoint answeredAt)
 {
-    if (!this->storeLostAt) {
-        this->storeLostAt = this->clock.now();
-        this->events.write("store_lost", { { "topic", topicName(this->topic) }, { "reason", reason } });
+    if (auto outage = this->storeOutages.recordAnswer(answeredAt)) {
+        auto duration = std::chrono::duration_cast<milliseconds>(outage->endedAt - outage->startedAt);
+        this->events.write("store_outage", { { "topic", topicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "read" } });
+    }
+}
+
+void FeedFollower::recordPeerOutage(const StoreOutageReport &report)
+{
+    if (this->storeOutages.recordPeerReport(report)) {
+        auto duration = std::chrono::duration_cast<milliseconds>(report.startAge - report.endAge);
+        this->events.write("store_outage", { { "topic", topicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "peer" } });
     }
 }
 
@@ -362,9 +381,6 @@
     try {
         auto knownOffset = this->targets.mirror.nextOffset(this->topic);
         auto page = this->peers.pull(this->topic, knownOffset);
-        if (this->hasNoFreshSource && page.nextOffset > knownOffset) {
-            this->markStoreRegained();
-        }
         this->applyPage(page);
         this->isSynced = this->isSynced || page.nextOffset > 0;
         this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -6,6 +6,7 @@
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/FeedMirror.h>
 #include <LibGateway/StateFeed.h>
+#include <LibGateway/StoreOutageTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
 #include <LibMembership/PeriodicTask.h>
 
@@ -78,9 +79,9 @@
 /**
  * Follows one topic of the platform's store and applies its records. Only a few nodes, the readers, read the store. The others receive the records
  * from the readers, and read the store themselves when no reader reports fresh records. While the store is unavailable, records come from any peer
- * that has them. Upstreams whose registrations disappear around an outage are kept for a grace time, because they may have expired only because of
- * the outage. Answers the load patterns of a store that is down, slow or refuses single nodes, and of hundreds of nodes that start together. One
- * thread calls step(); the other functions are safe from any thread. Lock order: its mutex is a leaf lock.
+ * that has them. Upstreams whose registrations disappear around an outage (see StoreOutageTracker) are kept for a grace time, because they may have
+ * expired only because of it. Answers the load patterns of a store that is down, slow or refuses single nodes, and of hundreds of nodes that start together.
+ * One thread calls step(); the other functions are safe from any thread. Lock order: its mutex is a leaf lock.
  */
 class FeedFollower final : public PeriodicTask
 {
@@ -96,6 +97,15 @@
 
     TimePoint step() override;
 
+    /** Records an outage of the store that a peer has reported. */
+    void recordPeerOutage(const StoreOutageReport &report);
+
+    /** See StoreOutageTracker. */
+    std::optional<StoreOutageReport> recentOutage() const
+    {
+        return this->storeOutages.recentOutage();
+    }
+
     /** Queues records from a peer. The next step applies them unless records before them are missing. */
     void receive(FeedBatch batch);
 
@@ -127,12 +137,16 @@
     void removeUnlisted(const FeedPage &page);
     /** True if a peer has had records beyond `knownOffset` for longer than a batch of them takes to arrive. */
     bool isPullDue(std::uint64_t knownOffset);
-    /** Ends an outage: current records arrive again, by a read of the store or from a peer. */
-    void markStoreRegained();
-    /** Starts an outage, unless one has started already. */
-    void markStoreLost(const std::string &reason);
+    /** A read of the store by this node has succeeded. */
+    void recordSuccessfulRead();
+    /** A read of the store by this node that began at `startedAt` has failed. */
+    void recordFailedRead(TimePoint startedAt, const std::string &reason);
+    /** Takes over the newest answer of the store to a peer, as far as peers have reported it. */
+    void recordPeerAnswers();
+    void recordAnswer(TimePoint answeredAt);
+    /** This node's failed reads, if any, are over: it can read the store again or follows the readers. */
+    void endReadFailure();
     void pullFromPeers();
-    bool isInRemovalGrace() const;
 
     const Clock &clock;
     EventLog &events;
@@ -148,10 +162,9 @@
     std::atomic<bool> isSynced = false;
     std::atomic<Duration::rep> lastReadTime = 0;
     std::uint64_t nextOffset = 0;
-    /** Start of an outage: the store reads of this node fail, or no reader reports fresh records. */
-    std::optional<TimePoint> storeLostAt;
-    /** No peer has reported fresh records during the outage either, so the next removals may be registrations that expired because of it. */
-    bool hasNoFreshSource = false;
+    /** Time since which the store reads of this node fail. */
+    std::optional<TimePoint> readsFailSince;
+    StoreOutageTracker storeOutages;
     /** Time at which this node lists the topic unless a peer has; set once the peers are known. */
     std::optional<TimePoint> ownListingAt;
     /** Time at which records that a peer has are requested from it, unless they arrive before. */
@@ -164,8 +177,6 @@
     TimePoint nextStoreReadAt;
     /** Time at which this node reads the store because no reader reports fresh records. */
     std::optional<TimePoint> fallbackReadAt;
-    /** Removals before this time take effect only at this time, and only if the upstream hasn't registered again. */
-    TimePoint removalGraceUntil;
     std::mutex receivedMutex;
     std::vector<FeedBatch> receivedBatches;
 };
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -58,6 +58,7 @@
         auto confirmedAt = PeerTable::readTimeOf(this->dependencies.peers.freshUntil(topic, knownOffset));
         digest.nextOffsets[position] = knownOffset;
         digest.readAges[position] = this->dependencies.clock.now() - std::max(this->dependencies.inbox.lastReadAt(topic), confirmedAt);
+        digest.storeOutages[position] = this->dependencies.inbox.recentOutage(topic);
     }
     digest.loadScope = scope;
     if (scope == LoadScope::Full) {
@@ -212,6 +213,11 @@
     if (digest.host == this->host) {
         return {};
     }
+    for (std::size_t position = 0; position < feedTopicCount; ++position) {
+        if (digest.storeOutages[position]) {
+            this->dependencies.inbox.recordPeerOutage(static_cast<FeedTopic>(position), *digest.storeOutages[position]);
+        }
+    }
     this->receiveBatch(digest);
     for (std::size_t position = 0; position < feedTopicCount; ++position) {
         auto topic = static_cast<FeedTopic>(position);
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -29,6 +29,12 @@
     /** Time of this node's own last successful read of the store. */
     virtual TimePoint lastReadAt(FeedTopic topic) const = 0;
 
+    /** See StoreOutageTracker. */
+    virtual std::optional<StoreOutageReport> recentOutage(FeedTopic topic) const = 0;
+
+    /** A peer has reported an outage of the store. Called before the records that came with the report are passed on. */
+    virtual void recordPeerOutage(FeedTopic topic, const StoreOutageReport &report) = 0;
+
     /** A peer has sent records. */
     virtual void receive(FeedBatch batch) = 0;
 
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -24,8 +24,9 @@
 /** Largest time per token that is sent; longer ones are clamped. */
 constexpr Duration maximumTokenTime = minutes(1);
 
-/** Number of values in a digest, and in those of older versions without suspected parts, without rate limits and without leaving upstreams. */
-constexpr std::size_t fieldCount = 14;
+/** Number of values in a digest, and in those of older versions without outages, suspected parts, rate limits and leaving upstreams. */
+constexpr std::size_t fieldCount = 15;
+constexpr std::size_t fieldCountWithoutStoreOutages = 14;
 constexpr std::size_t fieldCountWithoutSuspectedParts = 13;
 constexpr std::size_t fieldCountWithoutRateLimits = 12;
 constexpr std::size_t fieldCountWithoutLeavingUpstreams = 11;
@@ -45,6 +46,9 @@
 /** Largest read age that is sent; longer ones are clamped. */
 constexpr Duration maximumReadAge = minutes(1);
 
+/** Largest age of the start of an outage that is sent; longer ones are clamped. */
+constexpr Duration maximumOutageAge = minutes(60);
+
 /** Largest age of a response with or without a rate limit that is sent; longer ones are clamped. */
 constexpr Duration maximumRateLimitAge = minutes(1);
 
@@ -271,6 +275,33 @@
     return reports;
 }
 
+/** An empty array stands for no outage of the topic. */
+void writeStoreOutages(MessageWriter &writer, const PeerDigest &digest)
+{
+    writer.array(digest.storeOutages.size());
+    for (const auto &outage : digest.storeOutages) {
+        writer.array(outage ? 2 : 0);
+        if (outage) {
+            writeAge(writer, outage->startAge, maximumOutageAge);
+            writeAge(writer, outage->endAge, maximumOutageAge);
+        }
+    }
+}
+
+void readStoreOutages(MessageReader &reader, PeerDigest &digest)
+{
+    reader.beginArray(digest.storeOutages.size(), maximumFields);
+    for (auto &outage : digest.storeOutages) {
+        if (reader.beginArray(0, maximumFields) >= 2) {
+            outage.emplace();
+            outage->startAge = readAge(reader, maximumOutageAge);
+            outage->endAge = readAge(reader, maximumOutageAge);
+        }
+        reader.endArray();
+    }
+    reader.endArray();
+}
+
 }
 
 Duration fullStateInterval(std::size_t peers)
@@ -314,6 +345,7 @@
     writeLeavingUpstreams(writer, digest.leavingUpstreams);
     writeRateLimits(writer, digest.rateLimits);
     writeSuspectedParts(writer, digest.suspectedParts);
+    writeStoreOutages(writer, digest);
     return writer.encoded();
 }
 
@@ -363,9 +395,12 @@
     if (fields >= fieldCountWithoutSuspectedParts) {
         digest.rateLimits = readRateLimits(reader);
     }
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutStoreOutages) {
         digest.suspectedParts = readSuspectedParts(reader);
     }
+    if (fields >= fieldCount) {
+        readStoreOutages(reader, digest);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -4,6 +4,7 @@
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/PromptPartReport.h>
+#include <LibGateway/StoreOutage.h>
 #include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
 
@@ -75,6 +76,8 @@
     std::vector<UpstreamRateLimitReport> rateLimits;
     /** Prompt parts under which upstreams have crashed. */
     std::vector<PromptPartReport> suspectedParts;
+    /** For each topic the outage of the store after which upstreams may still be missing from it. */
+    std::array<std::optional<StoreOutageReport>, feedTopicCount> storeOutages {};
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
@@ -95,6 +98,10 @@
 /** Limit of the suspected prompt parts in one digest; beyond it the strongest suspicions are sent. */
 inline constexpr std::size_t maximumSuspectedParts = 8;
 
+/** Age added to the ages in a digest on each hop, which is more than a datagram takes. Otherwise nodes that repeat each other's reports would make them
+ * younger. */
+inline constexpr Duration hopAgeAllowance = milliseconds(50);
+
 /** Interval of the full states that a node sends to each of `peers` nodes. */
 Duration fullStateInterval(std::size_t peers);
 
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -28,12 +28,6 @@
  */
 constexpr Duration freshnessLifetime = milliseconds(1500);
 
-/**
- * Age added to a report on each hop, which is more than a datagram takes. Otherwise nodes that repeat each other's reports would make them younger by
- * the delay of each hop, and would trust readers that lost the store for a second too long.
- */
-constexpr Duration hopAgeAllowance = milliseconds(50);
-
 /** Time within which a peer that was named sends a digest if it is live. */
 constexpr Duration assumedLiveTime = seconds(3);
 
@@ -130,6 +124,7 @@
     peer.isRelay = digest.isRelay;
     peer.nextOffsets = digest.nextOffsets;
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        // Without the allowance nodes that repeat each other's reports would trust readers that lost the store for a second too long.
         peer.freshUntil[topic] = now - digest.readAges[topic] - hopAgeAllowance + freshnessLifetime;
     }
     // Relays send digests every 300 ms, so their loss is detected sooner.
--- a/Libraries/LibGateway/StatedRateLimits.cpp
+++ b/Libraries/LibGateway/StatedRateLimits.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/StatedRateLimits.h>
 
+#include <LibGateway/PeerDigest.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -13,9 +15,6 @@
 /** Time for which a change is reported to peers; long enough to make up for lost datagrams. */
 constexpr Duration reportingTime = seconds(3);
 
-/** Age added to a peer's report, which is more than a datagram takes, so that a delayed report doesn't replace a newer response. */
-constexpr Duration hopAgeAllowance = milliseconds(50);
-
 }
 
 bool StatedRateLimits::recordLimit(const UpstreamRecord &upstream, double requestsPerSecond)
@@ -37,6 +36,7 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     this->removeExpired();
+    // With the allowance a delayed report doesn't replace a newer response.
     auto statedAt = this->clock.now() - report.age - hopAgeAllowance;
     auto known = this->statements.find(report.upstream);
     if (known != this->statements.end() && statedAt <= known->second.statedAt) {
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -106,6 +106,16 @@
     return topic == FeedTopic::Operators ? this->operators.lastReadAt() : this->upstreams.lastReadAt();
 }
 
+std::optional<StoreOutageReport> SimulatedFleet::Node::recentOutage(FeedTopic topic) const
+{
+    return topic == FeedTopic::Operators ? this->operators.recentOutage() : this->upstreams.recentOutage();
+}
+
+void SimulatedFleet::Node::recordPeerOutage(FeedTopic topic, const StoreOutageReport &report)
+{
+    (topic == FeedTopic::Operators ? this->operators : this->upstreams).recordPeerOutage(report);
+}
+
 void SimulatedFleet::Node::receive(FeedBatch batch)
 {
     auto topic = batch.topic;
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -60,6 +60,8 @@
         void onRecordsRead(const FeedBatch &batch) override;
         void onRecordsComplete(FeedTopic topic) override;
         TimePoint lastReadAt(FeedTopic topic) const override;
+        std::optional<StoreOutageReport> recentOutage(FeedTopic topic) const override;
+        void recordPeerOutage(FeedTopic topic, const StoreOutageReport &report) override;
         void receive(FeedBatch batch) override;
         void onNewerRecordsAvailable(FeedTopic topic) override;
 
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -199,7 +199,7 @@
     CHECK_FALSE(fixture.registry.isUsable(UpstreamId("gone")));
 }
 
-TEST_CASE("Registrations that expired during an outage are kept at nodes that follow the readers")
+TEST_CASE("Registrations that expired during an outage that a reader reports are kept at nodes that follow the readers")
 {
     auto isReportReceivedFirst = GENERATE(true, false);
     auto silence = GENERATE(milliseconds(500), milliseconds(3000));
@@ -214,9 +214,10 @@
     fixture.follower.step();
     fixture.clock.advance(silence);
     if (isReportReceivedFirst) {
-        fixture.peers.peersFreshUntil = fixture.clock.now() + seconds(1);
+        fixture.peers.peersFreshUntil = fixture.clock.now() + milliseconds(1500);
         fixture.follower.step();
     }
+    fixture.follower.recordPeerOutage(StoreOutageReport { seconds(1) + silence, Duration(0) });
     fixture.follower.receive(FeedBatch { FeedTopic::Upstreams, 1, { { { "returns", "", 1 } }, 2 } });
     fixture.follower.step();
     CHECK(fixture.registry.isUsable(UpstreamId("returns")));
@@ -224,6 +225,55 @@
     CHECK_FALSE(fixture.registry.isUsable(UpstreamId("returns")));
 }
 
+TEST_CASE("Registrations that expired during an outage are kept at a node whose own read of the store has failed")
+{
+    auto isReadByPeer = GENERATE(true, false);
+    FollowerFixture fixture(FeedTopic::Upstreams);
+    fixture.feed.write("returns", "1");
+    fixture.follower.step();
+    fixture.peers.isStoreReader = false;
+    fixture.peers.peersFreshUntil = fixture.clock.now() + milliseconds(1500);
+    fixture.follower.step();
+    fixture.feed.isDown = true;
+    fixture.clock.advance(seconds(2));
+    fixture.follower.step();
+    fixture.clock.advance(seconds(1));
+    fixture.feed.isDown = false;
+    fixture.feed.write("returns", "");
+    if (isReadByPeer) {
+        fixture.peers.peersFreshUntil = fixture.clock.now() + milliseconds(1500);
+        fixture.follower.receive(FeedBatch { FeedTopic::Upstreams, 1, { { { "returns", "", 1 } }, 2 } });
+    }
+    fixture.follower.step();
+    CHECK(fixture.registry.isUsable(UpstreamId("returns")));
+    CHECK(fixture.follower.recentOutage());
+    fixture.clock.advance(milliseconds(2300));
+    CHECK_FALSE(fixture.registry.isUsable(UpstreamId("returns")));
+    CHECK_FALSE(fixture.follower.recentOutage());
+}
+
+// Guards against a node that takes the silence of the readers for an outage of the store: they may be gone while the store is available.
+TEST_CASE("After the readers fell silent, a removal takes effect at once if no read of the store has failed")
+{
+    auto isReadByPeer = GENERATE(true, false);
+    FollowerFixture fixture(FeedTopic::Upstreams);
+    fixture.feed.write("gone", "1");
+    fixture.follower.step();
+    fixture.peers.isStoreReader = false;
+    fixture.peers.storeCallJitter = isReadByPeer ? Duration(minutes(1)) : Duration(milliseconds(80));
+    fixture.peers.peersFreshUntil = fixture.clock.now() + seconds(1);
+    fixture.follower.step();
+    fixture.clock.advance(seconds(1));
+    fixture.follower.step();
+    fixture.clock.advance(milliseconds(80));
+    fixture.feed.write("gone", "");
+    if (isReadByPeer) {
+        fixture.follower.receive(FeedBatch { FeedTopic::Upstreams, 1, { { { "gone", "", 1 } }, 2 } });
+    }
+    fixture.follower.step();
+    CHECK_FALSE(fixture.registry.isUsable(UpstreamId("gone")));
+}
+
 TEST_CASE("A reader that the store refuses applies removals from the other reader at once")
 {
     FollowerFixture fixture(FeedTopic::Upstreams);
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -101,32 +101,36 @@
     CHECK(changes[0].load.runs == 0);
 }
 
-TEST_CASE("Digests of older versions without rate limits and suspected parts, and of a newer one with further values, are decoded")
+TEST_CASE("Digests of older versions without rate limits, suspected parts and outages, and of a newer one with further values, are decoded")
 {
     PeerDigest digest;
     digest.host = HostId("front-1");
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
     auto bytes = encodeDigest(digest);
-    // The digest is an array, and its last two values are empty arrays.
+    // The digest is an array. Its last three values are two empty arrays and an array with an empty array for each topic.
     constexpr char arrayOf12 = '\x9c';
     constexpr char arrayOf13 = '\x9d';
     constexpr char arrayOf14 = '\x9e';
     constexpr char arrayOf15 = '\x9f';
+    const std::string arrayOf16("\xdc\x00\x10", 3);
     constexpr char emptyArray = '\x90';
-    REQUIRE(bytes.front() == arrayOf14);
-    REQUIRE(bytes.ends_with(std::string(2, emptyArray)));
-    auto newer = bytes + emptyArray;
-    newer.front() = arrayOf15;
-    auto withoutSuspectedParts = bytes.substr(0, bytes.size() - 1);
+    const std::string noOutages = "\x92\x90\x90";
+    REQUIRE(bytes.front() == arrayOf15);
+    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages));
+    auto newer = arrayOf16 + bytes.substr(1) + emptyArray;
+    auto withoutOutages = bytes.substr(0, bytes.size() - noOutages.size());
+    withoutOutages.front() = arrayOf14;
+    auto withoutSuspectedParts = withoutOutages.substr(0, withoutOutages.size() - 1);
     withoutSuspectedParts.front() = arrayOf13;
-    auto withoutRateLimits = bytes.substr(0, bytes.size() - 2);
+    auto withoutRateLimits = withoutOutages.substr(0, withoutOutages.size() - 2);
     withoutRateLimits.front() = arrayOf12;
-    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, newer }) {
+    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, newer }) {
         auto decoded = decodeDigest(version);
         CHECK(decoded.host == HostId("front-1"));
         CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
         CHECK(decoded.rateLimits.empty());
         CHECK(decoded.suspectedParts.empty());
+        CHECK(decoded.storeOutages == digest.storeOutages);
     }
 }
 
@@ -149,8 +153,10 @@
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1700000000000") }, { UpstreamId("e2"), BootId() } };
     digest.rateLimits = { { UpstreamId("e1"), BootId("1700000000000"), 3.25, milliseconds(40) }, { UpstreamId("e2"), BootId(), std::nullopt, seconds(2) } };
     digest.suspectedParts = { { 42, 1, { { 7, milliseconds(30) }, { 8, minutes(9) } }, std::nullopt }, { 43, 0, {}, seconds(3) } };
+    digest.storeOutages[1] = StoreOutageReport { milliseconds(5100), milliseconds(700) };
     auto decoded = decodeDigest(encodeDigest(digest));
     REQUIRE(decoded.batch);
+    CHECK(decoded.storeOutages == digest.storeOutages);
     CHECK(decoded.rateLimits == digest.rateLimits);
     CHECK(decoded.suspectedParts == digest.suspectedParts);
     CHECK(decoded.isBatchForGroup);
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -251,3 +251,29 @@
         CHECK(fleet.at(node).peers.freshUntil(FeedTopic::Upstreams) <= fleet.clock.now());
     }
 }
+
+// Guards against nodes that take the silence of lost readers for an outage of the store and go on using an upstream whose entry was removed.
+TEST_CASE("After the loss of both readers no node uses an upstream whose entry is removed while the store answers")
+{
+    for (auto [nodes, domains] :
+         { std::pair(std::size_t(4), std::size_t(1)), std::pair(std::size_t(9), std::size_t(3)), std::pair(std::size_t(100), std::size_t(6)) }) {
+        CAPTURE(nodes);
+        SimulatedFleet fleet(nodes, domains, lossShare);
+        fleet.writeUpstream("leaves", "1");
+        fleet.writeUpstream("stays", "1");
+        fleet.run(seconds(6));
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.at(node).isUp = !fleet.at(node).peers.isReader(FeedTopic::Upstreams);
+        }
+        fleet.run(milliseconds(200));
+        fleet.writeUpstream("leaves", "");
+        fleet.run(propagationLimit);
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            if (fleet.at(node).isUp) {
+                CAPTURE(node);
+                CHECK_FALSE(fleet.at(node).registry.isUsable(UpstreamId("leaves")));
+                CHECK(fleet.at(node).registry.isUsable(UpstreamId("stays")));
+            }
+        }
+    }
+}
