LibForward: Answer every request that is accepted during a planned stop

Callers saw: a closed connection without a response for requests that came late in a planned stop, among them bookings, which may not be repeated.

Cause: a unary request was accepted if three times the target latency was left; if its upstream took longer, the process exited under it. Requests that were still without a response at the exit got none. And the process accepted connections between its last check for active requests and its exit.

Change: after idle connections are closed, an at-most-once request is accepted only if its deadline comes before the exit; otherwise it is refused as not run. 200 ms before the exit, requests without a response get 504 with unknown run state. An attempt's deadline now holds also while its upstream has bytes ready each time it is looked at.

"A connection accepted after idle ones were closed still gets a response to its first request, and is closed if none comes" sent an at-most-once request with a limit of 15 s, 10 s before the exit, which is now refused by design. It sends one with a limit of 4 s and checks the same as before.

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -6,6 +6,7 @@
 #include <Poco/String.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fcntl.h>
 #include <unistd.h>
 #include <utility>
@@ -23,6 +24,9 @@
 /** Time for which a new connection stays open for its first request when idle ones are closed. The caller sends it right after the handshake. */
 constexpr Duration firstRequestTime = milliseconds(500);
 
+/** Time before the exit of the process at which requests without a response are answered. */
+constexpr Duration finalResponseMargin = milliseconds(200);
+
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string formatResponseHead(int status, const std::string &reason, const HeaderFields &fields)
@@ -80,6 +84,11 @@
     return TimePoint(Duration(this->shutdownTime.load()));
 }
 
+TimePoint DrainState::limitDeadline(TimePoint deadline) const
+{
+    return this->isDraining() ? std::min(deadline, this->endsAt() - finalResponseMargin) : deadline;
+}
+
 CallerChannel::CallerChannel(const Clock &clock, const ConfigHolder &config, const DrainState &drain, const Poco::Net::StreamSocket &socket)
     : clock(clock), config(config), drain(drain), channel(clock, socket)
 {
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -38,6 +38,9 @@
     /** Time at which the process exits; requests that would take longer are rejected. */
     TimePoint endsAt() const;
 
+    /** The deadline, or if it comes first, the time at which a request without a response has to be answered because the process is about to exit. */
+    TimePoint limitDeadline(TimePoint deadline) const;
+
     /** File descriptor that becomes readable when idle connections are to be closed. */
     int descriptor() const
     {
--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -41,11 +41,15 @@
     return fields;
 }
 
-/** Estimates when the response will be complete. A conservative estimate uses the request's deadline for every stream. */
+/**
+ * Estimates when the response will be complete. A conservative estimate uses the request's deadline for every stream, and for every request that its
+ * caller can't repeat.
+ */
 TimePoint expectedCompletion(const AdmittedRequest &work, TimePoint now, bool isConservative)
 {
+    auto isRepeatable = work.route->executionSemantics == ExecutionSemantics::Idempotent;
     if (!work.route->isStream) {
-        return now + unaryTargetLatencies * work.route->targetLatency;
+        return isConservative && !isRepeatable ? work.deadline : now + unaryTargetLatencies * work.route->targetLatency;
     }
     if (isConservative || !work.pool->engine) {
         // The length of a stream can't be predicted with certainty, and not at all without an engine's traits.
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -141,7 +141,9 @@
     if (state == UpstreamCall::State::Complete || state == UpstreamCall::State::Failed) {
         return this->handleCallEnd();
     }
-    if (this->dependencies.clock.now() >= this->work.deadline) {
+    // A stream that has begun may go on until the process exits.
+    auto deadline = this->hasSentHead ? this->work.deadline : this->dependencies.drain.limitDeadline(this->work.deadline);
+    if (this->dependencies.clock.now() >= deadline) {
         this->call->cancel();
         if (!this->hasSentHead) {
             throw Error(ResultCode::DeadlineExceeded, RunState::Unknown, "the upstream did not respond in time");
--- a/Libraries/LibForward/UnaryForwarder.cpp
+++ b/Libraries/LibForward/UnaryForwarder.cpp
@@ -13,6 +13,9 @@
 /** Multiple of the target latency after which an attempt that can be retried times out, early enough for a retry to meet most callers' deadlines. */
 constexpr int attemptTargetLatencies = 3;
 
+/** Longest interval between checks whether the process is about to exit. */
+constexpr Duration shutdownCheckInterval = milliseconds(100);
+
 constexpr int firstServerErrorStatus = 500;
 constexpr int firstClientErrorStatus = 400;
 
@@ -103,15 +106,17 @@
             this->recordAttempt(work, attempt, attemptResultName(result));
             return result;
         }
-        DescriptorPoller poller;
-        auto callerIndex = poller.add(caller.descriptor());
-        poller.add(call.descriptor());
-        if (!poller.wait(this->dependencies.clock, attemptDeadline)) {
+        auto now = this->dependencies.clock.now();
+        if (now >= this->dependencies.drain.limitDeadline(attemptDeadline)) {
             call.cancel();
             this->dependencies.events.write("attempt_timeout",
                                             { { "request", work.request.id.value() }, { "upstream", attempt.placement.upstream.id.value() } });
             return AttemptResult::TimedOut;
         }
+        DescriptorPoller poller;
+        auto callerIndex = poller.add(caller.descriptor());
+        poller.add(call.descriptor());
+        poller.wait(this->dependencies.clock, std::min<TimePoint>(attemptDeadline, now + shutdownCheckInterval));
         if (poller.isReadable(callerIndex) && caller.isDisconnected()) {
             call.cancel();
             throw CallerDisconnected();
@@ -211,7 +216,8 @@
 bool UnaryForwarder::mayRetry(const AdmittedRequest &work, const RetryState &retryState) const
 {
     auto isIdempotent = work.route->executionSemantics == ExecutionSemantics::Idempotent;
-    return isIdempotent && retryState.possibleRuns < work.route->maximumAttempts && this->dependencies.clock.now() < work.deadline;
+    return isIdempotent && retryState.possibleRuns < work.route->maximumAttempts
+        && this->dependencies.clock.now() < this->dependencies.drain.limitDeadline(work.deadline);
 }
 
 }
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -10,13 +10,13 @@
 #include <LibForward/DigestTransport.h>
 #include <LibForward/FeedPageCache.h>
 #include <LibForward/GatewayServer.h>
+#include <LibForward/GatewayShutdown.h>
 #include <LibForward/HttpPeerFeed.h>
 #include <LibGateway/FeedFollower.h>
 #include <LibMembership/TaskThread.h>
 
 #include <fmt/format.h>
 
-#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -48,8 +48,6 @@
 constexpr int directoryRetryJitterFactor = 4;
 constexpr Duration directoryCallTimeout = milliseconds(700);
 
-constexpr Duration drainCheckInterval = milliseconds(20);
-
 /** Announces this node in the host directory and adds the hosts found there to the peer table. */
 class HostDirectoryTask final : public PeriodicTask
 {
@@ -275,26 +273,10 @@
 {
     auto &state = *this->implementation;
     auto startedAt = state.clock.now();
-    auto deadline = startedAt + state.settings.gracePeriod - shutdownMargin;
-    state.drainState.begin(deadline);
-    state.events.write("stop", { { "active", state.server.activeRequests() }, { "grace_ms", toMilliseconds(TimePoint(deadline - startedAt)) } });
-    auto idleDeadline = std::min(startedAt + idleConnectionKeepTime, deadline);
-    bool hasClosedIdle = false;
-    while (state.clock.now() < deadline) {
-        auto isPastIdleDeadline = state.clock.now() >= idleDeadline;
-        if (isPastIdleDeadline && !hasClosedIdle) {
-            state.drainState.closeIdleConnections();
-            hasClosedIdle = true;
-        }
-        if (isPastIdleDeadline && !state.server.hasUnfinishedWork()) {
-            break;
-        }
-        std::this_thread::sleep_for(drainCheckInterval);
-    }
-    auto unfinished = state.server.activeRequests();
-    state.events.write("stopped", { { "cut", unfinished } });
+    GatewayShutdown shutdown(state.clock, state.events, state.drainState, state.server);
+    auto isComplete = shutdown.run(startedAt + idleConnectionKeepTime, startedAt + state.settings.gracePeriod - shutdownMargin);
     state.events.flush();
-    return unfinished == 0;
+    return isComplete;
 }
 
 void GatewayNode::settingsChanged(const GatewaySettings &changed)
--- a/Tests/LibForward/TestUnaryForwarding.cpp
+++ b/Tests/LibForward/TestUnaryForwarding.cpp
@@ -330,7 +330,7 @@
     RawCaller caller(fixture);
     CHECK_FALSE(caller.isReadableWithin(Poco::Timespan(pauseMicroseconds)));
     CHECK(fixture.server->hasUnfinishedWork());
-    caller.request("/once/book", "r2");
+    caller.request("/once/book", "r2", "Wait-Ms: 4000\r\n");
     CHECK(caller.readAll().starts_with("HTTP/1.1 200"));
     RawCaller silent(fixture);
     CHECK(silent.readAll().empty());
