LibForward: Write responses without copying their bodies

Callers saw nothing yet; a node of 88 MB would have: fifty upstreams that send endless responses took 52 to 58 MB of it, 1.1 MB for each response whose body is limited to 256 kB, and the check of 55 MB was red on arm64.

Cause: a body grew by doubling to a capacity of up to 512 kB, and each part was copied twice to be formatted with its framing, while the write waited for a caller that reads slowly. The freed copies stayed in the arenas of the threads, by which the figure varied.

Change: SocketChannel::writeParts sends head, framing and body from where they are; UpstreamCall reserves the final capacity of a large body.

Test: "Memory stays bounded while fifty upstreams send endless responses", check and bound (55 MB) unchanged.

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -223,10 +223,9 @@
         this->abort();
         return false;
     }
-    auto bytes = formatResponseHead(status, reason, fields);
-    fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n{}\r\n", body.size(), isKeepAlive ? "" : "Connection: close\r\n");
-    bytes += body;
-    return this->channel.write(bytes, this->clock.now() + writeTimeout);
+    auto head = formatResponseHead(status, reason, fields);
+    fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n{}\r\n", body.size(), isKeepAlive ? "" : "Connection: close\r\n");
+    return this->channel.writeParts({ head, body }, this->clock.now() + writeTimeout);
 }
 
 bool CallerChannel::beginStream(int status, const std::string &reason, const HeaderFields &fields, bool isKeepAlive)
@@ -242,7 +241,7 @@
     if (bytes.empty()) {
         return true;
     }
-    return this->channel.write(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes), this->clock.now() + writeTimeout);
+    return this->channel.writeParts({ fmt::format("{:x}\r\n", bytes.size()), bytes, "\r\n" }, this->clock.now() + writeTimeout);
 }
 
 bool CallerChannel::endStream()
--- a/Libraries/LibForward/SocketChannel.cpp
+++ b/Libraries/LibForward/SocketChannel.cpp
@@ -11,14 +11,12 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 namespace Lovageward {
 
 namespace {
 
-/** Buffer size of one receive; fits the events of a stream and most unary responses. */
-constexpr std::size_t receiveBytes = 16384;
-
 /** TCP_USER_TIMEOUT: breaks a connection to a host that lost power or is partitioned and therefore acknowledges nothing. */
 constexpr Duration unacknowledgedLimit = seconds(4);
 
@@ -32,6 +30,22 @@
     return static_cast<int>(std::min<std::int64_t>(std::chrono::ceil<milliseconds>(remaining).count(), maximumMilliseconds));
 }
 
+/** Removes `count` bytes and then empty parts from the front of the message. Returns true if bytes are left. */
+bool removeWritten(msghdr &message, std::size_t count)
+{
+    while (message.msg_iovlen > 0 && count >= message.msg_iov->iov_len) {
+        count -= message.msg_iov->iov_len;
+        ++message.msg_iov;
+        --message.msg_iovlen;
+    }
+    if (message.msg_iovlen == 0) {
+        return false;
+    }
+    message.msg_iov->iov_base = static_cast<char *>(message.msg_iov->iov_base) + count;
+    message.msg_iov->iov_len -= count;
+    return true;
+}
+
 }
 
 SocketChannel::SocketChannel(const Clock &clock, const Poco::Net::StreamSocket &connected) : clock(clock), socket(connected)
@@ -63,12 +77,21 @@
     return hasNoData ? ReceiveResult::WouldBlock : ReceiveResult::Reset;
 }
 
-bool SocketChannel::write(std::string_view bytes, TimePoint deadline)
+bool SocketChannel::writeParts(std::initializer_list<std::string_view> parts, TimePoint deadline)
 {
-    while (!bytes.empty()) {
-        auto count = ::send(this->descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    std::array<iovec, maximumParts> remainingParts {};
+    std::size_t partCount = 0;
+    for (auto part : parts) {
+        // The kernel only reads the bytes, but iovec is also used for reading into them.
+        remainingParts.at(partCount++) = iovec { const_cast<char *>(part.data()), part.size() }; // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    }
+    msghdr message {};
+    message.msg_iov = remainingParts.data();
+    message.msg_iovlen = partCount;
+    while (removeWritten(message, 0)) {
+        auto count = ::sendmsg(this->descriptor(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count > 0) {
-            bytes.remove_prefix(static_cast<std::size_t>(count));
+            removeWritten(message, static_cast<std::size_t>(count));
             continue;
         }
         if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
--- a/Libraries/LibForward/SocketChannel.h
+++ b/Libraries/LibForward/SocketChannel.h
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,9 @@
 class SocketChannel
 {
 public:
+    /** Largest number of bytes of one receive; fits the events of a stream and most unary responses. */
+    static constexpr std::size_t receiveBytes = 16384;
+
     enum class ReceiveResult {
         Data,
         /** No bytes are available. */
@@ -34,7 +38,14 @@
     ReceiveResult receive();
 
     /** Writes all bytes. Returns false if the connection failed or the deadline passed. */
-    bool write(std::string_view bytes, TimePoint deadline);
+    bool write(std::string_view bytes, TimePoint deadline)
+    {
+        return this->writeParts({ bytes }, deadline);
+    }
+
+    /** Writes several parts, one after another, without joining them in memory: each may be large. Returns false as above. */
+    static constexpr std::size_t maximumParts = 4;
+    bool writeParts(std::initializer_list<std::string_view> parts, TimePoint deadline);
 
     /** Received bytes that weren't consumed yet. The reader erases what it consumes. */
     std::string &buffer()
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace Lovageward {
 
 namespace {
@@ -70,6 +72,11 @@
         return;
     }
     auto previousSize = this->bodyBuffer.size();
+    auto nextSize = previousSize + this->channel.buffer().size();
+    if (nextSize > this->bodyBuffer.capacity() && 2 * nextSize > this->limits.bufferedBodyBytes) {
+        // A string that grows by doubling would take up to twice the limit.
+        this->bodyBuffer.reserve(std::max(nextSize, this->limits.bufferedBodyBytes + SocketChannel::receiveBytes));
+    }
     auto state = this->decoder->decode(this->channel.buffer(), this->bodyBuffer);
     this->bodySize += this->bodyBuffer.size() - previousSize;
     if (this->bodySize > this->limits.bodyBytes) {
