Meta: Register each test case with ctest

Cause: ctest knew 18 programs, so the one entry "test: LibForward" of KNOWN-RED.txt hid 63 green cases, and a regression there would have landed.

Change: catch_discover_tests registers each case as "PROGRAM:TITLE". A case whose title selects nothing fails (--warn NoTests).

--- a/Meta/Workspace.cmake
+++ b/Meta/Workspace.cmake
@@ -15,7 +15,8 @@
     endif()
 endfunction()
 
-# lovageward_tests(LibX DEPENDS LibX ...) builds all Test*.cpp beside the CMakeLists.txt into one Catch2 program.
+# lovageward_tests(LibX DEPENDS LibX ...) builds all Test*.cpp beside the CMakeLists.txt into one Catch2 program. Each of its cases is a test of
+# ctest's, named "LibX:TITLE", so that a result belongs to one case.
 function(lovageward_tests name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
@@ -23,7 +24,7 @@
         add_executable(Test${name} ${sources})
         target_include_directories(Test${name} PRIVATE ${PROJECT_SOURCE_DIR}/Tests)
         target_link_libraries(Test${name} PRIVATE TestMain ${ARG_DEPENDS})
-        add_test(NAME ${name} COMMAND Test${name})
-        set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+        # Without the warning, a title that selects no case would count as passed.
+        catch_discover_tests(Test${name} TEST_PREFIX "${name}:" EXTRA_ARGS --warn NoTests PROPERTIES TIMEOUT 300)
     endif()
 endfunction()
