--- a/Tests/platform/TestPlatformDecoder.cpp
+++ b/Tests/platform/TestPlatformDecoder.cpp
@@ -124,12 +124,16 @@
     return repeated;
 }
 
-/** An upstream's entry with an additional or replaced field. */
-std::string entryWith(const std::string &name, const std::string &value)
+/** The fields of an upstream's entry and their JSON values. */
+std::map<std::string, std::string> completeEntry()
+{
+    return { { "service", R"("a")" },    { "address", R"("10.0.0.1:80")" }, { "zone", R"("z")" },  { "version", R"("v1")" },
+             { "slots", "4" },           { "state", R"("ready")" },         { "coldLeftMs", "0" }, { "sequence", "7" },
+             { "born", "1767800328036" } };
+}
+
+std::string encodeEntry(const std::map<std::string, std::string> &fields)
 {
-    std::map<std::string, std::string> fields { { "service", R"("a")" }, { "address", R"("10.0.0.1:80")" }, { "zone", R"("z")" },
-                                                { "slots", "4" },        { "state", R"("ready")" },         { "born", "1767800328036" } };
-    fields[name] = value;
     std::string entry;
     for (const auto &[field, content] : fields) {
         entry += fmt::format("{}\"{}\":{}", entry.empty() ? "{" : ",", field, content);
@@ -137,6 +141,46 @@
     return entry + "}";
 }
 
+/** An upstream's entry with an additional or replaced field. */
+std::string entryWith(const std::string &name, const std::string &value)
+{
+    auto fields = completeEntry();
+    fields[name] = value;
+    return encodeEntry(fields);
+}
+
+std::string entryWithout(const std::string &name)
+{
+    auto fields = completeEntry();
+    fields.erase(name);
+    return encodeEntry(fields);
+}
+
+}
+
+// Guards against an entry of another writer that names no upstream to use but replaces that of a draining one, which then gets new requests.
+TEST_CASE("An entry in which a field is missing, of another type or out of range is rejected, whichever field it is")
+{
+    CHECK_NOTHROW(decode(FeedTopic::Upstreams, "i-1", encodeEntry(completeEntry())));
+    // Deployments without restarts under the same id may omit it.
+    CHECK(std::get<UpstreamRecord>(*decode(FeedTopic::Upstreams, "i-1", entryWithout("born"))).boot.isEmpty());
+    for (const auto &[field, value] : completeEntry()) {
+        CAPTURE(field);
+        if (field != "born") {
+            CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "i-1", entryWithout(field)), Error);
+        }
+        auto isText = value.starts_with('"');
+        for (const std::string other : { "null", "true", "[]", "{}", "[1]", isText ? "5" : R"("5")", isText ? R"("")" : "-1" }) {
+            CAPTURE(other);
+            CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "i-1", entryWith(field, other)), Error);
+        }
+    }
+    for (const auto *field : { "sequence", "born" }) {
+        for (const auto *number : { "1.5", "1e400", "9223372036854775808" }) {
+            CAPTURE(field, number);
+            CHECK_THROWS_AS(decode(FeedTopic::Upstreams, "i-1", entryWith(field, number)), Error);
+        }
+    }
 }
 
 // Guards against entries of another writer that end the process or keep the follower from reading on (issue 32, more reports).
--- a/Tests/platform/soak/Deployment.cpp
+++ b/Tests/platform/soak/Deployment.cpp
@@ -241,15 +241,17 @@
 
 void Deployment::publishUpstream(const Upstream &upstream, bool isDraining)
 {
-    this->appendRecord(upstreamTopic,
-                       upstream.id,
-                       fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":40,"state":"{}","born":{},"coldLeftMs":{}}})",
-                                   upstream.pool,
-                                   upstream.link->address(),
-                                   upstream.domain,
-                                   isDraining ? "draining" : "ready",
-                                   upstream.incarnation,
-                                   isDraining ? 0 : toMilliseconds(TimePoint(coldDuration))));
+    this->appendRecord(
+        upstreamTopic,
+        upstream.id,
+        fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":40,"state":"{}","born":{},"coldLeftMs":{},"sequence":{}}})",
+                    upstream.pool,
+                    upstream.link->address(),
+                    upstream.domain,
+                    isDraining ? "draining" : "ready",
+                    upstream.incarnation,
+                    isDraining ? 0 : toMilliseconds(TimePoint(coldDuration)),
+                    isDraining ? 2 : 1));
 }
 
 void Deployment::publishConfig()
