LibForward: Keep a stalled stream's call until another upstream has it

Cause: after 1.5 s without an event StreamRelay cancelled the call and then looked whether the stream could go on elsewhere. Without an attempt, retry budget or room, or if the other upstream refused, the stream ended although its upstream was alive.

Change: the stalled call stays open while the run is offered to its standby copy or, by a second call, to another upstream. The first event wins; a refusal or a broken second call leaves the stream where it is.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -14,9 +14,6 @@
 /** Longest interval between checks whether the upstream is leaving. */
 constexpr Duration leaveCheckInterval = milliseconds(100);
 
-/** Time without an event after which a stream counts as stalled: its upstream is lost, or the engine has preempted the run. */
-constexpr Duration stallTimeout = milliseconds(1500);
-
 /** Time for which a run has to produce output before it counts as evidence that its prompt doesn't crash engines. */
 constexpr Duration soundOutputTime = seconds(2);
 
@@ -59,6 +56,9 @@
             this->awaitActivity();
             continue;
         }
+        if (this->replacement) {
+            this->abortReplacement("the stream has ended");
+        }
         this->dependencies.events.write("stream_end",
                                         { { "request", this->work.request.id.value() },
                                           { "upstream", this->placement.upstream.id.value() },
@@ -150,16 +150,10 @@
         }
         return StepResult::Truncated;
     }
-    if (this->isStalled()) {
-        return this->recover("the stream stalled");
+    if (this->replacement) {
+        return this->advanceReplacement();
     }
-    return this->handleUpstreamLeaving();
-}
-
-bool StreamRelay::isStalled() const
-{
-    auto canContinue = this->backup.has_value() || this->work.route->isResumable;
-    return canContinue && this->timing.eventCount() > 0 && this->dependencies.clock.now() - this->lastEventAt > stallTimeout;
+    return this->isStalled() ? this->handleStall() : this->handleUpstreamLeaving();
 }
 
 void StreamRelay::awaitActivity()
@@ -169,12 +163,16 @@
     poller.add(this->takeover ? -1 : this->call->descriptor());
     poller.add(this->migration ? this->migration->descriptor() : -1);
     poller.add(this->takeover ? this->takeover->call->descriptor() : -1);
+    poller.add(this->replacement ? this->replacement->attempt.call->descriptor() : -1);
     poller.wait(this->dependencies.clock, std::min(this->work.deadline, this->dependencies.clock.now() + leaveCheckInterval));
     if (poller.isReadable(callerIndex) && this->caller.isDisconnected()) {
         this->call->cancel();
         if (this->takeover) {
             this->takeover->call->cancel();
         }
+        if (this->replacement) {
+            this->replacement->attempt.call->cancel();
+        }
         throw CallerDisconnected();
     }
 }
@@ -321,6 +319,10 @@
         this->abortTakeover("the run was interrupted during the takeover");
     }
     this->retryState.excludedUpstreams.push_back(this->placement.upstream.id);
+    if (this->replacement) {
+        this->commitReplacement();
+        return StepResult::Reopened;
+    }
     if (this->continueFromBackup() || this->resumeOnAnotherUpstream()) {
         return StepResult::Reopened;
     }
@@ -376,6 +378,7 @@
     this->nextTakeoverAt = TimePoint();
     this->leavingSince.reset();
     this->triedTargets.clear();
+    this->nextStallCheckAt = TimePoint();
     this->tokenTimeSampler.emplace(this->dependencies.clock, this->dependencies.tokenTimes, this->placement.upstream.id);
     this->events.discardPartialEvent();
     this->lastEventAt = this->dependencies.clock.now();
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -61,6 +61,13 @@
     ForwardOptions makeOptions() const;
     bool sendEvent(const StreamEvent &event);
     bool isStalled() const;
+    /** Looks for another upstream while the stalled one may still go on. */
+    StepResult handleStall();
+    void beginReplacement();
+    StepResult advanceReplacement();
+    /** Gives the stalled call up, so that the stream goes on from its replacement. */
+    void commitReplacement();
+    void abortReplacement(const std::string &reason);
     /** Updates the load estimate and the engine's token rate with the tokens that the run has produced. */
     void reportProgress();
     void recordOutputLength();
@@ -96,6 +103,18 @@
     /** Earliest time of the next takeover attempt with the backup. */
     TimePoint nextTakeoverAt;
     std::size_t backupTakeoverAttempts = 0;
+    /** Second call that resumes the stalled stream at another upstream, while the first one may still go on. */
+    struct Replacement
+    {
+        UpstreamAttempt attempt;
+        /** Events that the caller had received when it was opened. */
+        std::uint64_t eventsBefore = 0;
+        /** Time at which the stalled call is given up unless the second one has been refused. */
+        TimePoint commitAt;
+    };
+    std::optional<Replacement> replacement;
+    /** Earliest time at which the stalled stream is handled again. */
+    TimePoint nextStallCheckAt;
     EventStreamParser events;
     /** The response head of the current call was validated. */
     bool hasProcessedHead = false;
