LibGateway: Keep a shutdown announcement over entries that name no process

Callers could see requests sent to an upstream that had said in a response that it shuts down, after an entry without `born` was written under its id.

Cause: UpstreamRegistry::put took the absence of a process id for the id of another process, which ends the announcement.

Change: only an entry that names another process ends it; for an entry that names none the announcement holds.

--- a/Libraries/LibGateway/UpstreamRegistry.cpp
+++ b/Libraries/LibGateway/UpstreamRegistry.cpp
@@ -23,7 +23,8 @@
     auto isChanged = entry.record.id.isEmpty() || entry.record.boot != record.boot || entry.record.address != record.address
         || entry.record.isDraining != record.isDraining || entry.removeAt.has_value();
     auto notice = this->shutdownNotices.find(record.id);
-    if (notice != this->shutdownNotices.end() && notice->second.boot != record.boot) {
+    // An entry that names no process doesn't show that another one has started.
+    if (notice != this->shutdownNotices.end() && notice->second.boot != record.boot && !record.boot.isEmpty()) {
         this->shutdownNotices.erase(notice);
     }
     this->unindex(entry.record);
@@ -221,7 +222,7 @@
 bool UpstreamRegistry::isShuttingDown(const UpstreamRecord &record) const
 {
     auto notice = this->shutdownNotices.find(record.id);
-    return notice != this->shutdownNotices.end() && notice->second.boot == record.boot;
+    return notice != this->shutdownNotices.end() && (notice->second.boot == record.boot || record.boot.isEmpty());
 }
 
 bool UpstreamRegistry::acceptsWork(const Entry &entry) const
--- a/Tests/LibGateway/TestUpstreamRegistry.cpp
+++ b/Tests/LibGateway/TestUpstreamRegistry.cpp
@@ -132,6 +132,25 @@
     CHECK(registry.isUsable(record.id));
 }
 
+// Guards against an entry of another writer that ends what the upstream itself has said of its shutdown.
+TEST_CASE("An entry that names no process doesn't end the shutdown that a process has announced")
+{
+    ManualClock clock;
+    UpstreamRegistry registry(clock);
+    registry.put(upstreamRecord("e1"));
+    REQUIRE(registry.recordShutdownNotice({ UpstreamId("e1"), BootId("1") }));
+    auto unnamed = upstreamRecord("e1");
+    unnamed.boot = BootId();
+    registry.put(unnamed);
+    CHECK_FALSE(registry.isUsable(UpstreamId("e1")));
+    registry.put(upstreamRecord("e1"));
+    CHECK_FALSE(registry.isUsable(UpstreamId("e1")));
+    auto restarted = upstreamRecord("e1");
+    restarted.boot = BootId("2");
+    registry.put(restarted);
+    CHECK(registry.isUsable(UpstreamId("e1")));
+}
+
 TEST_CASE("Recent shutdown notices are returned for three seconds, newest first")
 {
     ManualClock clock;
