--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -21,10 +21,6 @@
 constexpr std::uint32_t urgencyOfHighestPriority = 3;
 constexpr std::uint32_t lowestUrgency = 9;
 
-constexpr int okStatus = 200;
-constexpr double refusalWeight = 0.5;
-constexpr double interruptionWeight = 1.5;
-
 }
 
 StreamRelay::StreamRelay(
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -24,6 +24,12 @@
     ForwardOutcome run();
 
 private:
+    static constexpr int okStatus = 200;
+
+    // Weights of failures for UpstreamHealth. A refusal says less about an upstream's health than an interrupted run.
+    static constexpr double refusalWeight = 0.5;
+    static constexpr double interruptionWeight = 1.5;
+
     /** State of the stream after a step. */
     enum class StepResult {
         Continue,
@@ -61,9 +67,11 @@
     ForwardOptions makeOptions() const;
     bool sendEvent(const StreamEvent &event);
     bool isStalled() const;
-    /** Looks for another upstream while the stalled one may still go on. */
+    /** Offers the run to its backup or to another upstream. The stalled upstream may still go on meanwhile. */
     StepResult handleStall();
+    /** Opens a second call that resumes the stream at another upstream, if attempts, retry budget and capacity allow it. */
     void beginReplacement();
+    /** Decides between the stalled call and its replacement. */
     StepResult advanceReplacement();
     /** Gives the stalled call up, so that the stream goes on from its replacement. */
     void commitReplacement();
--- a/Libraries/LibForward/StreamRelayMigration.cpp
+++ b/Libraries/LibForward/StreamRelayMigration.cpp
@@ -18,8 +18,6 @@
 /** Targets that are tried for a migration. An engine without capacity responds immediately, so several can be tried. */
 constexpr std::size_t maximumMigrationTargets = 4;
 
-constexpr int okStatus = 200;
-
 }
 
 StreamRelay::StepResult StreamRelay::handleUpstreamLeaving()
--- a/Libraries/LibForward/StreamRelayStall.cpp
+++ b/Libraries/LibForward/StreamRelayStall.cpp
@@ -13,10 +13,6 @@
 /** Time for which both calls stay open. Two engines must not execute one run for longer than 400 ms. */
 constexpr Duration replacementTimeout = milliseconds(300);
 
-constexpr int okStatus = 200;
-constexpr double refusalWeight = 0.5;
-constexpr double interruptionWeight = 1.5;
-
 }
 
 bool StreamRelay::isStalled() const
