Tests: Check the deferral of removals after an outage in whole fleets

This test shows that it still starts where it should: fleets of 4, 9 and 100 nodes, outages of 2.6, 4 and 8 s, an upstream whose registration expired meanwhile stays in use at every node for two seconds and after it registers again.

--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -277,3 +277,33 @@
         }
     }
 }
+
+// The counterpart: after an outage that nodes have seen, an entry may be missing only because its upstream couldn't renew it.
+TEST_CASE("After an outage of the store all nodes go on using upstreams whose registrations expired meanwhile, until these register again")
+{
+    for (auto [nodes, domains] :
+         { std::pair(std::size_t(4), std::size_t(1)), std::pair(std::size_t(9), std::size_t(3)), std::pair(std::size_t(100), std::size_t(6)) }) {
+        for (auto outage : { milliseconds(2600), milliseconds(4000), milliseconds(8000) }) {
+            CAPTURE(nodes, outage.count());
+            SimulatedFleet fleet(nodes, domains, lossShare);
+            fleet.writeUpstream("returns", "1");
+            fleet.run(seconds(6));
+            fleet.feeds[1].isDown = true;
+            fleet.run(outage);
+            fleet.writeUpstream("returns", "");
+            fleet.feeds[1].isDown = false;
+            for (int step = 0; step < 20; ++step) {
+                fleet.run(milliseconds(100));
+                for (std::size_t node = 0; node < fleet.size(); ++node) {
+                    CAPTURE(step, node);
+                    CHECK(fleet.at(node).registry.isUsable(UpstreamId("returns")));
+                }
+            }
+            fleet.writeUpstream("returns", "1");
+            fleet.run(seconds(3));
+            for (std::size_t node = 0; node < fleet.size(); ++node) {
+                CHECK(fleet.at(node).registry.isUsable(UpstreamId("returns")));
+            }
+        }
+    }
+}
