--- a/Libraries/LibGateway/LoadTracker.cpp
+++ b/Libraries/LibGateway/LoadTracker.cpp
@@ -96,10 +96,15 @@
     if (local != this->localLoads.end()) {
         total = local->second;
     }
-    auto reported = this->combinedPeerLoads.find(hashUpstreamId(upstream));
+    auto hash = hashUpstreamId(upstream);
+    auto reported = this->combinedPeerLoads.find(hash);
     if (reported != this->combinedPeerLoads.end()) {
         total += reported->second;
     }
+    auto remote = this->remoteLoads.find(hash);
+    if (remote != this->remoteLoads.end() && this->clock.now() < this->aggregateLoadsValidUntil) {
+        total += remote->second;
+    }
     return total;
 }
 
@@ -168,13 +173,17 @@
     }
 }
 
-void LoadTracker::replaceAggregateLoads(const std::vector<DomainPoolLoad> &loads, TimePoint validUntil)
+void LoadTracker::replaceAggregateLoads(const std::vector<DomainPoolLoad> &areas, const std::vector<UpstreamLoadReport> &upstreams, TimePoint validUntil)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     this->aggregateLoads.clear();
-    for (const auto &entry : loads) {
+    for (const auto &entry : areas) {
         this->aggregateLoads[{ entry.domain, entry.pool }] += entry.load;
     }
+    this->remoteLoads.clear();
+    for (const auto &report : upstreams) {
+        this->remoteLoads[report.upstreamHash] += report.load;
+    }
     this->aggregateLoadsValidUntil = validUntil;
 }
 
--- a/Libraries/LibGateway/LoadTracker.h
+++ b/Libraries/LibGateway/LoadTracker.h
@@ -89,10 +89,10 @@
     void recordProgress(RunId run, double producedTokens);
     void removeRun(RunId run);
 
-    /** Load of this node and of the peers that report to it directly. */
+    /** Load of this node, of the peers that report to it directly, and of the other nodes as far as it is known for this upstream. */
     UpstreamLoad load(const UpstreamId &upstream);
 
-    /** Summed load of the nodes that don't report to this node directly; zero when the sums have expired. */
+    /** Summed load of the nodes that don't report to this node directly, without the loads that are known for each upstream; zero after their expiry. */
     UpstreamLoad aggregateLoad(const FailureDomainId &domain, const PoolId &pool) const;
 
     /** Load of this node alone, without upstreams at which it has no work. */
@@ -110,8 +110,11 @@
     /** Replaces the peer's reports on these upstreams only. All reports of the peer now expire at `validUntil`. */
     void updatePeerReports(const HostId &peer, const std::vector<UpstreamLoadReport> &changes, TimePoint validUntil);
 
-    /** Replaces the summed loads of the nodes that don't report to this node directly. The sums expire at `validUntil`. */
-    void replaceAggregateLoads(const std::vector<DomainPoolLoad> &loads, TimePoint validUntil);
+    /**
+     * Replaces the loads of the nodes that don't report to this node directly: sums of areas, and loads of single upstreams that the sums don't include.
+     * They expire at `validUntil`.
+     */
+    void replaceAggregateLoads(const std::vector<DomainPoolLoad> &areas, const std::vector<UpstreamLoadReport> &upstreams, TimePoint validUntil);
 
     static std::uint64_t hashUpstreamId(const UpstreamId &upstream);
 
@@ -151,6 +154,8 @@
     /** Sums over all peers by upstream hash, so that a placement needs one lookup. */
     Loads combinedPeerLoads;
     std::map<std::pair<FailureDomainId, PoolId>, UpstreamLoad> aggregateLoads;
+    /** Loads of single upstreams that nodes of other groups have there. */
+    Loads remoteLoads;
     TimePoint aggregateLoadsValidUntil;
 };
 
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <unordered_map>
 #include <utility>
 
 namespace Lovageward {
@@ -18,6 +19,12 @@
 /** Shortest interval of the load summaries that relays send. Single load changes stay within a failure domain. */
 constexpr Duration minimumSummaryInterval = seconds(1);
 
+/**
+ * Interval of summaries that name single upstreams. Two relays send them independently, so their age at a node is about half of that. An engine prefills
+ * a prompt in 0.3 s, so older loads mislead the nodes that place work there.
+ */
+constexpr Duration detailedSummaryInterval = milliseconds(600);
+
 /** Time after which a load summary that wasn't renewed is dropped. */
 constexpr Duration summaryLifetime = seconds(6);
 
@@ -107,7 +114,8 @@
     if (due.isFreshnessDue) {
         auto isSummaryDue = now >= this->summaryDueAt;
         if (isSummaryDue) {
-            this->summaryDueAt = now + std::max<Duration>(minimumSummaryInterval, fullStateInterval(group.size()));
+            auto interval = std::max<Duration>(minimumSummaryInterval, fullStateInterval(group.size()));
+            this->summaryDueAt = now + (this->hasDetailedSummary() ? detailedSummaryInterval : interval);
         }
         // The group already learns the age of the records from the digest of load.
         auto isSentToGroup = (due.isFullStateDue || due.isLoadChangeDue) && !isSummaryDue;
@@ -185,16 +193,42 @@
 {
     FleetSummary summary;
     summary.nodeCount = this->dependencies.peers.groupPeerCount() + 1;
+    summary.upstreams = this->dependencies.loads.combinedReports();
+    this->limitDetail(summary);
+    return summary;
+}
+
+void PeerAgent::limitDetail(FleetSummary &summary) const
+{
+    std::unordered_map<std::uint64_t, UpstreamLoad> loads;
+    for (const auto &report : summary.upstreams) {
+        loads[report.upstreamHash] += report.load;
+    }
+    summary.upstreams.clear();
+    if (this->hasDetailedSummary() && loads.size() <= maximumSummaryUpstreams) {
+        for (const auto &[hash, load] : loads) {
+            summary.upstreams.push_back(UpstreamLoadReport { hash, load, Duration(0) });
+        }
+        return;
+    }
     std::map<std::pair<FailureDomainId, PoolId>, UpstreamLoad> sums;
-    for (const auto &share : this->dependencies.loads.combinedReports()) {
-        if (auto area = this->dependencies.registry.findDomainPool(share.upstreamHash)) {
-            sums[{ area->domain, area->pool }] += share.load;
+    for (const auto &area : summary.areas) {
+        sums[{ area.domain, area.pool }] += area.load;
+    }
+    for (const auto &[hash, load] : loads) {
+        if (auto area = this->dependencies.registry.findDomainPool(hash)) {
+            sums[{ area->domain, area->pool }] += load;
         }
     }
+    summary.areas.clear();
     for (const auto &[area, load] : sums) {
         summary.areas.push_back(DomainPoolLoad { area.first, area.second, load });
     }
-    return summary;
+}
+
+bool PeerAgent::hasDetailedSummary() const
+{
+    return this->dependencies.registry.size() <= maximumSummaryUpstreams;
 }
 
 void PeerAgent::queueRecords(const FeedBatch &batch)
@@ -293,7 +327,8 @@
     }
     if (digest.summary) {
         auto sum = this->dependencies.peers.applySummary(digest);
-        this->dependencies.loads.replaceAggregateLoads(sum.areas, now + summaryLifetime);
+        this->limitDetail(sum);
+        this->dependencies.loads.replaceAggregateLoads(sum.areas, sum.upstreams, now + summaryLifetime);
         std::lock_guard<std::mutex> guard(this->mutex);
         this->remoteSummary = std::move(sum);
     }
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -133,6 +133,10 @@
     void addFreshness(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group, bool isSummaryDue);
     void addFirstDigests(std::vector<OutgoingDigest> &outgoing);
     FleetSummary summarizeOwnDomain() const;
+    /** Adds up the loads of each upstream, and turns them into sums of areas if they are too many for a digest. */
+    void limitDetail(FleetSummary &summary) const;
+    /** Whether the fleet has so few upstreams that summaries name each of them. */
+    bool hasDetailedSummary() const;
 
     PeerAgentDependencies dependencies;
     HostId host;
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -94,18 +94,25 @@
         return;
     }
     auto areas = std::min(summary->areas.size(), maximumAreas);
-    writer.array(2).number(summary->nodeCount).array(areas);
+    writer.array(3).number(summary->nodeCount).array(areas);
     for (std::size_t position = 0; position < areas; ++position) {
         const auto &area = summary->areas[position];
         writer.array(6).text(area.domain.value()).text(area.pool.value());
         writeLoad(writer, area.load);
     }
+    auto upstreams = std::min(summary->upstreams.size(), maximumSummaryUpstreams);
+    writer.array(upstreams);
+    for (std::size_t position = 0; position < upstreams; ++position) {
+        writer.array(5).number(summary->upstreams[position].upstreamHash);
+        writeLoad(writer, summary->upstreams[position].load);
+    }
 }
 
 std::optional<FleetSummary> readSummary(MessageReader &reader)
 {
     std::optional<FleetSummary> summary;
-    if (reader.beginArray(0, maximumFields) >= 2) {
+    auto fields = reader.beginArray(0, maximumFields);
+    if (fields >= 2) {
         summary.emplace();
         summary->nodeCount = static_cast<std::size_t>(reader.number(maximumNodes));
         summary->areas.resize(reader.beginArray(0, maximumAreas));
@@ -118,6 +125,16 @@
         }
         reader.endArray();
     }
+    if (fields >= 3) {
+        summary->upstreams.resize(reader.beginArray(0, maximumSummaryUpstreams));
+        for (auto &upstream : summary->upstreams) {
+            reader.beginArray(5, maximumFields);
+            upstream.upstreamHash = reader.number();
+            upstream.load = readLoad(reader);
+            reader.endArray();
+        }
+        reader.endArray();
+    }
     reader.endArray();
     return summary;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -42,7 +42,10 @@
 struct FleetSummary
 {
     std::size_t nodeCount = 0;
+    /** Loads of the upstreams that `upstreams` doesn't name. */
     std::vector<DomainPoolLoad> areas;
+    /** Loads of single upstreams, as far as they fit into a digest (see maximumSummaryUpstreams). */
+    std::vector<UpstreamLoadReport> upstreams;
 };
 
 /**
@@ -89,6 +92,12 @@
 /** Limit of the load shares in one digest. A node uses few upstreams at a time; beyond the limit the largest shares are sent. */
 inline constexpr std::size_t maximumShares = 64;
 
+/**
+ * Largest number of upstreams whose loads a summary names one by one; beyond it a summary has sums only. Nodes of other domains use the upstreams of a
+ * domain as well, and place work badly if they know only the mean load. At 20 bytes each, the summaries of two relays take 4 KB/s of each node.
+ */
+inline constexpr std::size_t maximumSummaryUpstreams = 64;
+
 /** Limit of the leaving upstreams in one digest; beyond it the newest are sent. */
 inline constexpr std::size_t maximumLeavingUpstreams = 16;
 
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -154,6 +154,7 @@
         if (isCounted) {
             sum.nodeCount += received.summary.nodeCount;
             sum.areas.insert(sum.areas.end(), received.summary.areas.begin(), received.summary.areas.end());
+            sum.upstreams.insert(sum.upstreams.end(), received.summary.upstreams.begin(), received.summary.upstreams.end());
         }
     }
     return sum;
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -205,6 +205,7 @@
     fixture.registry.put(upstreamRecord("a", "a1"));
     fixture.registry.put(upstreamRecord("b", "a1"));
     fixture.loadTracker.replaceAggregateLoads({ DomainPoolLoad { FailureDomainId("a1"), PoolId("engines"), UpstreamLoad { 10, 50'000, 0 } } },
+                                              {},
                                               fixture.clock.now() + seconds(3));
     auto placed = fixture.placer.place(fixture.makeConstraints());
     REQUIRE(placed.outcome == PickOutcome::Picked);
