--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -228,7 +228,8 @@
 
 bool PeerAgent::hasDetailedSummary() const
 {
-    return this->dependencies.registry.size() <= maximumSummaryUpstreams;
+    auto upstreams = this->dependencies.registry.size();
+    return upstreams > 0 && upstreams <= maximumSummaryUpstreams;
 }
 
 void PeerAgent::queueRecords(const FeedBatch &batch)
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -64,6 +64,21 @@
     CHECK(tracker.combinedReports().empty());
 }
 
+TEST_CASE("Loads of other domains' nodes at single upstreams count until they are replaced or expire, and aren't reported to the group again")
+{
+    ManualClock clock;
+    LoadTracker tracker(clock);
+    UpstreamId engine("e1");
+    UpstreamLoadReport report { LoadTracker::hashUpstreamId(engine), UpstreamLoad { 2, 7000, 3000 }, Duration(0) };
+    tracker.replaceAggregateLoads({}, { report, report }, clock.now() + seconds(6));
+    CHECK(tracker.load(engine).runs == 4);
+    CHECK(tracker.combinedReports().empty());
+    tracker.replaceAggregateLoads({}, { report }, clock.now() + seconds(6));
+    CHECK(tracker.load(engine).peakTokens == Approx(7000));
+    clock.advance(seconds(6));
+    CHECK(tracker.load(engine).runs == 0);
+}
+
 TEST_CASE("An update replaces a peer's reports on the listed upstreams only, and a report without runs removes the load")
 {
     ManualClock clock;
@@ -146,7 +161,9 @@
     digest.knownPeers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" }, { HostId(), FailureDomainId(), "10.0.0.2:7200" } };
     digest.isRelay = true;
     digest.loadScope = LoadScope::Changes;
-    digest.summary = FleetSummary { 42, { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } } };
+    digest.summary = FleetSummary { 42,
+                                    { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } },
+                                    { UpstreamLoadReport { 43, UpstreamLoad { 4, 8'000, 200, 1 }, Duration(0) } } };
     CHECK_FALSE(decodeDigest(encodeDigest(digest)).batch);
     digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
     digest.isBatchForGroup = true;
@@ -172,6 +189,9 @@
     CHECK(decoded.summary->areas[0].domain == FailureDomainId("b1"));
     CHECK(decoded.summary->areas[0].pool == PoolId("engines"));
     CHECK(decoded.summary->areas[0].load.runs == 7);
+    REQUIRE(decoded.summary->upstreams.size() == 1);
+    CHECK(decoded.summary->upstreams[0].upstreamHash == 43);
+    CHECK(decoded.summary->upstreams[0].load.decodingRuns == 1);
     CHECK(decoded.batch->topic == FeedTopic::Upstreams);
     CHECK(decoded.batch->firstOffset == 5);
     CHECK(decoded.batch->page.nextOffset == 8);
@@ -224,7 +244,9 @@
     digest.loadScope = LoadScope::Full;
     digest.shares = { UpstreamLoadReport { 42, UpstreamLoad { 3, 10'500, 2'000 } } };
     digest.knownPeers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" } };
-    digest.summary = FleetSummary { 42, { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } } };
+    digest.summary = FleetSummary { 42,
+                                    { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } },
+                                    { UpstreamLoadReport { 43, UpstreamLoad { 4, 8'000, 200, 1 }, Duration(0) } } };
     digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string(500, 'x'), 6 } }, 8 } };
     auto whole = encodeDigest(digest);
     SeededRandom random(17);
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -75,6 +75,39 @@
     }
 }
 
+// Guards against nodes that know only the mean load of another domain's engines, and fill one of them from several domains at once.
+TEST_CASE("Nodes of all domains know the load of each engine if the fleet has few of them, and sums otherwise")
+{
+    constexpr std::size_t nodes = 68;
+    for (std::size_t engines : { std::size_t(45), 2 * maximumSummaryUpstreams }) {
+        CAPTURE(engines);
+        SimulatedFleet fleet(nodes, 6, lossShare);
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            fleet.writeUpstream(fmt::format("engine-{}", engine), "1");
+        }
+        fleet.run(seconds(6));
+        std::vector<RunId> runs;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            auto engine = node % 2 == 0 ? std::size_t(0) : node % engines;
+            runs.push_back(fleet.at(node).loads.addRun(UpstreamId(fmt::format("engine-{}", engine)), Footprint { 3000, 900, 2000 }, RunKind::Fresh));
+            fleet.at(node).agent.announceLoadChange();
+        }
+        fleet.run(seconds(3));
+        auto isDetailed = engines <= maximumSummaryUpstreams;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            CAPTURE(node);
+            auto known = fleet.at(node).loads.load(UpstreamId("engine-0")).runs;
+            CHECK((known >= nodes / 2) == isDetailed);
+        }
+        fleet.resetTraffic();
+        fleet.run(seconds(3));
+        auto traffic = trafficRates(fleet, seconds(3));
+        // The specified 5 KB/s in each direction. Relays carry the traffic of their domain.
+        CHECK(traffic.median <= 10'000);
+        CHECK(traffic.busiest <= 50'000);
+    }
+}
+
 TEST_CASE("In a fleet of 300 nodes all learn of draining upstreams in time, and only the readers call the store")
 {
     SimulatedFleet fleet(300, 6, lossShare);
--- a/Tests/LibGateway/TestPeerTable.cpp
+++ b/Tests/LibGateway/TestPeerTable.cpp
@@ -183,7 +183,7 @@
     CHECK(fixture.table.nodeCount() == minimumNodeCount);
     fixture.receiveDigests("a1", 15);
     auto relay = makeDigest("a1-0");
-    relay.summary = FleetSummary { 285, { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 3, 9000, 0 } } } };
+    relay.summary = FleetSummary { 285, { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 3, 9000, 0 } } }, {} };
     auto sum = fixture.table.applySummary(relay);
     CHECK(sum.nodeCount == 285);
     CHECK(sum.areas.size() == 1);
@@ -205,15 +205,15 @@
     REQUIRE(fixture.table.isRelay());
     for (const auto *host : { "b1-0", "b1-1" }) {
         auto relay = makeDigest(host, "b1");
-        relay.summary = FleetSummary { 50, {} };
+        relay.summary = FleetSummary { 50, {}, {} };
         fixture.table.applySummary(relay);
     }
     auto relay = makeDigest("b2-0", "b2");
-    relay.summary = FleetSummary { 49, {} };
+    relay.summary = FleetSummary { 49, {}, {} };
     CHECK(fixture.table.applySummary(relay).nodeCount == 99);
     // The other relay of its own domain sends the same sum, which isn't added.
     auto own = makeDigest("a1-0", "a1");
-    own.summary = FleetSummary { 99, {} };
+    own.summary = FleetSummary { 99, {}, {} };
     CHECK(fixture.table.applySummary(own).nodeCount == 99);
 }
 
