platform: Decode reported loads with further figures, and translate features

X-Server-Load was dropped unless it had exactly three figures, and a malformed figure was taken for zero.

The adapter now accepts three or more figures and keeps the fourth, how long work takes in percent of the usual time. Malformed or implausible counts drop the load; a malformed or implausible slowness drops only itself. The settings "reported-load" and "platform-features" are added; a function in platform/ translates the names of features into defaults of other settings, so that a setting that is given itself takes precedence.

Nothing reads the load or the setting yet. Testplatform (the cases of the adapter and of the features) and TestLibNode pass on x86_64.

--- a/Libraries/LibGateway/ForwardProtocol.h
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -40,6 +40,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /** How long work currently takes on the machine, in percent of the usual time; nullopt if it isn't reported. */
+    std::optional<std::uint32_t> slowness = std::nullopt;
 };
 
 /** Metadata from the head of an upstream's response, apart from its status. */
--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -5,6 +5,8 @@
 #include <Poco/NumberParser.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace Lovageward {
 
 namespace {
@@ -39,6 +41,17 @@
     }
 }
 
+void checkSwitch(const std::string &text)
+{
+    if (text != "on" && text != "off") {
+        reject(fmt::format("'{}' is neither 'on' nor 'off'", text));
+    }
+}
+
+void acceptAny(const std::string & /*text*/)
+{
+}
+
 void checkDomainList(const std::string &text)
 {
     for (const auto &entry : splitSettingList(text)) {
@@ -114,12 +127,24 @@
         { "answer-body-bytes", "maximum size of a response body in bytes, including streams", "67108864", wholeNumberCheck(4096, maximumResponseByteLimit) },
         { "event-bytes", "maximum size of one event of a stream in bytes", "262144", wholeNumberCheck(1024, maximumResponseByteLimit) },
         { "standby-fill", "utilization of an engine, from 0 to 1, up to which it takes standby copies of running work; 0 for none", "0", checkFraction },
+        { "reported-load", "'on': the load that upstreams report takes effect for all pools; 'off': only for pools that report slowness", "off", checkSwitch },
+        { "platform-features", "comma-separated names of the platform's features in use, which select other settings", "", acceptAny },
         { "log-lines", "maximum number of structured log lines per second", "400", wholeNumberCheck(1, 1'000'000) },
     };
 }
 
 namespace {
 
+std::vector<SettingDefault> translateFeatures(const std::string &features, const FeatureTranslation &translateFeature)
+{
+    std::vector<SettingDefault> defaults;
+    for (const auto &feature : splitSettingList(features)) {
+        auto selected = translateFeature ? translateFeature(feature) : std::vector<SettingDefault>();
+        defaults.insert(defaults.end(), selected.begin(), selected.end());
+    }
+    return defaults;
+}
+
 ResponseLimits readResponseLimits(const SettingsReader &reader)
 {
     ResponseLimits limits;
@@ -135,9 +160,24 @@
 
 }
 
-GatewaySettings readGatewaySettings(const std::string &file, const std::vector<std::string> &arguments, const EnvironmentLookup &environment)
+GatewaySettings readGatewaySettings(const std::string &file,
+                                    const std::vector<std::string> &arguments,
+                                    const EnvironmentLookup &environment,
+                                    const FeatureTranslation &translateFeature)
 {
-    SettingsReader reader(gatewaySettingDefinitions());
+    auto definitions = gatewaySettingDefinitions();
+    SettingsReader givenSettings(definitions);
+    givenSettings.readFile(file);
+    givenSettings.read(arguments, environment);
+    // The settings of the features replace the defaults, so that a setting that is given itself takes precedence.
+    for (const auto &selected : translateFeatures(givenSettings.text("platform-features"), translateFeature)) {
+        auto definition = std::find_if(definitions.begin(), definitions.end(), [&](const auto &entry) { return entry.name == selected.name; });
+        if (definition == definitions.end()) {
+            reject(fmt::format("a feature of the platform selects the unknown setting '{}'", selected.name));
+        }
+        definition->defaultValue = selected.value;
+    }
+    SettingsReader reader(definitions);
     reader.readFile(file);
     reader.read(arguments, environment);
     GatewaySettings settings;
@@ -157,6 +197,7 @@
     settings.retryBudgetLimits.slack = Poco::NumberParser::parseFloat(reader.text("retry-slack"));
     settings.retryBudgetLimits.window = seconds(reader.number("retry-window-seconds"));
     settings.standbyUtilizationLimit = Poco::NumberParser::parseFloat(reader.text("standby-fill"));
+    settings.usesReportedLoadOfAllPools = reader.text("reported-load") == "on";
     settings.responseLimits = readResponseLimits(reader);
     auto memoryLimit = reader.number("memory-megabytes") * connectionsPerMegabyte;
     auto descriptorLimit = reader.number("descriptors") / descriptorsPerConnection;
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -8,6 +8,7 @@
 #include <LibNode/SettingsReader.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -37,13 +38,31 @@
     ResponseLimits responseLimits;
     /** Utilization of an engine, from 0 to 1, up to which it takes standby copies; 0 for none. See UpstreamPicker. */
     double standbyUtilizationLimit = 0;
+    /** The load that upstreams report takes effect for all pools, not only for those that report how long work takes. */
+    bool usesReportedLoadOfAllPools = false;
     int maximumConnections = 0;
     double logLinesPerSecond = 0;
 };
 
+/** A setting and the value that applies unless the setting itself is given. */
+struct SettingDefault
+{
+    std::string name;
+    std::string value;
+};
+
+/** Returns the settings that a feature of the platform selects; none for an unknown feature. */
+using FeatureTranslation = std::function<std::vector<SettingDefault>(const std::string &feature)>;
+
 std::vector<SettingDefinition> gatewaySettingDefinitions();
 
-/** `file` is the text of the settings file, empty if there is none. Throws Error(InvalidSettings) that lists every invalid setting. */
-GatewaySettings readGatewaySettings(const std::string &file, const std::vector<std::string> &arguments, const EnvironmentLookup &environment);
+/**
+ * `file` is the text of the settings file, empty if there is none. `translateFeature` is applied to each name in the setting "platform-features"; without
+ * it that setting has no effect. Throws Error(InvalidSettings) that lists every invalid setting.
+ */
+GatewaySettings readGatewaySettings(const std::string &file,
+                                    const std::vector<std::string> &arguments,
+                                    const EnvironmentLookup &environment,
+                                    const FeatureTranslation &translateFeature = {});
 
 }
--- a/Libraries/LibNode/SettingsFileWatcher.cpp
+++ b/Libraries/LibNode/SettingsFileWatcher.cpp
@@ -10,15 +10,18 @@
 
 namespace Lovageward {
 
-SettingsFileWatcher::SettingsFileWatcher(std::string path, std::vector<std::string> arguments, EnvironmentLookup environment)
-    : path(std::move(path)), arguments(std::move(arguments)), environment(std::move(environment))
+SettingsFileWatcher::SettingsFileWatcher(std::string path,
+                                         std::vector<std::string> arguments,
+                                         EnvironmentLookup environment,
+                                         FeatureTranslation translateFeature)
+    : path(std::move(path)), arguments(std::move(arguments)), environment(std::move(environment)), translateFeature(std::move(translateFeature))
 {
 }
 
 GatewaySettings SettingsFileWatcher::readInitial()
 {
     this->lastText = this->readFile();
-    return readGatewaySettings(this->lastText, this->arguments, this->environment);
+    return readGatewaySettings(this->lastText, this->arguments, this->environment, this->translateFeature);
 }
 
 void SettingsFileWatcher::checkForChanges(SettingsListener &listener)
@@ -29,7 +32,7 @@
     }
     this->lastText = *text;
     try {
-        listener.settingsChanged(readGatewaySettings(*text, this->arguments, this->environment));
+        listener.settingsChanged(readGatewaySettings(*text, this->arguments, this->environment, this->translateFeature));
     } catch (const Error &error) {
         listener.settingsRejected(error.what());
     }
@@ -86,6 +89,7 @@
     compare("retry-window-seconds", current.retryBudgetLimits.window, changed.retryBudgetLimits.window);
     compare("memory-megabytes or descriptors", current.maximumConnections, changed.maximumConnections);
     compare("standby-fill", current.standbyUtilizationLimit, changed.standbyUtilizationLimit);
+    compare("reported-load or platform-features", current.usesReportedLoadOfAllPools, changed.usesReportedLoadOfAllPools);
     compare("response limits", current.responseLimits, changed.responseLimits);
     compare("log-lines", current.logLinesPerSecond, changed.logLinesPerSecond);
     return names;
--- a/Libraries/LibNode/SettingsFileWatcher.h
+++ b/Libraries/LibNode/SettingsFileWatcher.h
@@ -27,7 +27,7 @@
 {
 public:
     /** An empty path means that there is no settings file. */
-    SettingsFileWatcher(std::string path, std::vector<std::string> arguments, EnvironmentLookup environment);
+    SettingsFileWatcher(std::string path, std::vector<std::string> arguments, EnvironmentLookup environment, FeatureTranslation translateFeature = {});
 
     /** Reads the settings when the node starts. Throws Error(InvalidSettings). */
     GatewaySettings readInitial();
@@ -44,6 +44,7 @@
     std::string path;
     std::vector<std::string> arguments;
     EnvironmentLookup environment;
+    FeatureTranslation translateFeature;
     /** Content of the file at the last read. */
     std::string lastText;
     /** True if the listener has been notified that the file can't be read. */
--- a/Services/lovageward/GatewayMain.cpp
+++ b/Services/lovageward/GatewayMain.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/GatewayNode.h>
 #include <LibNode/SettingsFileWatcher.h>
 #include <platform/PlatformDecoder.h>
+#include <platform/PlatformFeatures.h>
 #include <platform/PlatformProtocol.h>
 #include <platform/PlatformStore.h>
 
@@ -24,7 +25,7 @@
 SettingsFileWatcher makeSettingsWatcher(const std::vector<std::string> &arguments)
 {
     const auto *path = std::getenv("LOVAGEWARD_CONFIG");
-    return { path == nullptr ? "" : path, arguments, [](const std::string &name) { return std::getenv(name.c_str()); } };
+    return { path == nullptr ? "" : path, arguments, [](const std::string &name) { return std::getenv(name.c_str()); }, translatePlatformFeature };
 }
 
 sigset_t blockHandledSignals()
--- a/Tests/platform/TestPlatformProtocol.cpp
+++ b/Tests/platform/TestPlatformProtocol.cpp
@@ -117,11 +117,38 @@
     CHECK(successMarks.load->running == 3);
     CHECK(successMarks.load->waiting == 1);
     CHECK(successMarks.load->slots == 8);
+    CHECK_FALSE(successMarks.load->slowness);
     CHECK(marksOf("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n").hasNotRun);
     CHECK(marksOf("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-0\r\n\r\n").isInstanceMismatch);
     CHECK_FALSE(marksOf("HTTP/1.1 503 Service Unavailable\r\n\r\n").hasNotRun);
 }
 
+// Guards against a decoder that drops the load when a later version appends figures, or that takes a malformed figure for zero.
+TEST_CASE("The reported load is decoded with three or more figures, and malformed or implausible figures are ignored")
+{
+    auto loadOf = [](const std::string &value) {
+        return PlatformProtocol().decodeResponse(parseResponseHead("HTTP/1.1 200 OK\r\nX-Server-Load: " + value + "\r\n\r\n")).load;
+    };
+    for (const auto *value : { "24,3,24,250", "24, 3, 24, 250", "24,3,24,250,7", "24,3,24,250,later,fields" }) {
+        CAPTURE(value);
+        auto load = loadOf(value);
+        REQUIRE(load);
+        CHECK(load->running == 24);
+        CHECK(load->waiting == 3);
+        CHECK(load->slots == 24);
+        CHECK(load->slowness == 250U);
+    }
+    for (const auto *value : { "1,2,3,0", "1,2,3,-5", "1,2,3,10001", "1,2,3,x", "1,2,3,", "1,2,3,99999999999999999999" }) {
+        CAPTURE(value);
+        REQUIRE(loadOf(value));
+        CHECK_FALSE(loadOf(value)->slowness);
+    }
+    for (const auto *value : { "", "1", "1,2", "1,-2,3", "x,2,3,100", "1,,3,100", "1,10001,3,100", "1,2.5,3" }) {
+        CAPTURE(value);
+        CHECK_FALSE(loadOf(value));
+    }
+}
+
 TEST_CASE("Decoding a response yields the upstream's shutdown notice and the time for which it refuses requests")
 {
     auto marksOf = [](const std::string &head) { return PlatformProtocol().decodeResponse(parseResponseHead(head)); };
