LibGateway: Place runs by the load that upstreams report

Loads of engines in other failure domains are known only as sums, a second or more old, so nodes of several domains placed runs on the same engine, and requests waited there while other engines had room.

UpstreamSpeedTracker records the running and waiting requests and the slowness that upstreams report in genuine responses, by process, with the time of the response. Requests beyond those that were known then (KnownRunHistory) count as load of nodes that this node doesn't hear from. An engine that reports waiting requests gets no new runs until a later report, its completions or the age of the report contradict it. Slowness scales the predicted times for the part of the work that it covers. Reports affect only pools that report slowness, unless "reported-load" is on.

Digests carry the reports as their last field: each node sends those of its own responses to its group, and relays send those of their domain to the relays of the other domains, which forward them to their groups. Number and bytes per second are bounded; changes between waiting and not waiting come first.

--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -25,6 +25,7 @@
               dependencies.registry,
               dependencies.rateLimits,
               dependencies.queriesOfDeath,
+              dependencies.speeds,
               *this },
             self.host,
             self.failureDomain)
@@ -110,6 +111,12 @@
     this->wakeSender();
 }
 
+void DigestTransport::upstreamLoadReported()
+{
+    this->agent.announceUpstreamLoad();
+    this->wakeSender();
+}
+
 void DigestTransport::upstreamNoticeReceived()
 {
     this->agent.announceUpstreamNotice();
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -31,6 +31,7 @@
     UpstreamRegistry &registry;
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
+    UpstreamSpeedTracker &speeds;
     const DrainState &drain;
 };
 
@@ -47,8 +48,9 @@
 
     TimePoint step() override;
 
-    /** Schedules the next digest without delay, as do the three functions below. */
+    /** Schedules the next digest without delay, as do the four functions below. */
     void loadChanged() override;
+    void upstreamLoadReported() override;
     void upstreamNoticeReceived() override;
     void onRecordsRead(const FeedBatch &batch) override;
     void onRecordsComplete(FeedTopic topic) override;
--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -16,6 +16,7 @@
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
+#include <LibGateway/UpstreamSpeedTracker.h>
 
 namespace Lovageward {
 
@@ -28,6 +29,9 @@
     /** The load that this node places on upstreams has changed: a request was placed, its prompt was processed, or it ended. */
     virtual void loadChanged() = 0;
 
+    /** An upstream has reported a load that peers need without delay. */
+    virtual void upstreamLoadReported() = 0;
+
     /** A call has shown that an upstream shuts down or has crashed, or that its rate limit has changed. */
     virtual void upstreamNoticeReceived() = 0;
 };
@@ -47,6 +51,7 @@
     UpstreamRefusals &refusals;
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
+    UpstreamSpeedTracker &speeds;
     PoolRetryBudgets &retries;
     OutputLengthPredictor &outputLengths;
     const ForwardProtocol &protocol;
--- a/Libraries/LibForward/ResponseInspector.cpp
+++ b/Libraries/LibForward/ResponseInspector.cpp
@@ -16,6 +16,7 @@
     }
     if (isOwn) {
         this->recordRateLimit(request, upstream, metadata, call.sentAt());
+        this->recordLoad(request, upstream, metadata);
     }
     return metadata;
 }
@@ -63,6 +64,29 @@
     }
 }
 
+void ResponseInspector::recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata) const
+{
+    // A response without id or stamp may come from a proxy or from another process at the same address.
+    auto isGenuine = metadata.hasServerStamp && metadata.requestId == request;
+    if (!metadata.load || !isGenuine) {
+        return;
+    }
+    this->dependencies.counters.counter("lovageward_upstream_loads_reported_total").add();
+    if (metadata.load->waiting > 0) {
+        this->dependencies.counters.counter("lovageward_upstream_loads_with_waiting_requests_total").add();
+    }
+    if (this->dependencies.speeds.recordReport(upstream, *metadata.load)) {
+        this->dependencies.events.write("upstream_load",
+                                        { { "request", request.value() },
+                                          { "upstream", upstream.id.value() },
+                                          { "boot", upstream.boot.value() },
+                                          { "running", metadata.load->running },
+                                          { "waiting", metadata.load->waiting },
+                                          { "slowness_percent", metadata.load->slowness.value_or(0) } });
+        this->dependencies.placementListener.upstreamLoadReported();
+    }
+}
+
 void ResponseInspector::writeRateLimitEvent(const char *event, const RequestId &request, const UpstreamRecord &upstream, double requestsPerSecond) const
 {
     this->dependencies.events.write(event,
--- a/Libraries/LibForward/ResponseInspector.h
+++ b/Libraries/LibForward/ResponseInspector.h
@@ -6,8 +6,8 @@
 namespace Lovageward {
 
 /**
- * Decodes the heads of upstream responses and records the notices in them: that the upstream shuts down soon, accepts no requests for a time, or limits
- * the rate of requests.
+ * Decodes the heads of upstream responses and records the notices in them: that the upstream shuts down soon, accepts no requests for a time, limits the
+ * rate of requests, or how many requests it has and how long they take.
  */
 class ResponseInspector
 {
@@ -26,6 +26,7 @@
     void recordLeave(const RequestId &request, const UpstreamRecord &upstream) const;
     void recordRefusal(const RequestId &request, const UpstreamRecord &upstream, Duration wait) const;
     void recordRateLimit(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, TimePoint sentAt) const;
+    void recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata) const;
     void writeRateLimitEvent(const char *event, const RequestId &request, const UpstreamRecord &upstream, double requestsPerSecond) const;
 
     const ForwardDependencies &dependencies;
--- a/Libraries/LibGateway/EngineCost.cpp
+++ b/Libraries/LibGateway/EngineCost.cpp
@@ -35,8 +35,11 @@
     auto prefillTimePerToken = tokenTime * prefillTimeRatio;
     auto concurrentRuns = static_cast<double>(engine.load.decodingRuns);
     auto timeToFirstEvent = (engine.load.pendingPrefillTokens + run.promptTokens) * prefillTimePerToken;
+    auto firstEventSlowness = engine.speed.factorOver(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(timeToFirstEvent)));
+    timeToFirstEvent *= firstEventSlowness;
     auto outputTime = run.expectedOutputTokens * tokenTime * (1 + slowdownPerRun * concurrentRuns);
     auto delayOfConcurrentRuns = concurrentRuns * run.promptTokens * prefillTimePerToken * prefillDelayShare;
+    outputTime *= engine.speed.factorOver(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(outputTime)));
     return firstEventWeight * timeToFirstEvent + outputTime + delayOfConcurrentRuns + fullEngineCostSeconds * engine.utilization * engine.utilization;
 }
 
--- a/Libraries/LibGateway/EngineCost.h
+++ b/Libraries/LibGateway/EngineCost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/LoadTracker.h>
+#include <LibGateway/UpstreamSpeedTracker.h>
 
 namespace Lovageward {
 
@@ -12,6 +13,7 @@
     Duration tokenTime = Duration(0);
     /** Expected share of KV cache or slots in use when the new run ends, whichever is larger. */
     double utilization = 0;
+    UpstreamSpeed speed = {};
 };
 
 /**
--- a/Libraries/LibGateway/LoadTracker.cpp
+++ b/Libraries/LibGateway/LoadTracker.cpp
@@ -44,6 +44,7 @@
     load.peakTokens += footprint.peakTokens(0);
     load.pendingPrefillTokens += hasUnreadPrompt ? footprint.promptTokens : 0;
     load.decodingRuns += kind == RunKind::StandbyCopy ? 0 : 1;
+    this->knownRuns.add(hashUpstreamId(upstream), kind == RunKind::StandbyCopy ? 0 : 1, this->clock.now());
     this->changedUpstreams.insert(upstream);
     return number;
 }
@@ -81,6 +82,7 @@
     load->second.peakTokens -= found->second.footprint.peakTokens(found->second.producedTokens);
     load->second.pendingPrefillTokens -= found->second.isPrefilled ? 0 : found->second.footprint.promptTokens;
     load->second.decodingRuns -= found->second.kind == RunKind::StandbyCopy ? 0 : 1;
+    this->knownRuns.add(hashUpstreamId(found->second.upstream), found->second.kind == RunKind::StandbyCopy ? 0 : -1, this->clock.now());
     if (--load->second.runs == 0) {
         this->localLoads.erase(load);
     }
@@ -110,6 +112,12 @@
     return found == this->aggregateLoads.end() || this->clock.now() >= this->aggregateLoadsValidUntil ? UpstreamLoad() : found->second;
 }
 
+std::int64_t LoadTracker::knownRunsAt(std::uint64_t upstreamHash, TimePoint time) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->knownRuns.runsAt(upstreamHash, time);
+}
+
 std::vector<UpstreamLoadReport> LoadTracker::localReports() const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
@@ -182,6 +190,9 @@
 {
     auto &total = this->combinedPeerLoads[report.upstreamHash];
     auto known = peer.loads.find(report.upstreamHash);
+    auto earlierRuns = known == peer.loads.end() ? 0 : std::int64_t { known->second.decodingRuns };
+    auto laterRuns = report.load.runs > 0 ? std::int64_t { report.load.decodingRuns } : 0;
+    this->knownRuns.add(report.upstreamHash, laterRuns - earlierRuns, this->clock.now());
     if (known != peer.loads.end()) {
         total -= known->second;
         peer.loads.erase(known);
--- a/Libraries/LibGateway/LoadTracker.h
+++ b/Libraries/LibGateway/LoadTracker.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
+#include <LibGateway/KnownRunHistory.h>
 
 #include <cstdint>
 #include <map>
@@ -95,6 +96,9 @@
     /** Summed load of the nodes that don't report to this node directly; zero when the sums have expired. */
     UpstreamLoad aggregateLoad(const FailureDomainId &domain, const PoolId &pool) const;
 
+    /** Number of runs, without standby copies, that this node and the peers that report to it directly had at the upstream, as known at that time. */
+    std::int64_t knownRunsAt(std::uint64_t upstreamHash, TimePoint time) const;
+
     /** Load of this node alone, without upstreams at which it has no work. */
     std::vector<UpstreamLoadReport> localReports() const;
 
@@ -150,6 +154,7 @@
     TimePoint nextPeerExpiry = TimePoint::max();
     /** Sums over all peers by upstream hash, so that a placement needs one lookup. */
     Loads combinedPeerLoads;
+    KnownRunHistory knownRuns;
     std::map<std::pair<FailureDomainId, PoolId>, UpstreamLoad> aggregateLoads;
     TimePoint aggregateLoadsValidUntil;
 };
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -96,12 +96,14 @@
     if (due.isFullStateDue) {
         auto state = this->makeDigest(LoadScope::Full);
         state.knownPeers = this->dependencies.peers.randomLivePeers(peersInFullState);
+        state.speedReports = this->takeGroupReports(group);
         this->dependencies.loads.takeChangedReports(std::numeric_limits<std::size_t>::max());
         outgoing.push_back(OutgoingDigest { group, encodeDigest(state) });
     } else if (due.isLoadChangeDue) {
         auto changes = this->makeDigest(LoadScope::Changes);
         changes.shares = this->dependencies.loads.takeChangedReports(maximumShares);
         this->addTokenTimes(changes.shares);
+        changes.speedReports = this->takeGroupReports(group);
         outgoing.push_back(OutgoingDigest { group, encodeDigest(changes) });
     }
     if (due.isFreshnessDue) {
@@ -151,6 +153,7 @@
 void PeerAgent::addFreshness(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group, bool isSummaryDue)
 {
     auto digest = this->makeDigest(LoadScope::None);
+    digest.speedReports = this->takeGroupReports(group);
     if (!digest.isRelay) {
         outgoing.push_back(OutgoingDigest { group, encodeDigest(digest) });
         return;
@@ -163,7 +166,38 @@
     if (isSummaryDue) {
         digest.summary = this->summarizeOwnDomain();
     }
-    outgoing.push_back(OutgoingDigest { this->dependencies.peers.selectRelayTargets(), encodeDigest(digest) });
+    auto relays = this->dependencies.peers.selectRelayTargets();
+    digest.speedReports = this->dependencies.speeds.takeReports(ReportChannel::Relays, relays.size());
+    outgoing.push_back(OutgoingDigest { std::move(relays), encodeDigest(digest) });
+}
+
+std::vector<UpstreamSpeedReport> PeerAgent::takeGroupReports(const std::vector<std::string> &group)
+{
+    auto reports = this->dependencies.speeds.takeReports(ReportChannel::Group, group.size());
+    if (this->dependencies.peers.isRelay()) {
+        auto forwarded = this->dependencies.speeds.takeReports(ReportChannel::ForwardToGroup, group.size());
+        reports.insert(reports.end(), forwarded.begin(), forwarded.end());
+    }
+    return reports;
+}
+
+void PeerAgent::announceUpstreamLoad()
+{
+    this->scheduler.markLoadChanged();
+    if (this->dependencies.peers.isRelay()) {
+        this->scheduler.markFreshnessChanged();
+    }
+}
+
+void PeerAgent::receiveSpeedReports(const PeerDigest &digest)
+{
+    auto isOtherDomain = digest.failureDomain != this->failureDomain && this->dependencies.peers.isHierarchical();
+    for (const auto &report : digest.speedReports) {
+        auto origin = isOtherDomain || report.isFromOtherDomain ? ReportOrigin::OtherDomain : ReportOrigin::Group;
+        if (this->dependencies.speeds.recordPeerReport(report, origin) && this->dependencies.peers.isRelay()) {
+            this->scheduler.markFreshnessChanged();
+        }
+    }
 }
 
 void PeerAgent::addFirstDigests(std::vector<OutgoingDigest> &outgoing)
@@ -227,6 +261,7 @@
     }
     auto isNew = this->dependencies.peers.applyDigest(sender, digest);
     this->receiveLoad(digest);
+    this->receiveSpeedReports(digest);
     for (const auto &leave : digest.leavingUpstreams) {
         if (this->dependencies.registry.recordShutdownNotice(leave)) {
             // Relays forward it to the other failure domains.
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -10,6 +10,7 @@
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
+#include <LibGateway/UpstreamSpeedTracker.h>
 
 #include <array>
 #include <atomic>
@@ -60,6 +61,7 @@
     UpstreamRegistry &registry;
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
+    UpstreamSpeedTracker &speeds;
     FeedInbox &inbox;
 };
 
@@ -86,6 +88,9 @@
         this->scheduler.markLoadChanged();
     }
 
+    /** An upstream has reported a load that peers need without delay. */
+    void announceUpstreamLoad();
+
     /** A response to this node has shown that an upstream shuts down or has crashed, or that its rate limit has changed. */
     void announceUpstreamNotice()
     {
@@ -133,6 +138,9 @@
     void addFreshness(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group, bool isSummaryDue);
     void addFirstDigests(std::vector<OutgoingDigest> &outgoing);
     FleetSummary summarizeOwnDomain() const;
+    /** Takes the reported loads that are due to the group. */
+    std::vector<UpstreamSpeedReport> takeGroupReports(const std::vector<std::string> &group);
+    void receiveSpeedReports(const PeerDigest &digest);
 
     PeerAgentDependencies dependencies;
     HostId host;
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Lovageward {
 
@@ -24,8 +25,9 @@
 /** Largest time per token that is sent; longer ones are clamped. */
 constexpr Duration maximumTokenTime = minutes(1);
 
-/** Number of values in a digest, and in those of older versions without outages, suspected parts, rate limits and leaving upstreams. */
-constexpr std::size_t fieldCount = 15;
+/** Number of values in a digest, and in those of older versions without reported loads, outages, suspected parts, rate limits and leaving upstreams. */
+constexpr std::size_t fieldCount = 16;
+constexpr std::size_t fieldCountWithoutSpeedReports = 15;
 constexpr std::size_t fieldCountWithoutStoreOutages = 14;
 constexpr std::size_t fieldCountWithoutSuspectedParts = 13;
 constexpr std::size_t fieldCountWithoutRateLimits = 12;
@@ -57,6 +59,10 @@
 constexpr Duration maximumCrashAge = minutes(60);
 constexpr std::uint32_t maximumPartPosition = 1'000;
 
+/** Limits of the reported loads in a digest: their number, and their age, beyond which they are clamped. */
+constexpr std::size_t maximumSpeedReportsPerDigest = 2 * maximumSpeedReports;
+constexpr Duration maximumSpeedReportAge = minutes(1);
+
 constexpr auto maximumScaledRateLimit = static_cast<std::uint64_t>(maximumRateLimit * rateLimitScale);
 
 std::vector<UpstreamLoadReport> selectLargestShares(std::vector<UpstreamLoadReport> shares)
@@ -302,6 +308,39 @@
     reader.endArray();
 }
 
+/** A slowness of zero stands for none. */
+void writeSpeedReports(MessageWriter &writer, const std::vector<UpstreamSpeedReport> &reports)
+{
+    auto count = std::min(reports.size(), maximumSpeedReportsPerDigest);
+    writer.array(count);
+    for (std::size_t position = 0; position < count; ++position) {
+        const auto &report = reports[position];
+        writer.array(7).number(report.upstreamHash).number(report.bootHash).number(report.running).number(report.waiting);
+        writer.number(report.slowness.value_or(0));
+        writeAge(writer, report.age, maximumSpeedReportAge);
+        writer.flag(report.isFromOtherDomain);
+    }
+}
+
+std::vector<UpstreamSpeedReport> readSpeedReports(MessageReader &reader)
+{
+    std::vector<UpstreamSpeedReport> reports(reader.beginArray(0, maximumSpeedReportsPerDigest));
+    for (auto &report : reports) {
+        reader.beginArray(7, maximumFields);
+        report.upstreamHash = reader.number();
+        report.bootHash = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
+        report.running = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
+        report.waiting = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
+        auto slowness = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
+        report.slowness = slowness > 0 ? std::optional(slowness) : std::nullopt;
+        report.age = readAge(reader, maximumSpeedReportAge);
+        report.isFromOtherDomain = reader.flag();
+        reader.endArray();
+    }
+    reader.endArray();
+    return reports;
+}
+
 }
 
 Duration fullStateInterval(std::size_t peers)
@@ -346,6 +385,7 @@
     writeRateLimits(writer, digest.rateLimits);
     writeSuspectedParts(writer, digest.suspectedParts);
     writeStoreOutages(writer, digest);
+    writeSpeedReports(writer, digest.speedReports);
     return writer.encoded();
 }
 
@@ -398,9 +438,12 @@
     if (fields >= fieldCountWithoutStoreOutages) {
         digest.suspectedParts = readSuspectedParts(reader);
     }
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutSpeedReports) {
         readStoreOutages(reader, digest);
     }
+    if (fields >= fieldCount) {
+        digest.speedReports = readSpeedReports(reader);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -7,6 +7,7 @@
 #include <LibGateway/StoreOutage.h>
 #include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
+#include <LibGateway/UpstreamSpeedReport.h>
 
 #include <array>
 #include <cstdint>
@@ -78,6 +79,8 @@
     std::vector<PromptPartReport> suspectedParts;
     /** For each topic the outage of the store after which upstreams may still be missing from it. */
     std::array<std::optional<StoreOutageReport>, feedTopicCount> storeOutages {};
+    /** Loads that upstreams have reported recently. */
+    std::vector<UpstreamSpeedReport> speedReports;
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
@@ -95,6 +98,9 @@
 /** Limit of the rate limits in one digest; beyond it the newest changes are sent. */
 inline constexpr std::size_t maximumRateLimits = 16;
 
+/** Limit of the reported loads of upstreams that are sent at a time, see UpstreamSpeedTracker. A digest contains at most twice as many, from two sources. */
+inline constexpr std::size_t maximumSpeedReports = 16;
+
 /** Limit of the suspected prompt parts in one digest; beyond it the strongest suspicions are sent. */
 inline constexpr std::size_t maximumSuspectedParts = 8;
 
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -28,6 +28,7 @@
                              const UpstreamRefusals &refusals,
                              const StatedRateLimits &rateLimits,
                              UpstreamRateLimiter &rateLimiter,
+                             UpstreamSpeedTracker &speeds,
                              const UpstreamPicker &picker,
                              RandomSource &random,
                              const FleetView &fleet)
@@ -39,6 +40,7 @@
     , refusals(refusals)
     , rateLimits(rateLimits)
     , rateLimiter(rateLimiter)
+    , speeds(speeds)
     , picker(picker)
     , random(random)
     , fleet(fleet)
@@ -152,17 +154,26 @@
     return route.pools.empty() ? PoolId() : route.pools.back().pool;
 }
 
-UpstreamLoad RequestPlacer::estimateLoad(const UpstreamRecord &record) const
+Candidate RequestPlacer::makeCandidate(UpstreamRecord record, const Footprint &footprint) const
 {
-    auto load = this->loadTracker.load(record.id);
+    Candidate candidate;
+    candidate.load = this->loadTracker.load(record.id);
+    candidate.failureRate = this->health.failureRate(record.id);
+    candidate.tokenTime = this->tokenTimes.tokenTime(record.id);
     auto aggregate = this->loadTracker.aggregateLoad(record.failureDomain, record.pool);
     auto upstreamCount = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->registry.countUsable(record.pool, record.failureDomain)));
+    // Runs of nodes that this node knows nothing of are taken for runs like those of their pool and domain, else for runs like this one.
+    auto peakTokensPerRun = aggregate.runs > 0 ? aggregate.peakTokens / aggregate.runs : footprint.peakTokens(0);
     aggregate.runs = (aggregate.runs + upstreamCount / 2) / upstreamCount;
     aggregate.decodingRuns = (aggregate.decodingRuns + upstreamCount / 2) / upstreamCount;
     aggregate.peakTokens /= upstreamCount;
     aggregate.pendingPrefillTokens /= upstreamCount;
-    load += aggregate;
-    return load;
+    auto estimate = this->speeds.estimate(record, IndirectLoad { aggregate, peakTokensPerRun, footprint.promptTokens });
+    candidate.load += estimate.indirectLoad;
+    candidate.hasWaitingRequests = estimate.hasWaitingRequests;
+    candidate.speed = estimate.speed;
+    candidate.record = std::move(record);
+    return candidate;
 }
 
 bool RequestPlacer::acceptsRequests(const UpstreamRecord &upstream) const
@@ -193,10 +204,7 @@
                                                     isHierarchical ? farSampleSize : unlimited,
                                                     this->random,
                                                     isEligible)) {
-        auto load = this->estimateLoad(record);
-        auto failureRate = this->health.failureRate(record.id);
-        auto tokenTime = this->tokenTimes.tokenTime(record.id);
-        candidates.push_back(Candidate { std::move(record), load, failureRate, tokenTime });
+        candidates.push_back(this->makeCandidate(std::move(record), constraints.footprint));
     }
     if (!candidates.empty()) {
         refusedUntil.reset();
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -11,6 +11,7 @@
 #include <LibGateway/UpstreamRateLimiter.h>
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
+#include <LibGateway/UpstreamSpeedTracker.h>
 
 #include <memory>
 #include <optional>
@@ -56,7 +57,7 @@
  * Places requests on upstreams and reserves their load in one step, so that two threads don't use the same capacity. In a hierarchical fleet a request
  * considers only a random sample of the upstreams, and only few far ones: their loads are known only as sums, so all nodes would send to the one that
  * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the leaf locks of the
- * registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate limiter.
+ * registry, the load tracker, the speed tracker, the token times, the health scores, the refusals, the stated rate limits and the rate limiter.
  */
 class RequestPlacer
 {
@@ -69,6 +70,7 @@
                   const UpstreamRefusals &refusals,
                   const StatedRateLimits &rateLimits,
                   UpstreamRateLimiter &rateLimiter,
+                  UpstreamSpeedTracker &speeds,
                   const UpstreamPicker &picker,
                   RandomSource &random,
                   const FleetView &fleet);
@@ -102,8 +104,11 @@
     TimePoint nextAvailableAt(const UpstreamRecord &upstream) const;
     /** Whether the candidate may get a copy now. Takes a request out of its rate limit for a migration. */
     bool admitsCopy(const UpstreamRecord &upstream, CopyPurpose purpose);
-    /** Load of the upstream. Loads that are known only as a sum are divided equally among the usable upstreams of the pool and domain. */
-    UpstreamLoad estimateLoad(const UpstreamRecord &record) const;
+    /**
+     * The upstream with its state. Loads that are known only as a sum are divided equally among the usable upstreams of the pool and domain, unless the
+     * upstream itself has reported its load.
+     */
+    Candidate makeCandidate(UpstreamRecord record, const Footprint &footprint) const;
 
     const Clock &clock;
     const UpstreamRegistry &registry;
@@ -113,6 +118,7 @@
     const UpstreamRefusals &refusals;
     const StatedRateLimits &rateLimits;
     UpstreamRateLimiter &rateLimiter;
+    UpstreamSpeedTracker &speeds;
     const UpstreamPicker &picker;
     RandomSource &random;
     const FleetView &fleet;
--- a/Libraries/LibGateway/UpstreamPicker.cpp
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -77,7 +77,9 @@
     for (std::size_t position = 0; position < candidates.size(); ++position) {
         const auto &candidate = candidates[position];
         auto utilization = this->utilizationWith(candidate, pool, footprint);
-        if (utilization > limit) {
+        // Requests wait at an engine until its KV cache has room, whatever is known of its load. Plain services have a queue for short waits.
+        auto isFull = utilization > limit || (pool.engine && candidate.hasWaitingRequests);
+        if (isFull) {
             best.outcome = best.outcome == PickOutcome::Picked ? best.outcome : PickOutcome::NoRoom;
             continue;
         }
@@ -98,7 +100,7 @@
         return utilization + distance + failureCost * candidate.failureRate;
     }
     auto tokenTime = candidate.tokenTime > Duration(0) ? candidate.tokenTime : fallbackTokenTime;
-    auto engineCost = estimateEngineCost(EngineState { candidate.load, tokenTime, utilization }, footprint);
+    auto engineCost = estimateEngineCost(EngineState { candidate.load, tokenTime, utilization, candidate.speed.value_or(UpstreamSpeed()) }, footprint);
     return engineCost + secondsPerDistanceCost * distance + failureCostSeconds * candidate.failureRate;
 }
 
--- a/Libraries/LibGateway/UpstreamPicker.h
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -5,6 +5,7 @@
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/UpstreamRecord.h>
+#include <LibGateway/UpstreamSpeedTracker.h>
 
 #include <map>
 #include <optional>
@@ -32,6 +33,9 @@
     double failureRate = 0;
     /** See TokenTimeTracker::tokenTime. */
     Duration tokenTime = Duration(0);
+    /** See UpstreamEstimate. */
+    bool hasWaitingRequests = false;
+    std::optional<UpstreamSpeed> speed = std::nullopt;
 };
 
 enum class PickOutcome {
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -132,6 +132,7 @@
         , statedRateLimits(this->clock)
         , queryOfDeathDetector(this->clock)
         , rateLimiter(this->clock, this->random)
+        , upstreamSpeeds(this->clock, this->loadTracker, settings.usesReportedLoadOfAllPools)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
         , requestPlacer(this->clock,
@@ -142,6 +143,7 @@
                         this->upstreamRefusals,
                         this->statedRateLimits,
                         this->rateLimiter,
+                        this->upstreamSpeeds,
                         this->upstreamPicker,
                         this->random,
                         this->peerTable)
@@ -157,6 +159,7 @@
                             this->upstreamRegistry,
                             this->statedRateLimits,
                             this->queryOfDeathDetector,
+                            this->upstreamSpeeds,
                             this->drainState },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
@@ -191,6 +194,7 @@
                                 this->upstreamRefusals,
                                 this->statedRateLimits,
                                 this->queryOfDeathDetector,
+                                this->upstreamSpeeds,
                                 this->retryBudgets,
                                 this->outputLengthPredictor,
                                 dependencies.protocol,
@@ -226,6 +230,7 @@
     StatedRateLimits statedRateLimits;
     QueryOfDeathDetector queryOfDeathDetector;
     UpstreamRateLimiter rateLimiter;
+    UpstreamSpeedTracker upstreamSpeeds;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
     RequestPlacer requestPlacer;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -47,6 +47,10 @@
     {
     }
 
+    void upstreamLoadReported() override
+    {
+    }
+
     void upstreamNoticeReceived() override
     {
     }
@@ -140,15 +144,16 @@
     StatedRateLimits rateLimits { clock };
     QueryOfDeathDetector queriesOfDeath { clock };
     UpstreamRateLimiter rateLimiter { clock, random };
+    UpstreamSpeedTracker speeds { clock, loadTracker, false };
     FakeFleet fleet { 1 };
     UpstreamPicker picker { NodeLocation { FailureDomainId("a1"), RegionId("a"), { { FailureDomainId("a1"), RegionId("a") } } }, random, 0.35 };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, speeds, picker, random, fleet };
     PoolRetryBudgets retries { clock, RetryBudgetLimits { 0.2, 100, seconds(10) }, fleet };
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
-    ForwardDependencies dependencies { clock,    random,     events,         counters, config,        registry, placer, tokenTimes, health,
-                                       refusals, rateLimits, queriesOfDeath, retries,  outputLengths, protocol, drain,  placements, {} };
+    ForwardDependencies dependencies { clock,      random,         events, counters, config,        registry, placer, tokenTimes, health, refusals,
+                                       rateLimits, queriesOfDeath, speeds, retries,  outputLengths, protocol, drain,  placements, {} };
     std::unique_ptr<GatewayServer> server;
 };
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -85,9 +85,10 @@
     UpstreamRefusals refusals { clock };
     StatedRateLimits rateLimits { clock };
     UpstreamRateLimiter rateLimiter { clock, random };
+    UpstreamSpeedTracker speeds { clock, loadTracker, false };
     FakeFleet fleet;
     UpstreamPicker picker { testLocation(), random, standbyUtilizationLimit };
-    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, picker, random, fleet };
+    RequestPlacer placer { clock, registry, loadTracker, tokenTimes, health, refusals, rateLimits, rateLimiter, speeds, picker, random, fleet };
     Route route = streamRoute();
     UpstreamPool pool = enginePool();
 
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -22,8 +22,18 @@
     , tokenTimes(fleet.clock)
     , rateLimits(fleet.clock)
     , queriesOfDeath(fleet.clock)
+    , speeds(fleet.clock, this->loads, false)
     , peers(fleet.clock, this->random, self, 8)
-    , agent({ fleet.clock, this->loads, this->tokenTimes, this->peers, this->mirror, this->registry, this->rateLimits, this->queriesOfDeath, *this },
+    , agent({ fleet.clock,
+              this->loads,
+              this->tokenTimes,
+              this->peers,
+              this->mirror,
+              this->registry,
+              this->rateLimits,
+              this->queriesOfDeath,
+              this->speeds,
+              *this },
             self.host,
             self.failureDomain)
     , operators(fleet.clock,
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -77,6 +77,7 @@
         TokenTimeTracker tokenTimes;
         StatedRateLimits rateLimits;
         QueryOfDeathDetector queriesOfDeath;
+        UpstreamSpeedTracker speeds;
         PeerTable peers;
         PeerAgent agent;
         FeedFollower operators;
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -58,6 +58,7 @@
                              fixture.refusals,
                              fixture.rateLimits,
                              limiter,
+                             fixture.speeds,
                              fixture.picker,
                              random,
                              fixture.fleet);
@@ -177,6 +178,7 @@
                              fixture.refusals,
                              fixture.rateLimits,
                              fixture.rateLimiter,
+                             fixture.speeds,
                              fixture.picker,
                              random,
                              fixture.fleet);
--- a/Tests/LibGateway/TestStatedRateLimits.cpp
+++ b/Tests/LibGateway/TestStatedRateLimits.cpp
@@ -54,9 +54,8 @@
     UpstreamRecord upstream = upstreamRecord("limited");
     SeededRandom random;
     UpstreamRateLimiter limiter { fixture.clock, random };
-    RequestPlacer placer { fixture.clock,  fixture.registry, fixture.loadTracker, fixture.tokenTimes,
-                           fixture.health, fixture.refusals, fixture.rateLimits,  limiter,
-                           fixture.picker, random,           fixture.fleet };
+    RequestPlacer placer { fixture.clock,      fixture.registry, fixture.loadTracker, fixture.tokenTimes, fixture.health, fixture.refusals,
+                           fixture.rateLimits, limiter,          fixture.speeds,      fixture.picker,     random,         fixture.fleet };
 };
 
 }
