--- a/Libraries/LibGateway/LoadTracker.h
+++ b/Libraries/LibGateway/LoadTracker.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
+#include <LibGateway/KnownRunHistory.h>
 
 #include <cstdint>
 #include <map>
@@ -95,6 +96,9 @@
     /** Summed load of the nodes that don't report to this node directly, without the loads that are known for each upstream; zero after their expiry. */
     UpstreamLoad aggregateLoad(const FailureDomainId &domain, const PoolId &pool) const;
 
+    /** Number of runs, without standby copies, that this node and the peers that report to it directly had at the upstream, as known at that time. */
+    std::int64_t knownRunsAt(std::uint64_t upstreamHash, TimePoint time) const;
+
     /** Load of this node alone, without upstreams at which it has no work. */
     std::vector<UpstreamLoadReport> localReports() const;
 
@@ -153,6 +157,7 @@
     TimePoint nextPeerExpiry = TimePoint::max();
     /** Sums over all peers by upstream hash, so that a placement needs one lookup. */
     Loads combinedPeerLoads;
+    KnownRunHistory knownRuns;
     std::map<std::pair<FailureDomainId, PoolId>, UpstreamLoad> aggregateLoads;
     /** Loads of single upstreams that nodes of other groups have there. */
     Loads remoteLoads;
