--- a/Libraries/LibGateway/LoadTracker.cpp
+++ b/Libraries/LibGateway/LoadTracker.cpp
@@ -98,18 +98,20 @@
     if (local != this->localLoads.end()) {
         total = local->second;
     }
-    auto hash = hashUpstreamId(upstream);
-    auto reported = this->combinedPeerLoads.find(hash);
+    auto reported = this->combinedPeerLoads.find(hashUpstreamId(upstream));
     if (reported != this->combinedPeerLoads.end()) {
         total += reported->second;
     }
-    auto remote = this->remoteLoads.find(hash);
-    if (remote != this->remoteLoads.end() && this->clock.now() < this->aggregateLoadsValidUntil) {
-        total += remote->second;
-    }
     return total;
 }
 
+UpstreamLoad LoadTracker::remoteLoad(const UpstreamId &upstream) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto found = this->remoteLoads.find(hashUpstreamId(upstream));
+    return found == this->remoteLoads.end() || this->clock.now() >= this->aggregateLoadsValidUntil ? UpstreamLoad() : found->second;
+}
+
 UpstreamLoad LoadTracker::aggregateLoad(const FailureDomainId &domain, const PoolId &pool) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/LoadTracker.h
+++ b/Libraries/LibGateway/LoadTracker.h
@@ -90,9 +90,12 @@
     void recordProgress(RunId run, double producedTokens);
     void removeRun(RunId run);
 
-    /** Load of this node, of the peers that report to it directly, and of the other nodes as far as it is known for this upstream. */
+    /** Load of this node and of the peers that report to it directly. */
     UpstreamLoad load(const UpstreamId &upstream);
 
+    /** Load of the nodes that don't report to this node directly, as far as it is known for this upstream. */
+    UpstreamLoad remoteLoad(const UpstreamId &upstream) const;
+
     /** Summed load of the nodes that don't report to this node directly, without the loads that are known for each upstream; zero after their expiry. */
     UpstreamLoad aggregateLoad(const FailureDomainId &domain, const PoolId &pool) const;
 
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -263,7 +263,7 @@
 bool PeerAgent::hasDetailedSummary() const
 {
     auto upstreams = this->dependencies.registry.size();
-    return upstreams > 0 && upstreams <= maximumSummaryUpstreams;
+    return upstreams > 0 && upstreams <= maximumSummaryUpstreams && this->dependencies.speeds.appliesToAnyPool();
 }
 
 void PeerAgent::queueRecords(const FeedBatch &batch)
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -140,7 +140,7 @@
     FleetSummary summarizeOwnDomain() const;
     /** Adds up the loads of each upstream, and turns them into sums of areas if they are too many for a digest. */
     void limitDetail(FleetSummary &summary) const;
-    /** Whether the fleet has so few upstreams that summaries name each of them. */
+    /** Whether summaries name each upstream: the fleet has few of them, and reported loads apply, because a mean hides differences between upstreams. */
     bool hasDetailedSummary() const;
     /** Takes the reported loads that are due to the group. */
     std::vector<UpstreamSpeedReport> takeGroupReports(const std::vector<std::string> &group);
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -163,11 +163,14 @@
     auto aggregate = this->loadTracker.aggregateLoad(record.failureDomain, record.pool);
     auto upstreamCount = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->registry.countUsable(record.pool, record.failureDomain)));
     // Runs of nodes that this node knows nothing of are taken for runs like those of their pool and domain, else for runs like this one.
-    auto peakTokensPerRun = aggregate.runs > 0 ? aggregate.peakTokens / aggregate.runs : footprint.peakTokens(0);
+    auto remote = this->loadTracker.remoteLoad(record.id);
+    auto remoteRuns = aggregate.runs + remote.runs;
+    auto peakTokensPerRun = remoteRuns > 0 ? (aggregate.peakTokens + remote.peakTokens) / remoteRuns : footprint.peakTokens(0);
     aggregate.runs = (aggregate.runs + upstreamCount / 2) / upstreamCount;
     aggregate.decodingRuns = (aggregate.decodingRuns + upstreamCount / 2) / upstreamCount;
     aggregate.peakTokens /= upstreamCount;
     aggregate.pendingPrefillTokens /= upstreamCount;
+    aggregate += remote;
     auto estimate = this->speeds.estimate(record, IndirectLoad { aggregate, peakTokensPerRun, footprint.promptTokens });
     candidate.load += estimate.indirectLoad;
     candidate.hasWaitingRequests = estimate.hasWaitingRequests;
--- a/Libraries/LibGateway/UpstreamSpeedTracker.cpp
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.cpp
@@ -301,6 +301,12 @@
     return estimate;
 }
 
+bool UpstreamSpeedTracker::appliesToAnyPool() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->appliesToAllPools || !this->reportingPools.empty();
+}
+
 void UpstreamSpeedTracker::removeExpired()
 {
     auto now = this->clock.now();
--- a/Libraries/LibGateway/UpstreamSpeedTracker.h
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.h
@@ -99,6 +99,9 @@
     /** Returns `indirect.share` unchanged if no recent report of the process applies. */
     UpstreamEstimate estimate(const UpstreamRecord &upstream, const IndirectLoad &indirect);
 
+    /** Whether reports affect any pool. */
+    bool appliesToAnyPool() const;
+
     static std::uint32_t hashBootId(const BootId &boot);
 
 private:
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -22,7 +22,7 @@
     , tokenTimes(fleet.clock)
     , rateLimits(fleet.clock)
     , queriesOfDeath(fleet.clock)
-    , speeds(fleet.clock, this->loads, false)
+    , speeds(fleet.clock, this->loads, fleet.usesReportedLoads)
     , peers(fleet.clock, this->random, self, 8)
     , agent({ fleet.clock,
               this->loads,
@@ -138,7 +138,8 @@
     this->nextStepAt[static_cast<std::size_t>(topic)] = this->fleet.clock.now();
 }
 
-SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare) : domains(domains), lossShare(lossShare)
+SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, bool usesReportedLoads)
+    : domains(domains), lossShare(lossShare), usesReportedLoads(usesReportedLoads)
 {
     this->clock.advance(minutes(1));
     for (std::size_t node = 0; node < nodes; ++node) {
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -15,7 +15,8 @@
 public:
     static constexpr std::size_t regions = 2;
 
-    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare);
+    /** With `usesReportedLoads`, loads that upstreams report apply to all pools. */
+    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, bool usesReportedLoads = false);
 
     /** Simulates `time` in steps of 5 ms. Nodes that are down neither send nor receive. */
     void run(Duration time);
@@ -117,6 +118,7 @@
 
     std::size_t domains;
     double lossShare;
+    bool usesReportedLoads;
     SeededRandom random { 7 };
     NullEventLog events;
     FakeDecoder decoder;
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -71,12 +71,12 @@
     UpstreamId engine("e1");
     UpstreamLoadReport report { LoadTracker::hashUpstreamId(engine), UpstreamLoad { 2, 7000, 3000 }, Duration(0) };
     tracker.replaceAggregateLoads({}, { report, report }, clock.now() + seconds(6));
-    CHECK(tracker.load(engine).runs == 4);
+    CHECK(tracker.remoteLoad(engine).runs == 4);
     CHECK(tracker.combinedReports().empty());
     tracker.replaceAggregateLoads({}, { report }, clock.now() + seconds(6));
-    CHECK(tracker.load(engine).peakTokens == Approx(7000));
+    CHECK(tracker.remoteLoad(engine).peakTokens == Approx(7000));
     clock.advance(seconds(6));
-    CHECK(tracker.load(engine).runs == 0);
+    CHECK(tracker.remoteLoad(engine).runs == 0);
 }
 
 TEST_CASE("An update replaces a peer's reports on the listed upstreams only, and a report without runs removes the load")
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -81,7 +81,7 @@
     constexpr std::size_t nodes = 68;
     for (std::size_t engines : { std::size_t(45), 2 * maximumSummaryUpstreams }) {
         CAPTURE(engines);
-        SimulatedFleet fleet(nodes, 6, lossShare);
+        SimulatedFleet fleet(nodes, 6, lossShare, true);
         for (std::size_t engine = 0; engine < engines; ++engine) {
             fleet.writeUpstream(fmt::format("engine-{}", engine), "1");
         }
@@ -96,7 +96,7 @@
         auto isDetailed = engines <= maximumSummaryUpstreams;
         for (std::size_t node = 0; node < nodes; ++node) {
             CAPTURE(node);
-            auto known = fleet.at(node).loads.load(UpstreamId("engine-0")).runs;
+            auto known = fleet.at(node).loads.load(UpstreamId("engine-0")).runs + fleet.at(node).loads.remoteLoad(UpstreamId("engine-0")).runs;
             CHECK((known >= nodes / 2) == isDetailed);
         }
         fleet.resetTraffic();
--- a/Tests/LibGateway/TestRequestPlacer.cpp
+++ b/Tests/LibGateway/TestRequestPlacer.cpp
@@ -206,9 +206,8 @@
     fixture.fleet.isHierarchicalFleet = true;
     fixture.registry.put(upstreamRecord("a", "a1"));
     fixture.registry.put(upstreamRecord("b", "a1"));
-    fixture.loadTracker.replaceAggregateLoads({ DomainPoolLoad { FailureDomainId("a1"), PoolId("engines"), UpstreamLoad { 10, 50'000, 0 } } },
-                                              {},
-                                              fixture.clock.now() + seconds(3));
+    fixture.loadTracker.replaceAggregateLoads(
+        { DomainPoolLoad { FailureDomainId("a1"), PoolId("engines"), UpstreamLoad { 10, 50'000, 0 } } }, {}, fixture.clock.now() + seconds(3));
     auto placed = fixture.placer.place(fixture.makeConstraints());
     REQUIRE(placed.outcome == PickOutcome::Picked);
     CHECK(placed.run.load.peakTokens == Approx(25'000));
