LibGateway: Choose plain services by the predicted time to the response

A plain service was chosen by its free slots alone, although a machine may be 2.5 times slower for a fraction of a second and another region is two round trips away.

A plain service with a recent report is now chosen by (requests / slots + 1) x slowness in service times of its pool, plus the time to another region, plus the costs of distance and failures as before. ResponseInspector records the service time from responses after which no request waits and a slot is free. Services without reports are chosen as before.

--- a/Libraries/LibForward/ResponseInspector.cpp
+++ b/Libraries/LibForward/ResponseInspector.cpp
@@ -16,7 +16,7 @@
     }
     if (isOwn) {
         this->recordRateLimit(request, upstream, metadata, call.sentAt());
-        this->recordLoad(request, upstream, metadata);
+        this->recordLoad(request, upstream, metadata, call);
     }
     return metadata;
 }
@@ -64,7 +64,7 @@
     }
 }
 
-void ResponseInspector::recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata) const
+void ResponseInspector::recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, const UpstreamCall &call) const
 {
     // A response without id or stamp may come from a proxy or from another process at the same address.
     auto isGenuine = metadata.hasServerStamp && metadata.requestId == request;
@@ -75,6 +75,9 @@
     if (metadata.load->waiting > 0) {
         this->dependencies.counters.counter("lovageward_upstream_loads_with_waiting_requests_total").add();
     }
+    if (call.head().getStatus() < Poco::Net::HTTPResponse::HTTP_BAD_REQUEST) {
+        this->dependencies.speeds.recordServiceTime(upstream, *metadata.load, this->dependencies.clock.now() - call.sentAt());
+    }
     if (this->dependencies.speeds.recordReport(upstream, *metadata.load)) {
         this->dependencies.events.write("upstream_load",
                                         { { "request", request.value() },
--- a/Libraries/LibForward/ResponseInspector.h
+++ b/Libraries/LibForward/ResponseInspector.h
@@ -26,7 +26,7 @@
     void recordLeave(const RequestId &request, const UpstreamRecord &upstream) const;
     void recordRefusal(const RequestId &request, const UpstreamRecord &upstream, Duration wait) const;
     void recordRateLimit(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, TimePoint sentAt) const;
-    void recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata) const;
+    void recordLoad(const RequestId &request, const UpstreamRecord &upstream, const ResponseMetadata &metadata, const UpstreamCall &call) const;
     void writeRateLimitEvent(const char *event, const RequestId &request, const UpstreamRecord &upstream, double requestsPerSecond) const;
 
     const ForwardDependencies &dependencies;
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -172,6 +172,7 @@
     candidate.load += estimate.indirectLoad;
     candidate.hasWaitingRequests = estimate.hasWaitingRequests;
     candidate.speed = estimate.speed;
+    candidate.serviceTime = estimate.serviceTime;
     candidate.record = std::move(record);
     return candidate;
 }
--- a/Libraries/LibGateway/UpstreamPicker.cpp
+++ b/Libraries/LibGateway/UpstreamPicker.cpp
@@ -16,6 +16,15 @@
 /** Cost of sending a request to another region, whose link is slow in addition. */
 constexpr double otherRegionCost = 0.4;
 
+/** Time that a request to another region takes in addition: the handshake and the request are one round trip of 40 ms each. */
+constexpr Duration otherRegionTime = milliseconds(80);
+
+/**
+ * Cost of an unloaded service at its usual speed, in service times. It is subtracted, so that services without a recent report, whose cost is their
+ * utilization, compare with the others.
+ */
+constexpr double unloadedServiceCost = 1;
+
 /** Converts a distance cost to seconds at an engine. The load of far engines is known with a delay, in a large fleet only as a sum. */
 constexpr double secondsPerDistanceCost = 4;
 
@@ -96,6 +105,9 @@
 {
     auto utilization = this->utilizationWith(candidate, pool, footprint);
     auto distance = this->distanceCost(this->location.failureDomain, candidate.record.failureDomain);
+    if (!pool.engine && candidate.speed) {
+        return this->predictServiceCost(candidate) + distance + failureCost * candidate.failureRate;
+    }
     if (!pool.engine) {
         return utilization + distance + failureCost * candidate.failureRate;
     }
@@ -104,6 +116,15 @@
     return engineCost + secondsPerDistanceCost * distance + failureCostSeconds * candidate.failureRate;
 }
 
+double UpstreamPicker::predictServiceCost(const Candidate &candidate) const
+{
+    auto backlogPerSlot = static_cast<double>(candidate.load.runs) / std::max(1U, candidate.record.slots);
+    auto isOtherRegion = this->location.regionOf(candidate.record.failureDomain) != this->location.regionOf(this->location.failureDomain);
+    auto networkTime = isOtherRegion ? otherRegionTime : Duration(0);
+    auto networkCost = std::chrono::duration<double>(networkTime) / std::chrono::duration<double>(candidate.serviceTime);
+    return (backlogPerSlot + 1) * candidate.speed->factorOver(candidate.serviceTime) + networkCost - unloadedServiceCost;
+}
+
 std::optional<std::size_t> UpstreamPicker::pickCopyTarget(
     const std::vector<Candidate> &candidates, const UpstreamPool &pool, const Footprint &footprint, const UpstreamRecord &runner, CopyPurpose purpose) const
 {
--- a/Libraries/LibGateway/UpstreamPicker.h
+++ b/Libraries/LibGateway/UpstreamPicker.h
@@ -36,6 +36,7 @@
     /** See UpstreamEstimate. */
     bool hasWaitingRequests = false;
     std::optional<UpstreamSpeed> speed = std::nullopt;
+    Duration serviceTime = Duration(0);
 };
 
 enum class PickOutcome {
@@ -66,7 +67,8 @@
 };
 
 /**
- * Chooses the engine with the lowest cost for a run (see estimateEngineCost()), or the plain service with the most free slots. Distance and failure rate
+ * Chooses the engine with the lowest cost for a run (see estimateEngineCost()), or the plain service with the most free slots, of
+ * those that report their load the one with the lowest predicted time to the response. Distance and failure rate
  * add to the cost, so a near upstream is preferred until a far one is clearly better. Load pattern: long outputs on engines whose KV cache fills up
  * before their slots. An engine gets a run only if all its runs fit at their expected ends.
  */
@@ -99,6 +101,8 @@
 private:
     double utilizationWith(const Candidate &candidate, const UpstreamPool &pool, const Footprint &footprint) const;
     double estimateCost(const Candidate &candidate, const UpstreamPool &pool, const Footprint &footprint, Duration fallbackTokenTime) const;
+    /** Predicted time to the response of a plain service that reports its load, in service times of its pool. */
+    double predictServiceCost(const Candidate &candidate) const;
     double distanceCost(const FailureDomainId &from, const FailureDomainId &to) const;
 
     NodeLocation location;
--- a/Libraries/LibGateway/UpstreamSpeedTracker.cpp
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.cpp
@@ -32,6 +32,13 @@
 /** Weight of a report in the mean slowness of its process, which thereby covers tens of seconds. */
 constexpr double meanSlownessWeight = 0.05;
 
+/** Weight of a request in the mean service time of its pool. */
+constexpr double serviceTimeWeight = 0.05;
+
+/** Service time of a pool in which none has been observed, and lower bound of those observed. */
+constexpr Duration defaultServiceTime = milliseconds(30);
+constexpr Duration minimumServiceTime = milliseconds(1);
+
 /** Change of the number of requests at an upstream that peers need without delay. Fewer start and end there between two reports anyway. */
 constexpr std::int64_t urgentChange = 4;
 
@@ -143,6 +150,17 @@
     return true;
 }
 
+void UpstreamSpeedTracker::recordServiceTime(const UpstreamRecord &upstream, const ReportedLoad &load, Duration time)
+{
+    if (load.waiting > 0 || load.running >= load.slots || !load.slowness || time <= Duration(0)) {
+        return;
+    }
+    auto usualTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toSeconds(time) * 100 / *load.slowness));
+    std::lock_guard<std::mutex> guard(this->mutex);
+    auto &mean = this->serviceTimes.try_emplace(upstream.pool, usualTime).first->second;
+    mean += std::chrono::duration_cast<Duration>((usualTime - mean) * serviceTimeWeight);
+}
+
 bool UpstreamSpeedTracker::recordPeerReport(const UpstreamSpeedReport &report, ReportOrigin origin)
 {
     if (!isPlausible(report)) {
@@ -276,6 +294,8 @@
         if (!this->appliesToAllPools && !this->reportingPools.contains(upstream.pool)) {
             return estimate;
         }
+        auto serviceTime = this->serviceTimes.find(upstream.pool);
+        estimate.serviceTime = serviceTime == this->serviceTimes.end() ? defaultServiceTime : std::max<Duration>(serviceTime->second, minimumServiceTime);
     }
     auto age = now - state.reportedAt;
     auto current = state.slowness ? *state.slowness / 100.0 : state.meanSlowness;
--- a/Libraries/LibGateway/UpstreamSpeedTracker.h
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.h
@@ -69,6 +69,8 @@
     bool hasWaitingRequests = false;
     /** Nullopt if no recent report of the process is known. */
     std::optional<UpstreamSpeed> speed;
+    /** Time that a plain service of the pool takes for a request that doesn't wait, at its usual speed. */
+    Duration serviceTime = Duration(0);
 };
 
 /**
@@ -87,6 +89,9 @@
     /** Records the load in a response of the process. Returns true if peers need it without delay, at most every few seconds. */
     bool recordReport(const UpstreamRecord &upstream, const ReportedLoad &load);
 
+    /** Records the time that the process took for a request after which it reported this load. Times of requests that may have waited are ignored. */
+    void recordServiceTime(const UpstreamRecord &upstream, const ReportedLoad &load, Duration time);
+
     /** Records what a peer reports, unless a newer report is known. Returns true if it has to be forwarded without delay. */
     bool recordPeerReport(const UpstreamSpeedReport &report, ReportOrigin origin);
 
@@ -146,6 +151,7 @@
     std::map<std::uint64_t, State> states;
     /** Pools in which an upstream has reported its slowness. */
     std::set<PoolId> reportingPools;
+    std::map<PoolId, Duration> serviceTimes;
     std::array<Channel, 3> channels;
     TimePoint removalDueAt;
     TimePoint announcementAllowedAt;
--- a/Tests/LibForward/TestProtocol.h
+++ b/Tests/LibForward/TestProtocol.h
@@ -69,6 +69,11 @@
         metadata.hasNotRun = head.has("Not-Run");
         metadata.isShuttingDown = head.has("Leaving");
         metadata.retryAfter = milliseconds(std::stoi(head.get("Wait-Ms", "0")));
+        Poco::StringTokenizer load(head.get("Load", ""), ",");
+        if (load.count() == 4) {
+            auto figure = [&load](std::size_t position) { return static_cast<std::uint32_t>(std::stoul(load[position])); };
+            metadata.load = ReportedLoad { figure(0), figure(1), figure(2), figure(3) };
+        }
         metadata.hasRateLimit = head.has("Limit");
         auto limit = head.get("Limit", "none");
         if (std::isdigit(static_cast<unsigned char>(limit.front())) != 0) {
--- a/Tests/LibGateway/TestUpstreamSpeedTracker.cpp
+++ b/Tests/LibGateway/TestUpstreamSpeedTracker.cpp
@@ -240,3 +240,54 @@
         CHECK(fixture.placer.place(fixture.makeConstraints(2550, 8)).run.upstream.id == UpstreamId("usual"));
     }
 }
+
+// Guards against a choice by free slots alone: on a machine that is 2.5 times slower at the moment, a free slot is worth less than a short wait elsewhere.
+TEST_CASE("A request to a plain service goes where its predicted response is earliest")
+{
+    PlacementFixture fixture;
+    fixture.pool.engine.reset();
+    auto service = [](const std::string &id, const std::string &domain) {
+        auto record = upstreamRecord(id, domain);
+        record.slots = 6;
+        return record;
+    };
+    auto slow = service("slow", "a1");
+    auto usual = service("usual", "a1");
+    auto far = service("far", "b1");
+    for (const auto &record : { slow, usual, far }) {
+        fixture.registry.put(record);
+        fixture.speeds.recordServiceTime(record, ReportedLoad { 1, 0, 6, 100 }, milliseconds(30));
+    }
+    auto placeWith = [&](std::uint32_t slowSlowness, std::uint32_t usualRequests) {
+        fixture.speeds.recordReport(slow, ReportedLoad { 0, 0, 6, slowSlowness });
+        fixture.speeds.recordReport(usual, ReportedLoad { std::min(usualRequests, 6U), usualRequests - std::min(usualRequests, 6U), 6, 100 });
+        fixture.speeds.recordReport(far, ReportedLoad { 0, 0, 6, 100 });
+        return fixture.placer.place(fixture.makeConstraints(0, 0)).run.upstream.id.value();
+    };
+    CHECK(placeWith(100, 3) == "slow");
+    CHECK(placeWith(250, 3) == "usual");
+    CHECK(placeWith(250, 12) == "slow");
+    // Another region is 80 ms away, which is more than the wait here, unless the requests take long.
+    slow.isDraining = true;
+    fixture.registry.put(slow);
+    CHECK(placeWith(100, 8) == "usual");
+    for (int request = 0; request < 300; ++request) {
+        fixture.speeds.recordServiceTime(usual, ReportedLoad { 1, 0, 6, 200 }, milliseconds(800));
+        fixture.speeds.recordServiceTime(usual, ReportedLoad { 6, 3, 6, 100 }, milliseconds(1));
+    }
+    CHECK(placeWith(100, 8) == "far");
+}
+
+TEST_CASE("An upstream that reports a good figure and fails is judged by its failures")
+{
+    PlacementFixture fixture;
+    for (const auto *id : { "fails", "works" }) {
+        fixture.registry.put(upstreamRecord(id));
+        fixture.speeds.recordReport(upstreamRecord(id), reportOf(id == std::string("fails") ? 0 : 4, 0, id == std::string("fails") ? 50 : 100));
+    }
+    REQUIRE(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("fails"));
+    for (int failure = 0; failure < 5; ++failure) {
+        fixture.health.recordFailure(UpstreamId("fails"), 1);
+    }
+    CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("works"));
+}
