--- a/Libraries/LibCore/Ids.h
+++ b/Libraries/LibCore/Ids.h
@@ -95,6 +95,8 @@
 /** Position of a token within a generation, from 0. */
 using TokenOffset = NumberId<struct TokenOffsetTag>;
 using TokenCount = NumberId<struct TokenCountTag>;
+/** Number of times that the platform's store was restored from an older copy. Offsets of different eras can't be compared. */
+using StoreEra = NumberId<struct StoreEraTag>;
 using ByteCount = NumberId<struct ByteCountTag>;
 /** Blocks of an engine's KV memory. */
 using BlockCount = NumberId<struct BlockCountTag>;
--- a/Libraries/LibForward/ControlServer.cpp
+++ b/Libraries/LibForward/ControlServer.cpp
@@ -64,8 +64,10 @@
     {
         unsigned topic = feedTopicCount;
         Poco::UInt64 offset = 0;
+        Poco::UInt64 era = 0;
         for (const auto &[name, value] : uri.getQueryParameters()) {
-            auto isParsed = name == "topic" ? Poco::NumberParser::tryParseUnsigned(value, topic) : Poco::NumberParser::tryParseUnsigned64(value, offset);
+            auto isParsed = name == "topic" ? Poco::NumberParser::tryParseUnsigned(value, topic)
+                                            : Poco::NumberParser::tryParseUnsigned64(value, name == "era" ? era : offset);
             if (!isParsed) {
                 topic = feedTopicCount;
                 break;
@@ -73,10 +75,10 @@
         }
         if (topic >= feedTopicCount) {
             response.setStatusAndReason(HTTPServerResponse::HTTP_BAD_REQUEST);
-            return "topic and from must be numbers";
+            return "topic, from and era must be numbers";
         }
         response.setContentType("application/msgpack");
-        return this->sources.pages.encodedPage(static_cast<FeedTopic>(topic), offset);
+        return this->sources.pages.encodedPage(static_cast<FeedTopic>(topic), { StoreEra(era), offset });
     }
 
     ControlSources sources;
--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -25,7 +25,8 @@
               dependencies.registry,
               dependencies.rateLimits,
               dependencies.queriesOfDeath,
-              *this },
+              *this,
+              dependencies.storeEras },
             self.host,
             self.failureDomain)
 {
@@ -104,6 +105,15 @@
     this->wakeSender();
 }
 
+void DigestTransport::onStoreEra(StoreEra /*era*/)
+{
+    this->agent.announceStoreEra();
+    this->wakeSender();
+    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        this->onNewerRecordsAvailable(static_cast<FeedTopic>(topic));
+    }
+}
+
 void DigestTransport::loadChanged()
 {
     this->agent.announceLoadChange();
--- a/Libraries/LibForward/FeedPageCache.h
+++ b/Libraries/LibForward/FeedPageCache.h
@@ -9,7 +9,7 @@
 
 namespace Lovageward {
 
-/** Encodes a page for the transfer between nodes, as deflated msgpack. */
+/** Encodes a page for the transfer between nodes, as deflated msgpack. Without a restoration of the store it has the form of versions without eras. */
 std::string encodeFeedPage(const FeedPage &page);
 
 /** Inverse of encodeFeedPage(). Throws Error(MalformedMessage) for bytes that aren't such a page. */
@@ -26,14 +26,14 @@
     {
     }
 
-    /** Returns the encoded page with the records of the topic from the offset on. */
-    std::string encodedPage(FeedTopic topic, std::uint64_t offset);
+    /** Returns the encoded page with the records of the topic from the position on. */
+    std::string encodedPage(FeedTopic topic, const FeedPosition &position);
 
 private:
     struct CachedPage
     {
-        std::uint64_t fromOffset = 0;
-        std::uint64_t nextOffset = 0;
+        FeedPosition from;
+        FeedPosition nextPosition;
         std::string encoded;
     };
 
--- a/Libraries/LibForward/HttpPeerFeed.cpp
+++ b/Libraries/LibForward/HttpPeerFeed.cpp
@@ -23,14 +23,18 @@
 
 }
 
-FeedPage HttpPeerFeed::pull(FeedTopic topic, std::uint64_t offset)
+FeedPage HttpPeerFeed::pull(FeedTopic topic, const FeedPosition &position)
 {
-    auto candidates = this->peers.peersWithNewerRecords(topic, offset);
+    auto candidates = this->peers.peersWithNewerRecords(topic, position);
     std::string failure = "no peer has newer records";
     for (std::size_t attempt = 0; attempt < std::min(maximumPullAttempts, candidates.size()); ++attempt) {
         const auto &peer = candidates[attempt];
         auto address = fmt::format("{}:{}", peer.substr(0, peer.rfind(':')), this->port);
-        auto path = fmt::format("{}?topic={}&from={}", feedPagePath, static_cast<int>(topic), offset);
+        auto path = fmt::format("{}?topic={}&from={}", feedPagePath, static_cast<int>(topic), position.offset);
+        if (position.era > StoreEra()) {
+            // Nodes of versions without eras would take it for the offset.
+            path += fmt::format("&era={}", position.era.value());
+        }
         try {
             auto response = exchange(this->clock, address, "GET", path, {}, this->clock.now() + pullTimeout);
             if (response.status == okStatus) {
@@ -44,9 +48,9 @@
     throw Error(ResultCode::PeerUnreachable, RunState::NotRun, failure);
 }
 
-bool HttpPeerFeed::hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const
+bool HttpPeerFeed::hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const
 {
-    return !this->peers.peersWithNewerRecords(topic, offset).empty();
+    return !this->peers.peersWithNewerRecords(topic, position).empty();
 }
 
 bool HttpPeerFeed::isReader(FeedTopic topic) const
@@ -69,9 +73,9 @@
     return this->peers.drawListingDelay();
 }
 
-TimePoint HttpPeerFeed::freshUntil(FeedTopic topic) const
+TimePoint HttpPeerFeed::freshUntil(FeedTopic topic, StoreEra minimumEra) const
 {
-    return this->peers.freshUntil(topic);
+    return this->peers.freshUntil(topic, minimumEra);
 }
 
 }
--- a/Libraries/LibForward/HttpPeerFeed.h
+++ b/Libraries/LibForward/HttpPeerFeed.h
@@ -10,7 +10,7 @@
 
 namespace Lovageward {
 
-/** Path of feed pages on the peers' HTTP port. The query is `?topic=N&from=OFFSET`. */
+/** Path of feed pages on the peers' HTTP port. The query is `?topic=N&from=OFFSET&era=ERA`; without an era it is 0. */
 inline constexpr const char *feedPagePath = "/feed";
 
 /** Pulls feed records from peers over HTTP and looks up the state of peers in the PeerTable. */
@@ -22,10 +22,10 @@
     {
     }
 
-    FeedPage pull(FeedTopic topic, std::uint64_t offset) override;
-    bool hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const override;
+    FeedPage pull(FeedTopic topic, const FeedPosition &position) override;
+    bool hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const override;
     bool isReader(FeedTopic topic) const override;
-    TimePoint freshUntil(FeedTopic topic) const override;
+    TimePoint freshUntil(FeedTopic topic, StoreEra minimumEra) const override;
     bool isDiscoveryComplete() const override;
     Duration drawListingDelay() override;
     Duration drawStoreCallJitter() override;
--- a/Libraries/LibGateway/FeedBatch.cpp
+++ b/Libraries/LibGateway/FeedBatch.cpp
@@ -5,7 +5,7 @@
 std::vector<FeedBatch> splitBatch(const FeedBatch &batch, std::size_t maximumBytes)
 {
     std::vector<FeedBatch> batches;
-    FeedBatch current { batch.topic, batch.firstOffset, { {}, batch.firstOffset } };
+    FeedBatch current { batch.topic, batch.firstOffset, { {}, batch.firstOffset, batch.page.era } };
     std::size_t usedBytes = 0;
     for (const auto &record : batch.page.records) {
         auto size = record.key.size() + record.value.size();
@@ -18,7 +18,7 @@
         if (usedBytes + size > maximumBytes) {
             current.page.nextOffset = record.offset;
             batches.push_back(std::move(current));
-            current = FeedBatch { batch.topic, record.offset, {} };
+            current = FeedBatch { batch.topic, record.offset, { {}, record.offset, batch.page.era } };
             usedBytes = 0;
         }
         usedBytes += size;
--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -33,6 +33,12 @@
 /** Longest time between a digest that reports new records and their arrival through a relay. */
 constexpr Duration batchArrivalTime = milliseconds(120);
 
+/**
+ * Time for which keys are kept that the listing of a new era lacks. Operators and upstreams write again what was lost, within a few seconds. A drain or an
+ * upstream that is kept for too long costs some capacity, one that is dropped too early breaks a promise.
+ */
+constexpr Duration restorationGrace = seconds(10);
+
 /** Limit of the received batches that wait for the next step. It is reached only while a step waits for the store; dropped records are pulled later. */
 constexpr std::size_t maximumReceivedBatches = 64;
 
@@ -77,9 +83,10 @@
     }
     std::sort(batches.begin(), batches.end(), [](const auto &left, const auto &right) { return left.firstOffset < right.firstOffset; });
     for (const auto &batch : batches) {
-        auto knownOffset = this->targets.mirror.nextOffset(this->topic);
-        // A batch after a gap is dropped: only a pull brings the missing records.
-        if (this->isListed && batch.firstOffset <= knownOffset && knownOffset < batch.page.nextOffset) {
+        auto knownPosition = this->targets.mirror.nextPosition(this->topic);
+        // A batch after a gap or of another era is dropped: only a pull brings the missing records.
+        if (this->isListed && batch.page.era == knownPosition.era && batch.firstOffset <= knownPosition.offset
+            && knownPosition.offset < batch.page.nextOffset) {
             // Nodes send new records as soon as the store has answered.
             this->recordAnswer(this->clock.now() - hopAgeAllowance);
             this->applyPage(batch.page);
@@ -92,7 +99,7 @@
 void FeedFollower::applyPage(const FeedPage &page)
 {
     this->applyRecords(page.records);
-    this->targets.mirror.advanceTo(this->topic, page.nextOffset);
+    this->targets.mirror.advanceTo(this->topic, page.nextPosition());
     this->nextOffset = std::max(this->nextOffset, page.nextOffset);
 }
 
@@ -115,6 +122,14 @@
 
 TimePoint FeedFollower::step()
 {
+    this->removeKeysOfOlderEras();
+    auto next = this->followTopic();
+    return this->olderKeysUntil ? std::min(next, *this->olderKeysUntil) : next;
+}
+
+TimePoint FeedFollower::followTopic()
+{
+    this->leaveOlderEra();
     this->recordPeerAnswers();
     this->applyReceivedBatches();
     auto startedAt = this->clock.now();
@@ -132,7 +147,7 @@
             this->readNewRecords();
         }
         this->nextStoreReadAt = this->clock.now() + this->pollTiming.pauseAfterRead;
-        return this->nextStoreReadAt;
+        return this->isListed ? this->nextStoreReadAt : this->clock.now();
     } catch (const Error &error) {
         if (error.code() == ResultCode::RecordsExpired) {
             this->events.write("feed_expired", { { "topic", topicName(this->topic) }, { "offset", this->nextOffset } });
@@ -145,6 +160,7 @@
     // Peers may have been answered while the read of this node was pending.
     this->recordPeerAnswers();
     this->pullFromPeers();
+    this->nextListingAt = this->clock.now() + pauseAfterFailure;
     if (!this->peers.isReader(this->topic)) {
         // The readers retry at the usual pace. The other nodes retry less often, in case all readers are cut off from the store.
         this->nextStoreReadAt = this->clock.now() + pauseAfterFailure + nonReaderRetryFactor * this->peers.drawStoreCallJitter();
@@ -152,19 +168,77 @@
     return this->clock.now() + pauseAfterFailure;
 }
 
+void FeedFollower::leaveOlderEra()
+{
+    auto era = this->targets.storeEras.current();
+    auto listedEra = this->targets.mirror.nextPosition(this->topic).era;
+    if (!this->isListed || era <= listedEra) {
+        return;
+    }
+    this->events.write("store_restored", { { "topic", topicName(this->topic) }, { "era", era.value() }, { "listed_era", listedEra.value() } });
+    this->isListed = false;
+    this->mustRelist = false;
+    this->ownListingAt.reset();
+    this->pullAt.reset();
+    this->nextListingAt = this->clock.now();
+    // Digests must not state the time of a read of the old era together with a position in the new one.
+    this->lastReadTime = 0;
+}
+
+void FeedFollower::acceptEra(StoreEra era)
+{
+    this->targets.storeEras.record(era);
+    if (era < this->targets.storeEras.current()) {
+        throw Error(ResultCode::LogUnavailable, RunState::NotRun, "a response of an older era of the store is discarded");
+    }
+}
+
+void FeedFollower::enterEra(const FeedPage &page)
+{
+    this->applyRecords(page.records);
+    this->nextOffset = page.nextOffset;
+    this->targets.mirror.advanceTo(this->topic, page.nextPosition());
+    auto olderKeys = this->targets.mirror.keysOfOlderEras(this->topic).size();
+    this->olderKeysUntil = this->clock.now() + restorationGrace;
+    this->events.write("store_era",
+                       { { "topic", topicName(this->topic) }, { "era", page.era.value() }, { "records", page.records.size() }, { "missing_keys", olderKeys } });
+}
+
+void FeedFollower::removeKeysOfOlderEras()
+{
+    auto now = this->clock.now();
+    if (!this->olderKeysUntil || now < *this->olderKeysUntil) {
+        return;
+    }
+    // While the store is unavailable nothing can be written again.
+    if (!this->isListed || this->storeOutages.isOutageOngoing() || now < this->storeOutages.removalGraceUntil()) {
+        this->olderKeysUntil = now + restorationGrace;
+        return;
+    }
+    this->olderKeysUntil.reset();
+    auto position = this->targets.mirror.nextPosition(this->topic);
+    for (auto &key : this->targets.mirror.keysOfOlderEras(this->topic)) {
+        this->apply(FeedRecord { std::move(key), {}, std::max<std::uint64_t>(position.offset, 1) - 1, position.era });
+    }
+}
+
 bool FeedFollower::shouldWaitForPeers()
 {
     if (!this->peers.isDiscoveryComplete()) {
         return true;
     }
-    if (this->peers.hasPeerWithNewerRecords(this->topic, 0)) {
+    FeedPosition startOfEra { this->targets.storeEras.current(), 0 };
+    if (this->peers.hasPeerWithNewerRecords(this->topic, startOfEra)) {
         this->pullFromPeers();
-        if (this->isSynced) {
+        if (this->targets.mirror.nextPosition(this->topic) > startOfEra) {
             this->markListed();
             return true;
         }
     }
     auto now = this->clock.now();
+    if (now < this->nextListingAt && this->peers.isReader(this->topic)) {
+        return true;
+    }
     if (!this->ownListingAt) {
         this->ownListingAt = now + this->peers.drawListingDelay();
     }
@@ -182,6 +256,11 @@
     std::optional<std::string> lastKey;
     for (bool hasMore = true; hasMore;) {
         auto listing = this->feed.listNewest(this->topic, lastKey, this->clock.now() + listingPageTimeout);
+        this->acceptEra(listing.page.era);
+        if (lastKey && listing.page.era != complete.era) {
+            throw Error(ResultCode::LogUnavailable, RunState::NotRun, "the store was restored during the listing");
+        }
+        complete.era = listing.page.era;
         // Records written between the pages are read again, from the next offset of the first page.
         complete.nextOffset = lastKey ? std::min(complete.nextOffset, listing.page.nextOffset) : listing.page.nextOffset;
         hasMore = listing.hasMore && !listing.page.records.empty();
@@ -198,10 +277,14 @@
     auto page = this->fetchListing();
     // Ends an outage before removals are applied, so that they are deferred.
     this->recordSuccessfulRead();
-    this->applyRecords(page.records);
-    this->removeUnlisted(page);
-    this->nextOffset = page.nextOffset;
-    this->targets.mirror.advanceTo(this->topic, page.nextOffset);
+    if (page.era > this->targets.mirror.nextPosition(this->topic).era) {
+        this->enterEra(page);
+    } else {
+        this->applyRecords(page.records);
+        this->removeUnlisted(page);
+        this->nextOffset = page.nextOffset;
+        this->targets.mirror.advanceTo(this->topic, page.nextPosition());
+    }
     this->markListed();
     this->events.write("feed_listed", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
 }
@@ -210,8 +293,14 @@
 {
     auto firstOffset = this->nextOffset;
     auto page = this->feed.readFrom(this->topic, firstOffset, this->pollTiming.maximumWait, this->clock.now() + this->pollTiming.maximumWait + readTimeout);
+    this->acceptEra(page.era);
+    this->leaveOlderEra();
+    if (!this->isListed) {
+        // The offset was one of the old era.
+        return;
+    }
     this->recordSuccessfulRead();
-    auto hasNewRecords = page.nextOffset > this->targets.mirror.nextOffset(this->topic);
+    auto hasNewRecords = page.nextPosition() > this->targets.mirror.nextPosition(this->topic);
     this->applyPage(page);
     if (hasNewRecords && !page.records.empty()) {
         this->targets.listener.onRecordsRead(FeedBatch { this->topic, firstOffset, page });
@@ -224,7 +313,7 @@
         return std::nullopt;
     }
     auto now = this->clock.now();
-    auto freshUntil = this->peers.freshUntil(this->topic);
+    auto freshUntil = this->peers.freshUntil(this->topic, this->targets.storeEras.current());
     if (freshUntil <= now) {
         // The readers may be lost or cut off from the store: only a read of this node's own shows whether the store is available.
         if (!this->fallbackReadAt) {
@@ -237,10 +326,10 @@
     }
     this->fallbackReadAt.reset();
     this->endReadFailure();
-    auto knownOffset = this->targets.mirror.nextOffset(this->topic);
-    if (this->isPullDue(knownOffset)) {
+    auto knownPosition = this->targets.mirror.nextPosition(this->topic);
+    if (this->isPullDue(knownPosition)) {
         this->pullFromPeers();
-        if (this->targets.mirror.nextOffset(this->topic) == knownOffset) {
+        if (this->targets.mirror.nextPosition(this->topic) == knownPosition) {
             return std::nullopt;
         }
     }
@@ -249,15 +338,15 @@
     return this->pullAt ? std::min(next, *this->pullAt) : next;
 }
 
-bool FeedFollower::isPullDue(std::uint64_t knownOffset)
+bool FeedFollower::isPullDue(const FeedPosition &knownPosition)
 {
-    if (!this->peers.hasPeerWithNewerRecords(this->topic, knownOffset)) {
+    if (!this->peers.hasPeerWithNewerRecords(this->topic, knownPosition)) {
         this->pullAt.reset();
         return false;
     }
-    if (!this->pullAt || this->pullOffset != knownOffset) {
+    if (!this->pullAt || this->pullPosition != knownPosition) {
         this->pullAt = this->clock.now() + batchArrivalTime;
-        this->pullOffset = knownOffset;
+        this->pullPosition = knownPosition;
     }
     if (this->clock.now() < *this->pullAt) {
         return false;
@@ -268,11 +357,20 @@
 
 void FeedFollower::apply(const FeedRecord &record)
 {
+    auto previous = this->targets.mirror.find(this->topic, record.key);
     if (!this->targets.mirror.putIfNewer(this->topic, record)) {
         return;
     }
     try {
         auto change = this->decoder.decode(this->topic, record, this->clock.now());
+        if (auto *entry = change ? std::get_if<UpstreamRecord>(&*change) : nullptr) {
+            entry->era = record.era;
+        }
+        if (change && previous && this->isOutdated(*change, record, *previous)) {
+            // Peers that read the mirror must not learn the older value either.
+            this->targets.mirror.replaceValue(this->topic, record.key, previous->value);
+            this->events.write("record_outdated", { { "topic", topicName(this->topic) }, { "key", record.key }, { "offset", record.offset } });
+        }
         if (change) {
             this->applyChange(*change, record);
         }
@@ -280,11 +378,21 @@
         this->events.write("record_ignored", { { "topic", topicName(this->topic) }, { "key", record.key }, { "reason", error.what() } });
         if (this->topic == FeedTopic::Upstreams) {
             // The current state of the upstream is unknown, so it isn't used.
-            this->targets.registry.remove(UpstreamId(record.key));
+            this->targets.registry.remove(UpstreamId(record.key), record.era);
         }
     }
 }
 
+bool FeedFollower::isOutdated(const FeedChange &change, const FeedRecord &record, const FeedRecord &previous) const
+{
+    if (const auto *config = std::get_if<std::shared_ptr<const GatewayConfig>>(&change)) {
+        auto active = this->targets.config.current();
+        return active && (*config)->version() < active->version() && previous.era < record.era;
+    }
+    const auto *entry = std::get_if<UpstreamRecord>(&change);
+    return entry != nullptr && this->targets.registry.isOutdated(*entry);
+}
+
 void FeedFollower::applyChange(const FeedChange &change, const FeedRecord &record)
 {
     if (const auto *config = std::get_if<std::shared_ptr<const GatewayConfig>>(&change)) {
@@ -307,9 +415,9 @@
         auto graceUntil = this->storeOutages.removalGraceUntil();
         auto isDeferred = this->clock.now() < graceUntil;
         if (isDeferred) {
-            this->targets.registry.scheduleRemoval(removal->upstream, graceUntil);
+            this->targets.registry.scheduleRemoval(removal->upstream, graceUntil, record.era);
         } else {
-            this->targets.registry.remove(removal->upstream);
+            this->targets.registry.remove(removal->upstream, record.era);
         }
         this->events.write("upstream_removed", { { "upstream", removal->upstream.value() }, { "offset", record.offset }, { "doubtful", isDeferred } });
     }
@@ -318,7 +426,7 @@
 void FeedFollower::removeUnlisted(const FeedPage &page)
 {
     for (auto &missing : this->targets.mirror.keysMissingFrom(this->topic, page.records)) {
-        this->apply(FeedRecord { std::move(missing), {}, std::max<std::uint64_t>(page.nextOffset, 1) - 1 });
+        this->apply(FeedRecord { std::move(missing), {}, std::max<std::uint64_t>(page.nextOffset, 1) - 1, page.era });
     }
 }
 
@@ -351,7 +459,7 @@
 
 void FeedFollower::recordPeerAnswers()
 {
-    auto freshUntil = this->peers.freshUntil(this->topic);
+    auto freshUntil = this->peers.freshUntil(this->topic, this->targets.storeEras.current());
     if (freshUntil != TimePoint()) {
         this->recordAnswer(std::min(PeerTable::readTimeOf(freshUntil), this->clock.now()));
     }
@@ -375,13 +483,19 @@
 
 void FeedFollower::pullFromPeers()
 {
-    if (this->isListed && !this->peers.hasPeerWithNewerRecords(this->topic, this->targets.mirror.nextOffset(this->topic))) {
+    if (this->isListed && !this->peers.hasPeerWithNewerRecords(this->topic, this->targets.mirror.nextPosition(this->topic))) {
         return;
     }
     try {
-        auto knownOffset = this->targets.mirror.nextOffset(this->topic);
-        auto page = this->peers.pull(this->topic, knownOffset);
-        this->applyPage(page);
+        auto knownPosition = this->targets.mirror.nextPosition(this->topic);
+        auto page = this->peers.pull(this->topic, knownPosition);
+        this->acceptEra(page.era);
+        if (page.era > knownPosition.era) {
+            this->lastReadTime = 0;
+            this->enterEra(page);
+        } else {
+            this->applyPage(page);
+        }
         this->isSynced = this->isSynced || page.nextOffset > 0;
         this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
     } catch (const Error &error) {
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -6,6 +6,7 @@
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/FeedMirror.h>
 #include <LibGateway/StateFeed.h>
+#include <LibGateway/StoreEraTracker.h>
 #include <LibGateway/StoreOutageTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
 #include <LibMembership/PeriodicTask.h>
@@ -22,17 +23,17 @@
 public:
     virtual ~PeerFeed() = default;
 
-    /** Fetches the records of the topic from `offset` on from a peer. Throws Error(PeerUnreachable) if no peer responds. */
-    virtual FeedPage pull(FeedTopic topic, std::uint64_t offset) = 0;
+    /** Fetches the records of the topic from `position` on from a peer. Throws Error(PeerUnreachable) if no peer responds. */
+    virtual FeedPage pull(FeedTopic topic, const FeedPosition &position) = 0;
 
-    /** True if a peer has reported a higher next offset of the topic. */
-    virtual bool hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const = 0;
+    /** True if a peer has reported a higher next position of the topic. */
+    virtual bool hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const = 0;
 
     /** True if this node is one of the few that read the topic from the store. */
     virtual bool isReader(FeedTopic topic) const = 0;
 
     /** See PeerTable. */
-    virtual TimePoint freshUntil(FeedTopic topic) const = 0;
+    virtual TimePoint freshUntil(FeedTopic topic, StoreEra minimumEra) const = 0;
 
     /** See PeerTable. */
     virtual bool isDiscoveryComplete() const = 0;
@@ -74,13 +75,16 @@
     UpstreamRegistry &registry;
     FeedMirror &mirror;
     FeedListener &listener;
+    StoreEraTracker &storeEras;
 };
 
 /**
  * Follows one topic of the platform's store and applies its records. Only a few nodes, the readers, read the store. The others receive the records
  * from the readers, and read the store themselves when no reader reports fresh records. While the store is unavailable, records come from any peer
  * that has them. Upstreams whose registrations disappear around an outage (see StoreOutageTracker) are kept for a grace time, because they may have
- * expired only because of it. Answers the load patterns of a store that is down, slow or refuses single nodes, and of hundreds of nodes that start together.
+ * expired only because of it. When the store was restored from an older copy, which its era shows, the follower lists the topic again, from the store or
+ * from a peer that has listed it, and keeps what the copy lacks for a grace time, because it is written again. Answers the load patterns of a store that is
+ * down, slow, restored or refuses single nodes, and of hundreds of nodes that start together.
  * One thread calls step(); the other functions are safe from any thread. Lock order: its mutex is a leaf lock.
  */
 class FeedFollower final : public PeriodicTask
@@ -119,6 +123,18 @@
     TimePoint lastReadAt() const;
 
 private:
+    /** Gets and applies the records that are due. Returns the time of the next check. */
+    TimePoint followTopic();
+    /** Starts a new listing if the store is known to have been restored since this node listed the topic. */
+    void leaveOlderEra();
+    /** Records the era of a response or a page. Throws Error(LogUnavailable) if it is older than the highest known one. */
+    void acceptEra(StoreEra era);
+    /** Applies a complete listing of an era that this node hasn't followed yet. */
+    void enterEra(const FeedPage &page);
+    /** Removes the keys that the copy lacked and that weren't written again within the grace time. */
+    void removeKeysOfOlderEras();
+    /** True if the change is older than what this node holds, so that it is a record of the copy or arrived late. */
+    bool isOutdated(const FeedChange &change, const FeedRecord &record, const FeedRecord &previous) const;
     /** True if this node should wait for a peer's listing instead of listing the topic itself. Called until the topic is listed. */
     bool shouldWaitForPeers();
     void listTopic();
@@ -135,8 +151,8 @@
     void applyChange(const FeedChange &change, const FeedRecord &record);
     /** Removes the keys that a complete listing lacks, also from the mirror that peers read. */
     void removeUnlisted(const FeedPage &page);
-    /** True if a peer has had records beyond `knownOffset` for longer than a batch of them takes to arrive. */
-    bool isPullDue(std::uint64_t knownOffset);
+    /** True if a peer has had records beyond `knownPosition` for longer than a batch of them takes to arrive. */
+    bool isPullDue(const FeedPosition &knownPosition);
     /** A read of the store by this node has succeeded. */
     void recordSuccessfulRead();
     /** A read of the store by this node that began at `startedAt` has failed. */
@@ -169,10 +185,14 @@
     std::optional<TimePoint> ownListingAt;
     /** Time at which records that a peer has are requested from it, unless they arrive before. */
     std::optional<TimePoint> pullAt;
-    /** Next offset of this node when `pullAt` was set. */
-    std::uint64_t pullOffset = 0;
+    /** Next position of this node when `pullAt` was set. */
+    FeedPosition pullPosition;
     /** Too many records are being applied to log each of them. */
     bool isBulkUpdate = false;
+    /** Time until which keys are kept that the listing of a new era lacked. */
+    std::optional<TimePoint> olderKeysUntil;
+    /** Earliest time of the next own listing after a failed one, even if the follower is woken before. */
+    TimePoint nextListingAt;
     /** Earliest time of the next store read, even if the follower is woken before. */
     TimePoint nextStoreReadAt;
     /** Time at which this node reads the store because no reader reports fresh records. */
--- a/Libraries/LibGateway/FeedMirror.h
+++ b/Libraries/LibGateway/FeedMirror.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace Lovageward {
@@ -19,23 +20,32 @@
     /** Stores the record if it is newer than the stored one of its key. Returns false otherwise. */
     bool putIfNewer(FeedTopic topic, const FeedRecord &record);
 
-    /** Sets the offset up to which the topic was read. An offset below the current one is ignored. */
-    void advanceTo(FeedTopic topic, std::uint64_t nextOffset);
+    /** Replaces the value of a key at its position, for a record that is older than its position in the store. */
+    void replaceValue(FeedTopic topic, const std::string &key, const std::string &value);
 
-    /** The offset up to which the topic was read. */
-    std::uint64_t nextOffset(FeedTopic topic) const;
+    /** The newest record of the key, if any. */
+    std::optional<FeedRecord> find(FeedTopic topic, const std::string &key) const;
 
-    /** Keys that have a value here and are absent from `listed`, a complete listing of the topic. */
+    /** Sets the position up to which the topic was read. A position before the current one is ignored. */
+    void advanceTo(FeedTopic topic, const FeedPosition &nextPosition);
+
+    /** The position up to which the topic was read. */
+    FeedPosition nextPosition(FeedTopic topic) const;
+
+    /** Keys that have a value of the topic's era here and are absent from `listed`, a complete listing of the topic in the same era. */
     std::vector<std::string> keysMissingFrom(FeedTopic topic, const std::vector<FeedRecord> &listed) const;
 
-    /** The newest records of all keys that changed at `offset` or later, oldest first. */
-    FeedPage recordsSince(FeedTopic topic, std::uint64_t offset) const;
+    /** Keys that have a value from an era before the topic's: the store hasn't returned them since it was restored. */
+    std::vector<std::string> keysOfOlderEras(FeedTopic topic) const;
+
+    /** The newest records of all keys that changed at `position` or later, oldest first. */
+    FeedPage recordsSince(FeedTopic topic, const FeedPosition &position) const;
 
 private:
     struct Topic
     {
         std::map<std::string, FeedRecord> newest;
-        std::uint64_t nextOffset = 0;
+        FeedPosition nextPosition;
     };
 
     const Topic &at(FeedTopic topic) const
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -54,12 +54,15 @@
     digest.isRelay = this->dependencies.peers.isRelay();
     for (std::size_t position = 0; position < feedTopicCount; ++position) {
         auto topic = static_cast<FeedTopic>(position);
-        auto knownOffset = this->dependencies.mirror.nextOffset(topic);
-        auto confirmedAt = PeerTable::readTimeOf(this->dependencies.peers.freshUntil(topic, knownOffset));
-        digest.nextOffsets[position] = knownOffset;
+        auto knownPosition = this->dependencies.mirror.nextPosition(topic);
+        auto confirmedAt = PeerTable::readTimeOf(this->dependencies.peers.freshUntil(topic, knownPosition));
+        digest.nextOffsets[position] = knownPosition.offset;
+        digest.eras[position] = knownPosition.era;
         digest.readAges[position] = this->dependencies.clock.now() - std::max(this->dependencies.inbox.lastReadAt(topic), confirmedAt);
         digest.storeOutages[position] = this->dependencies.inbox.recentOutage(topic);
     }
+    // Read last: a read of a new era that is counted above is then always sent with this era, so that peers don't take it for a confirmation of the old one.
+    digest.knownEra = this->dependencies.storeEras.current();
     digest.loadScope = scope;
     if (scope == LoadScope::Full) {
         digest.shares = this->dependencies.loads.localReports();
@@ -137,8 +140,10 @@
     for (auto &entry : queued) {
         auto digest = this->makeDigest(LoadScope::None);
         // Includes the records of the batch, so that peers don't request them as well.
-        auto &offset = digest.nextOffsets[indexOf(entry.batch.topic)];
-        offset = std::max(offset, entry.batch.page.nextOffset);
+        auto topic = indexOf(entry.batch.topic);
+        if (digest.eras[topic] == entry.batch.page.era) {
+            digest.nextOffsets[topic] = std::max(digest.nextOffsets[topic], entry.batch.page.nextOffset);
+        }
         digest.batch = std::move(entry.batch);
         outgoing.push_back(OutgoingDigest { group, encodeDigest(digest) });
         if (entry.isFromStore && !relays.empty()) {
@@ -201,7 +206,8 @@
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     for (auto &chunk : splitBatch(batch, maximumBatchBytes)) {
-        this->forwardedOffsets[indexOf(chunk.topic)] = std::max(this->forwardedOffsets[indexOf(chunk.topic)], chunk.page.nextOffset);
+        auto &forwarded = this->forwardedPositions[indexOf(chunk.topic)];
+        forwarded = std::max(forwarded, chunk.page.nextPosition());
         this->queuedBatches.push_back(QueuedBatch { std::move(chunk), true });
     }
     this->scheduler.markFreshnessChanged();
@@ -218,10 +224,11 @@
             this->dependencies.inbox.recordPeerOutage(static_cast<FeedTopic>(position), *digest.storeOutages[position]);
         }
     }
+    this->dependencies.storeEras.record(digest.knownEra);
     this->receiveBatch(digest);
     for (std::size_t position = 0; position < feedTopicCount; ++position) {
         auto topic = static_cast<FeedTopic>(position);
-        if (digest.nextOffsets[position] > this->dependencies.mirror.nextOffset(topic)) {
+        if (digest.nextPosition(position) > this->dependencies.mirror.nextPosition(topic)) {
             this->dependencies.inbox.onNewerRecordsAvailable(topic);
         }
     }
@@ -268,11 +275,15 @@
         return;
     }
     const auto &batch = *digest.batch;
+    this->dependencies.storeEras.record(batch.page.era);
+    if (batch.page.era < this->dependencies.storeEras.current()) {
+        return;
+    }
     if (digest.isBatchForGroup) {
         std::lock_guard<std::mutex> guard(this->mutex);
-        auto &forwardedOffset = this->forwardedOffsets[indexOf(batch.topic)];
-        if (batch.page.nextOffset > forwardedOffset && this->queuedBatches.size() < maximumQueuedBatches) {
-            forwardedOffset = batch.page.nextOffset;
+        auto &forwarded = this->forwardedPositions[indexOf(batch.topic)];
+        if (batch.page.nextPosition() > forwarded && this->queuedBatches.size() < maximumQueuedBatches) {
+            forwarded = batch.page.nextPosition();
             this->queuedBatches.push_back(QueuedBatch { batch, false });
         }
     }
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -8,6 +8,7 @@
 #include <LibGateway/PeerTable.h>
 #include <LibGateway/QueryOfDeathDetector.h>
 #include <LibGateway/StatedRateLimits.h>
+#include <LibGateway/StoreEraTracker.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
 
@@ -61,6 +62,7 @@
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
     FeedInbox &inbox;
+    StoreEraTracker &storeEras;
 };
 
 /**
@@ -102,6 +104,13 @@
         this->scheduler.markRecordsComplete();
     }
 
+    /** This node knows of a higher era of the store, whoever has reported it. */
+    void announceStoreEra()
+    {
+        this->scheduler.markFreshnessChanged();
+        this->scheduler.markNotice();
+    }
+
     /** This node shuts down: digests from now on mark it as leaving. */
     void announceShutdown()
     {
@@ -144,8 +153,8 @@
     std::vector<QueuedBatch> queuedBatches;
     /** Addresses of new peers, which don't have this node's state yet. */
     std::vector<std::string> newPeerAddresses;
-    /** For each topic the offset up to which records were sent or forwarded. */
-    std::array<std::uint64_t, feedTopicCount> forwardedOffsets {};
+    /** For each topic the position up to which records were sent or forwarded. */
+    std::array<FeedPosition, feedTopicCount> forwardedPositions {};
     /** For each topic the latest PeerTable::freshUntil that was announced. */
     std::array<TimePoint, feedTopicCount> announcedFreshUntil {};
     /** Sum of the nodes whose digests this node doesn't receive. */
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -24,8 +24,9 @@
 /** Largest time per token that is sent; longer ones are clamped. */
 constexpr Duration maximumTokenTime = minutes(1);
 
-/** Number of values in a digest, and in those of older versions without outages, suspected parts, rate limits and leaving upstreams. */
-constexpr std::size_t fieldCount = 15;
+/** Number of values in a digest, and in those of older versions without eras, outages, suspected parts, rate limits and leaving upstreams. */
+constexpr std::size_t fieldCount = 16;
+constexpr std::size_t fieldCountWithoutEras = 15;
 constexpr std::size_t fieldCountWithoutStoreOutages = 14;
 constexpr std::size_t fieldCountWithoutSuspectedParts = 13;
 constexpr std::size_t fieldCountWithoutRateLimits = 12;
@@ -156,19 +157,24 @@
         return;
     }
     const auto &batch = *digest.batch;
-    writer.array(5).number(static_cast<std::uint64_t>(batch.topic)).number(batch.firstOffset).number(batch.page.nextOffset);
-    writer.flag(digest.isBatchForGroup).bytes(encodeRecords(batch.page.records));
+    writer.array(6).number(static_cast<std::uint64_t>(batch.topic)).number(batch.firstOffset).number(batch.page.nextOffset);
+    writer.flag(digest.isBatchForGroup).bytes(encodeRecords(batch.page.records)).number(batch.page.era.value());
 }
 
 void readBatch(MessageReader &reader, PeerDigest &digest)
 {
-    if (reader.beginArray(0, maximumFields) >= 5) {
+    auto fields = reader.beginArray(0, maximumFields);
+    if (fields >= 5) {
         auto &batch = digest.batch.emplace();
         batch.topic = static_cast<FeedTopic>(reader.number(feedTopicCount - 1));
         batch.firstOffset = reader.number();
         batch.page.nextOffset = reader.number();
         digest.isBatchForGroup = reader.flag();
         batch.page.records = decodeRecords(reader.bytes(maximumDigestBytes));
+        batch.page.era = StoreEra(fields >= 6 ? reader.number() : 0);
+        for (auto &record : batch.page.records) {
+            record.era = batch.page.era;
+        }
     }
     reader.endArray();
 }
@@ -288,6 +294,26 @@
     }
 }
 
+/** The known era, followed by the era of each topic. */
+void writeEras(MessageWriter &writer, const PeerDigest &digest)
+{
+    writer.array(1 + digest.eras.size()).number(digest.knownEra.value());
+    for (auto era : digest.eras) {
+        writer.number(era.value());
+    }
+}
+
+/** A sender that follows fewer topics sends fewer eras. */
+void readEras(MessageReader &reader, PeerDigest &digest)
+{
+    auto count = reader.beginArray(1, maximumFields);
+    digest.knownEra = StoreEra(reader.number());
+    for (std::size_t topic = 0; topic < std::min(count - 1, digest.eras.size()); ++topic) {
+        digest.eras[topic] = StoreEra(reader.number());
+    }
+    reader.endArray();
+}
+
 void readStoreOutages(MessageReader &reader, PeerDigest &digest)
 {
     reader.beginArray(digest.storeOutages.size(), maximumFields);
@@ -346,6 +372,7 @@
     writeRateLimits(writer, digest.rateLimits);
     writeSuspectedParts(writer, digest.suspectedParts);
     writeStoreOutages(writer, digest);
+    writeEras(writer, digest);
     return writer.encoded();
 }
 
@@ -398,9 +425,12 @@
     if (fields >= fieldCountWithoutStoreOutages) {
         digest.suspectedParts = readSuspectedParts(reader);
     }
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutEras) {
         readStoreOutages(reader, digest);
     }
+    if (fields >= fieldCount) {
+        readEras(reader, digest);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -78,6 +78,16 @@
     std::vector<PromptPartReport> suspectedParts;
     /** For each topic the outage of the store after which upstreams may still be missing from it. */
     std::array<std::optional<StoreOutageReport>, feedTopicCount> storeOutages {};
+    /** The highest era of the store that the sender knows of. */
+    StoreEra knownEra;
+    /** For each topic the era to which the next offset belongs; lower than the known era until the sender has listed the topic again. */
+    std::array<StoreEra, feedTopicCount> eras {};
+
+    /** The position up to which the sender has read the topic with this index. */
+    FeedPosition nextPosition(std::size_t topic) const
+    {
+        return { this->eras[topic], this->nextOffsets[topic] };
+    }
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -3,7 +3,6 @@
 #include <LibMembership/RendezvousHash.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace Lovageward {
@@ -122,8 +121,8 @@
     peer.failureDomain = digest.failureDomain;
     peer.isLeaving = digest.isLeaving;
     peer.isRelay = digest.isRelay;
-    peer.nextOffsets = digest.nextOffsets;
     for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        peer.nextPositions[topic] = digest.nextPosition(topic);
         // Without the allowance nodes that repeat each other's reports would trust readers that lost the store for a second too long.
         peer.freshUntil[topic] = now - digest.readAges[topic] - hopAgeAllowance + freshnessLifetime;
     }
@@ -241,18 +240,24 @@
     return higherScores < readersPerTopic;
 }
 
-TimePoint PeerTable::freshUntil(FeedTopic topic) const
+TimePoint PeerTable::freshUntil(FeedTopic topic, StoreEra minimumEra) const
 {
-    return this->freshUntil(topic, std::numeric_limits<std::uint64_t>::max());
+    return this->latestFreshUntil(topic, [minimumEra](const FeedPosition &position) { return position.era >= minimumEra; });
 }
 
-TimePoint PeerTable::freshUntil(FeedTopic topic, std::uint64_t nextOffset) const
+TimePoint PeerTable::freshUntil(FeedTopic topic, const FeedPosition &nextPosition) const
+{
+    return this->latestFreshUntil(
+        topic, [&nextPosition](const FeedPosition &position) { return position.era == nextPosition.era && position.offset <= nextPosition.offset; });
+}
+
+TimePoint PeerTable::latestFreshUntil(FeedTopic topic, const std::function<bool(const FeedPosition &)> &isTrusted) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto position = static_cast<std::size_t>(topic);
     TimePoint latest;
     for (const auto &[address, peer] : this->peers) {
-        if (this->isLive(peer) && peer.nextOffsets[position] <= nextOffset) {
+        if (this->isLive(peer) && isTrusted(peer.nextPositions[position])) {
             latest = std::max(latest, peer.freshUntil[position]);
         }
     }
@@ -369,13 +374,18 @@
     return hosts;
 }
 
-std::vector<std::string> PeerTable::peersWithNewerRecords(FeedTopic topic, std::uint64_t offset) const
+std::vector<std::string> PeerTable::peersWithNewerRecords(FeedTopic topic, const FeedPosition &position) const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    auto index = static_cast<std::size_t>(topic);
+    StoreEra highestEra;
+    for (const auto &[address, peer] : this->peers) {
+        highestEra = this->isLive(peer) ? std::max(highestEra, peer.nextPositions[index].era) : highestEra;
+    }
     std::vector<std::string> localAddresses;
     std::vector<std::string> remoteAddresses;
     for (const auto &[address, peer] : this->peers) {
-        if (this->isLive(peer) && peer.nextOffsets[static_cast<std::size_t>(topic)] > offset) {
+        if (this->isLive(peer) && peer.nextPositions[index] > position && peer.nextPositions[index].era == highestEra) {
             (this->isInGroup(peer) ? localAddresses : remoteAddresses).push_back(address);
         }
     }
--- a/Libraries/LibGateway/PeerTable.h
+++ b/Libraries/LibGateway/PeerTable.h
@@ -6,6 +6,7 @@
 #include <LibGateway/PeerDigest.h>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -50,11 +51,17 @@
     /** True if this node is one of the readers of the topic. Without live peers it is. */
     bool isReader(FeedTopic topic) const;
 
-    /** Time until which the freshest report of a live peer on the topic can be trusted; in the past if there is no fresh report. */
-    TimePoint freshUntil(FeedTopic topic) const;
+    /**
+     * Time until which the freshest report of a live peer on the topic can be trusted; in the past if there is no fresh report. Reports on eras before
+     * `minimumEra` say nothing of records that were written after the store was restored.
+     */
+    TimePoint freshUntil(FeedTopic topic, StoreEra minimumEra = StoreEra()) const;
 
-    /** As above, but only of peers that have no records from `nextOffset` on, so that this node, which has all their records, may repeat their reports. */
-    TimePoint freshUntil(FeedTopic topic, std::uint64_t nextOffset) const;
+    /**
+     * As above, but only of peers that follow the era of `nextPosition` and have no records from it on, so that this node, which has all their records,
+     * may repeat their reports.
+     */
+    TimePoint freshUntil(FeedTopic topic, const FeedPosition &nextPosition) const;
 
     /** Time of the store read on which a result of freshUntil() is based. */
     static TimePoint readTimeOf(TimePoint freshUntil);
@@ -75,8 +82,11 @@
     /** Returns at most `maximum` live peers in random order. */
     std::vector<KnownHost> randomLivePeers(std::size_t maximum) const;
 
-    /** Addresses of live peers with a higher next offset of the topic: first the group, then the others, both in random order. */
-    std::vector<std::string> peersWithNewerRecords(FeedTopic topic, std::uint64_t offset) const;
+    /**
+     * Addresses of live peers with a higher next position of the topic, in the highest era that any of them has read: first the group, then the others,
+     * both in random order.
+     */
+    std::vector<std::string> peersWithNewerRecords(FeedTopic topic, const FeedPosition &position) const;
 
 private:
     struct Peer
@@ -92,7 +102,7 @@
         TimePoint retryAt;
         /** Time from which a silent peer counts as lost and is retried less often. */
         TimePoint lostAt;
-        std::array<std::uint64_t, feedTopicCount> nextOffsets {};
+        std::array<FeedPosition, feedTopicCount> nextPositions {};
         /** For each topic the time until which the peer's report is trusted. */
         std::array<TimePoint, feedTopicCount> freshUntil {};
     };
@@ -120,6 +130,8 @@
         TimePoint validUntil;
     };
 
+    /** The latest end of trust in the reports of live peers whose next position of the topic satisfies `isTrusted`. */
+    TimePoint latestFreshUntil(FeedTopic topic, const std::function<bool(const FeedPosition &)> &isTrusted) const;
     bool isLive(const Peer &peer) const;
     /** True if the peer is live, or was named recently and may be live. */
     bool isPresumedLive(const Peer &peer) const;
--- a/Libraries/LibGateway/StateFeed.h
+++ b/Libraries/LibGateway/StateFeed.h
@@ -24,6 +24,15 @@
 
 inline constexpr std::size_t feedTopicCount = 2;
 
+/** Position in a topic of the store. After a restoration offsets are assigned again, so positions are ordered by era first. */
+struct FeedPosition
+{
+    StoreEra era;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const FeedPosition &) const = default;
+};
+
 /** A record of the store. Only a FeedDecoder interprets the key and the value. */
 struct FeedRecord
 {
@@ -32,6 +41,13 @@
     std::string value;
     /** Position in the topic, from 0. */
     std::uint64_t offset = 0;
+    /** Era of the store in which the record has this offset. */
+    StoreEra era {};
+
+    FeedPosition position() const
+    {
+        return { this->era, this->offset };
+    }
 };
 
 /** Records of a topic, as returned by one read. */
@@ -40,6 +56,13 @@
     std::vector<FeedRecord> records;
     /** Offset at which the next read starts. */
     std::uint64_t nextOffset = 0;
+    /** Era of the store that returned the page. */
+    StoreEra era {};
+
+    FeedPosition nextPosition() const
+    {
+        return { this->era, this->nextOffset };
+    }
 };
 
 /** A page of a listing. The pages aren't a snapshot: later changes have to be read from the next offset of the first page. */
--- a/Libraries/LibGateway/StoreOutageTracker.cpp
+++ b/Libraries/LibGateway/StoreOutageTracker.cpp
@@ -85,6 +85,12 @@
     return StoreOutageReport { now - this->lastOutage->startedAt, now - this->lastOutage->endedAt };
 }
 
+bool StoreOutageTracker::isOutageOngoing() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->failedReadStartedAt.has_value();
+}
+
 TimePoint StoreOutageTracker::removalGraceUntil() const
 {
     std::lock_guard<std::mutex> guard(this->mutex);
--- a/Libraries/LibGateway/StoreOutageTracker.h
+++ b/Libraries/LibGateway/StoreOutageTracker.h
@@ -36,6 +36,9 @@
     /** The last outage while upstreams may still be missing from the store because of it, for reports to peers. */
     std::optional<StoreOutageReport> recentOutage() const;
 
+    /** True while a failed read is evidence of an outage that hasn't ended. */
+    bool isOutageOngoing() const;
+
     /** Time until which upstreams may be missing from the store because of an outage; in the past if there was none. */
     TimePoint removalGraceUntil() const;
 
--- a/Libraries/LibGateway/UpstreamRecord.h
+++ b/Libraries/LibGateway/UpstreamRecord.h
@@ -22,6 +22,10 @@
     bool isDraining = false;
     /** The upstream is cold and can handle only few requests until this time. */
     TimePoint coldUntil;
+    /** Increases with each entry that the process writes. */
+    std::uint64_t sequence = 0;
+    /** Era of the store from which the entry was read. */
+    StoreEra era;
 };
 
 }
--- a/Libraries/LibGateway/UpstreamRegistry.cpp
+++ b/Libraries/LibGateway/UpstreamRegistry.cpp
@@ -14,12 +14,34 @@
 /** Time after which a shutdown notice is removed. The entry of the process has disappeared by then. */
 constexpr Duration noticeRetention = minutes(15);
 
+/** Time for which the last entry of a removed process is known. Copies from which a store is restored are seconds to minutes old. */
+constexpr Duration pastProcessRetention = minutes(15);
+
+/** Whether a record is older than the last entry of its process, which has the sequence and was read in the era. `hasEnded` if that entry isn't usable. */
+bool isOlder(const UpstreamRecord &record, std::uint64_t sequence, StoreEra era, bool hasEnded)
+{
+    auto mayBeOfCopy = record.era > era;
+    if (record.boot.isEmpty() && !mayBeOfCopy) {
+        // A lower sequence may be that of another process.
+        return false;
+    }
+    return record.sequence < sequence || (record.sequence == sequence && mayBeOfCopy && hasEnded && !record.isDraining);
+}
+
 }
 
 bool UpstreamRegistry::put(const UpstreamRecord &record)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->isOutdatedEntry(record)) {
+        this->raiseEra(record);
+        return false;
+    }
     auto &entry = this->entries[record.id];
+    if (!entry.record.id.isEmpty() && entry.record.boot != record.boot) {
+        this->recordEnd(entry, entry.era);
+    }
+    this->pastProcesses.erase({ record.id, record.boot });
     auto isChanged = entry.record.id.isEmpty() || entry.record.boot != record.boot || entry.record.address != record.address
         || entry.record.isDraining != record.isDraining || entry.removeAt.has_value();
     auto notice = this->shutdownNotices.find(record.id);
@@ -28,27 +50,64 @@
         this->shutdownNotices.erase(notice);
     }
     this->unindex(entry.record);
-    entry = Entry { record, std::nullopt };
+    entry = Entry { record, std::nullopt, record.era };
     this->index(record);
     return isChanged;
 }
 
-void UpstreamRegistry::remove(const UpstreamId &upstream)
+bool UpstreamRegistry::isOutdated(const UpstreamRecord &record) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    return this->isOutdatedEntry(record);
+}
+
+bool UpstreamRegistry::isOutdatedEntry(const UpstreamRecord &record) const
+{
+    auto entry = this->entries.find(record.id);
+    if (entry != this->entries.end() && entry->second.record.boot == record.boot) {
+        auto hasEnded = entry->second.record.isDraining || entry->second.removeAt.has_value();
+        return isOlder(record, entry->second.record.sequence, entry->second.era, hasEnded);
+    }
+    auto past = this->pastProcesses.find({ record.id, record.boot });
+    return past != this->pastProcesses.end() && isOlder(record, past->second.sequence, past->second.era, true);
+}
+
+void UpstreamRegistry::raiseEra(const UpstreamRecord &record)
+{
+    auto entry = this->entries.find(record.id);
+    if (entry != this->entries.end() && entry->second.record.boot == record.boot) {
+        entry->second.era = std::max(entry->second.era, record.era);
+        return;
+    }
+    auto &past = this->pastProcesses.at({ record.id, record.boot });
+    past.era = std::max(past.era, record.era);
+}
+
+void UpstreamRegistry::recordEnd(const Entry &entry, StoreEra era)
+{
+    auto now = this->clock.now();
+    std::erase_if(this->pastProcesses, [now](const auto &past) { return past.second.endedAt + pastProcessRetention < now; });
+    this->pastProcesses[{ entry.record.id, entry.record.boot }] = PastProcess { entry.record.sequence, std::max(entry.era, era), now };
+}
+
+void UpstreamRegistry::remove(const UpstreamId &upstream, StoreEra era)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto found = this->entries.find(upstream);
     if (found != this->entries.end()) {
+        this->recordEnd(found->second, era);
         this->unindex(found->second.record);
         this->entries.erase(found);
     }
 }
 
-void UpstreamRegistry::scheduleRemoval(const UpstreamId &upstream, TimePoint until)
+void UpstreamRegistry::scheduleRemoval(const UpstreamId &upstream, TimePoint until, StoreEra era)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
     auto found = this->entries.find(upstream);
     if (found != this->entries.end() && !found->second.removeAt) {
         found->second.removeAt = until;
+        found->second.era = std::max(found->second.era, era);
     }
 }
 
--- a/Libraries/LibGateway/UpstreamRegistry.h
+++ b/Libraries/LibGateway/UpstreamRegistry.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Lovageward {
@@ -35,7 +36,8 @@
  * The registered upstreams. An upstream is usable, that is, may get new work, if it is not draining and its failure domain is not drained. An entry
  * that disappeared during an outage of the store stays usable for a grace period, because such entries often return when the store is available
  * again. A process that has announced its shutdown in a response gets no new work even if the store lists it as usable: entries are updated late, and
- * a shutdown is never cancelled. Load patterns: upstreams that are reclaimed, and an outage of the platform's store. Thread-safe; its mutex is a leaf
+ * a shutdown is never cancelled. Load patterns: upstreams that are reclaimed, and an outage of the platform's store, and a store restored from an
+ * older copy. Thread-safe; its mutex is a leaf
  * lock.
  */
 class UpstreamRegistry
@@ -45,14 +47,24 @@
     {
     }
 
-    /** Adds or replaces an entry. Returns true if the upstream is new or its process, address, draining state or pending removal has changed. */
+    /**
+     * Adds or replaces an entry unless it is outdated. Returns true if the upstream is new or its process, address, draining state or pending removal has
+     * changed.
+     */
     bool put(const UpstreamRecord &record);
 
-    /** Removes an entry that was deleted by its owner or has expired. */
-    void remove(const UpstreamId &upstream);
+    /**
+     * True if the process is known to have written a later entry, or to be draining, removed or replaced in an era before the record's: after a
+     * restoration the store returns entries that were replaced, so such a process becomes usable only with a higher sequence than the last one known, or
+     * with an entry that it writes again.
+     */
+    bool isOutdated(const UpstreamRecord &record) const;
+
+    /** Removes an entry that was deleted by its owner or has expired; `era` is that of the record which shows it. */
+    void remove(const UpstreamId &upstream, StoreEra era = StoreEra());
 
     /** Removes an entry that disappeared around an outage: it stays usable until `until`, and a put() before then cancels the removal. */
-    void scheduleRemoval(const UpstreamId &upstream, TimePoint until);
+    void scheduleRemoval(const UpstreamId &upstream, TimePoint until, StoreEra era = StoreEra());
 
     /** Records that the process has announced its shutdown in a response. Returns true if that is new. Applies until another process registers with the id. */
     bool recordShutdownNotice(const UpstreamShutdownNotice &notice);
@@ -97,6 +109,16 @@
         UpstreamRecord record;
         /** Time at which a pending removal takes effect. */
         std::optional<TimePoint> removeAt;
+        /** Era of the last record of the upstream, including those that were outdated. */
+        StoreEra era;
+    };
+
+    /** The last entry of a process that was removed or replaced by another one. */
+    struct PastProcess
+    {
+        std::uint64_t sequence = 0;
+        StoreEra era;
+        TimePoint endedAt;
     };
 
     struct ReceivedNotice
@@ -107,6 +129,10 @@
 
     bool acceptsWork(const Entry &entry) const;
     bool isShuttingDown(const UpstreamRecord &record) const;
+    bool isOutdatedEntry(const UpstreamRecord &record) const;
+    /** Raises the era of the process of an outdated record: what it writes in this era is newer than the copy. */
+    void raiseEra(const UpstreamRecord &record);
+    void recordEnd(const Entry &entry, StoreEra era);
     void index(const UpstreamRecord &record);
     void unindex(const UpstreamRecord &record);
 
@@ -119,6 +145,7 @@
     std::set<FailureDomainId> drainedFailureDomains;
     /** Stored separately from the entries, because an entry may be removed and added again while its process lives. */
     std::map<UpstreamId, ReceivedNotice> shutdownNotices;
+    std::map<std::pair<UpstreamId, BootId>, PastProcess> pastProcesses;
 };
 
 }
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -13,6 +13,7 @@
 #include <LibForward/GatewayShutdown.h>
 #include <LibForward/HttpPeerFeed.h>
 #include <LibGateway/FeedFollower.h>
+#include <LibGateway/HostDirectoryTask.h>
 #include <LibMembership/TaskThread.h>
 
 #include <fmt/format.h>
@@ -39,55 +40,32 @@
 /** Minimum number of nodes among which the slack of the retry budget and the cold bound is divided. A starting node knows no peers yet. */
 constexpr std::size_t assumedNodeCount = 8;
 
-/** Time between reads of the host directory in the store. In between, nodes learn of new hosts from their peers. */
-constexpr Duration directoryReadInterval = seconds(30);
-
-/** Time after which the directory is read again for the first time. Hosts that started together have announced themselves by then. */
-constexpr Duration initialDirectoryReadInterval = milliseconds(700);
-constexpr Duration directoryRetryDelay = seconds(1);
-constexpr int directoryRetryJitterFactor = 4;
-constexpr Duration directoryCallTimeout = milliseconds(700);
-
-/** Announces this node in the host directory and adds the hosts found there to the peer table. */
-class HostDirectoryTask final : public PeriodicTask
+/** Logs each new era of the store and wakes the thread that announces this node, whose announcement may be lost. */
+class StoreEraObserver final : public StoreEraListener
 {
 public:
-    HostDirectoryTask(const Clock &clock, EventLog &events, HostDirectory &directory, PeerTable &peerTable, const GatewaySettings &settings)
-        : clock(clock)
-        , events(events)
-        , directory(directory)
-        , peerTable(peerTable)
-        , self { settings.host, settings.location.failureDomain, settings.peerListenAddress }
+    StoreEraObserver(EventLog &events, Counters &counters) : events(events), eraGauge(counters.counter("lovageward_store_era"))
     {
     }
 
-    TimePoint step() override
+    void onStoreEra(StoreEra era) override
     {
-        try {
-            if (!this->isAnnounced) {
-                this->directory.announce(this->self, this->clock.now() + directoryCallTimeout);
-                this->isAnnounced = true;
-            }
-            for (const auto &peer : this->directory.hosts(this->clock.now() + directoryCallTimeout)) {
-                this->peerTable.addKnownHost(peer);
-            }
-            this->peerTable.markDirectoryRead();
-            auto isFirst = !std::exchange(this->hasReadDirectory, true);
-            return this->clock.now() + (isFirst ? initialDirectoryReadInterval : directoryReadInterval);
-        } catch (const Error &error) {
-            this->events.write("directory_failed", { { "announced", this->isAnnounced }, { "reason", error.what() } });
-            return this->clock.now() + directoryRetryDelay + directoryRetryJitterFactor * this->peerTable.drawStoreCallJitter();
+        this->eraGauge.set(static_cast<std::int64_t>(era.value()));
+        this->events.write("store_era_known", { { "era", era.value() } });
+        if (auto *thread = this->directoryThread.load()) {
+            thread->wake();
         }
     }
 
+    void setDirectoryThread(TaskThread *thread)
+    {
+        this->directoryThread = thread;
+    }
+
 private:
-    const Clock &clock;
     EventLog &events;
-    HostDirectory &directory;
-    PeerTable &peerTable;
-    KnownHost self;
-    bool isAnnounced = false;
-    bool hasReadDirectory = false;
+    Counter &eraGauge;
+    std::atomic<TaskThread *> directoryThread = nullptr;
 };
 
 /** Reports ready from the time at which configuration and upstreams have been read until the node shuts down. */
@@ -157,7 +135,8 @@
                             this->upstreamRegistry,
                             this->statedRateLimits,
                             this->queryOfDeathDetector,
-                            this->drainState },
+                            this->drainState,
+                            this->storeEras },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
         , operatorFollower(this->clock,
@@ -165,7 +144,7 @@
                            dependencies.operatorFeed,
                            dependencies.decoder,
                            this->peerFeed,
-                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport },
+                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras },
                            FeedTopic::Operators,
                            operatorPollTiming)
         , upstreamFollower(this->clock,
@@ -173,10 +152,16 @@
                            dependencies.upstreamFeed,
                            dependencies.decoder,
                            this->peerFeed,
-                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport },
+                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras },
                            FeedTopic::Upstreams,
                            upstreamPollTiming)
-        , directory(this->clock, this->events, dependencies.directory, this->peerTable, settings)
+        , storeEraObserver(this->events, this->counters)
+        , directory(this->clock,
+                    this->events,
+                    dependencies.directory,
+                    this->peerTable,
+                    this->storeEras,
+                    { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , readiness(this->config, this->upstreamFollower, this->drainState)
         , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
         , forwardDependencies { this->clock,
@@ -199,6 +184,8 @@
                                 settings.responseLimits }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
     {
+        this->storeEras.addListener(this->digestTransport);
+        this->storeEras.addListener(this->storeEraObserver);
         for (const auto &seed : settings.seedAddresses) {
             this->peerTable.addKnownHost({ HostId(), FailureDomainId(), seed });
         }
@@ -219,6 +206,7 @@
     ConfigHolder config;
     UpstreamRegistry upstreamRegistry;
     FeedMirror feedMirror;
+    StoreEraTracker storeEras;
     LoadTracker loadTracker;
     TokenTimeTracker tokenTimeTracker;
     UpstreamHealth upstreamHealth;
@@ -236,6 +224,7 @@
     FeedPageCache feedPageCache;
     FeedFollower operatorFollower;
     FeedFollower upstreamFollower;
+    StoreEraObserver storeEraObserver;
     HostDirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer controlServer;
@@ -262,6 +251,7 @@
     startTask("upstreams", state.upstreamFollower);
     startTask("peers", state.digestTransport);
     startTask("directory", state.directory);
+    state.storeEraObserver.setDirectoryThread(state.threads[3].get());
     state.digestTransport.setSenderThread(state.threads[2].get());
     state.digestTransport.setFeedFollowers({ &state.operatorFollower, &state.upstreamFollower }, { state.threads[0].get(), state.threads[1].get() });
     state.controlServer.listen(state.settings.readinessListenAddress);
--- a/Tests/LibGateway/FeedFakes.h
+++ b/Tests/LibGateway/FeedFakes.h
@@ -5,9 +5,11 @@
 #include <LibCore/Error.h>
 #include <LibGateway/FeedFollower.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
+#include <sstream>
 
 namespace Lovageward {
 
@@ -21,6 +23,7 @@
         this->throwIfDown();
         FeedListing listing;
         listing.page.nextOffset = this->log.size();
+        listing.page.era = this->era;
         for (const auto &[key, record] : this->newest) {
             if (record.value.empty() || (afterKey && key <= *afterKey)) {
                 continue;
@@ -41,24 +44,40 @@
     {
         ++this->callCount;
         this->throwIfDown();
-        if (offset < this->firstAvailable) {
+        if (offset < this->firstAvailable || (offset > this->log.size() && !this->isLenientBeyondEnd)) {
             throw Error(ResultCode::RecordsExpired, RunState::NotRun, "expired");
         }
         FeedPage page;
+        page.era = this->era;
         for (auto at = offset; at < this->log.size(); ++at) {
             page.records.push_back(this->log[at]);
         }
-        page.nextOffset = this->log.size();
+        page.nextOffset = std::max<std::uint64_t>(offset, this->log.size());
         return page;
     }
 
     void write(const std::string &key, const std::string &value)
     {
-        FeedRecord record { key, value, this->log.size() };
+        FeedRecord record { key, value, this->log.size(), this->era };
         this->log.push_back(record);
         this->newest[key] = record;
     }
 
+    /** Restores the store from its state when it had `length` records. */
+    void restore(std::size_t length)
+    {
+        this->era = StoreEra(this->era.value() + 1);
+        this->log.resize(length);
+        this->newest.clear();
+        for (auto &record : this->log) {
+            record.era = this->era;
+            this->newest[record.key] = record;
+        }
+    }
+
+    StoreEra era;
+    /** A read beyond the end of the log returns no records instead of failing. */
+    bool isLenientBeyondEnd = false;
     /** Every read fails. */
     bool isDown = false;
     /** Limit of the records on a page of a listing. */
@@ -82,7 +101,8 @@
 
 /**
  * Topic Operators: the value of the key "config" is the version of a configuration; any other key names a failure domain, which is drained while the value
- * isn't empty. Topic Upstreams: the key names an upstream, which is draining if the value is "draining". The value "broken" is malformed.
+ * isn't empty. Topic Upstreams: the key names an upstream, the value consists of its state,
+ * "draining" or anything else, and optionally of its sequence and its process. The value "broken" is malformed.
  */
 class FakeDecoder final : public FeedDecoder
 {
@@ -103,7 +123,12 @@
             return UpstreamRemoval { UpstreamId(record.key) };
         }
         auto entry = upstreamRecord(record.key);
-        entry.isDraining = record.value == "draining";
+        std::istringstream fields(record.value);
+        std::string state;
+        std::string boot;
+        fields >> state >> entry.sequence >> boot;
+        entry.isDraining = state == "draining";
+        entry.boot = boot.empty() ? entry.boot : BootId(boot);
         return entry;
     }
 };
@@ -112,18 +137,18 @@
 class FakePeers final : public PeerFeed
 {
 public:
-    FeedPage pull(FeedTopic topic, std::uint64_t offset) override
+    FeedPage pull(FeedTopic topic, const FeedPosition &position) override
     {
         ++this->pullCount;
         if (this->source == nullptr) {
             throw Error(ResultCode::PeerUnreachable, RunState::NotRun, "no peer");
         }
-        return this->source->recordsSince(topic, offset);
+        return this->source->recordsSince(topic, position);
     }
 
-    bool hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const override
+    bool hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const override
     {
-        return this->source != nullptr && this->source->nextOffset(topic) > offset;
+        return this->source != nullptr && this->source->nextPosition(topic) > position;
     }
 
     bool isReader(FeedTopic /*topic*/) const override
@@ -131,9 +156,9 @@
         return this->isStoreReader;
     }
 
-    TimePoint freshUntil(FeedTopic /*topic*/) const override
+    TimePoint freshUntil(FeedTopic /*topic*/, StoreEra minimumEra) const override
     {
-        return this->peersFreshUntil;
+        return this->freshEra >= minimumEra ? this->peersFreshUntil : TimePoint();
     }
 
     bool isDiscoveryComplete() const override
@@ -157,6 +182,8 @@
     bool isStoreReader = true;
     bool isDirectoryKnown = true;
     TimePoint peersFreshUntil;
+    /** Era to which the peers' reports belong. */
+    StoreEra freshEra;
     int pullCount = 0;
 };
 
@@ -180,4 +207,25 @@
     FeedBatch lastBatch;
 };
 
+/** A follower of one topic with everything that it uses. */
+struct FollowerFixture
+{
+    explicit FollowerFixture(FeedTopic topic) : follower(clock, events, feed, decoder, peers, { config, registry, mirror, listener, storeEras }, topic, {})
+    {
+        this->clock.advance(minutes(1));
+    }
+
+    ManualClock clock;
+    NullEventLog events;
+    FakeFeed feed;
+    FakeDecoder decoder;
+    FakePeers peers;
+    ConfigHolder config;
+    UpstreamRegistry registry { clock };
+    FeedMirror mirror;
+    StoreEraTracker storeEras;
+    RecordingListener listener;
+    FeedFollower follower;
+};
+
 }
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -23,7 +23,16 @@
     , rateLimits(fleet.clock)
     , queriesOfDeath(fleet.clock)
     , peers(fleet.clock, this->random, self, 8)
-    , agent({ fleet.clock, this->loads, this->tokenTimes, this->peers, this->mirror, this->registry, this->rateLimits, this->queriesOfDeath, *this },
+    , agent({ fleet.clock,
+              this->loads,
+              this->tokenTimes,
+              this->peers,
+              this->mirror,
+              this->registry,
+              this->rateLimits,
+              this->queriesOfDeath,
+              *this,
+              this->storeEras },
             self.host,
             self.failureDomain)
     , operators(fleet.clock,
@@ -31,7 +40,7 @@
                 fleet.feeds[0],
                 fleet.decoder,
                 *this,
-                { this->config, this->registry, this->mirror, *this },
+                { this->config, this->registry, this->mirror, *this, this->storeEras },
                 FeedTopic::Operators,
                 { .maximumWait = milliseconds(600), .pauseAfterRead = milliseconds(300) })
     , upstreams(fleet.clock,
@@ -39,18 +48,19 @@
                 fleet.feeds[1],
                 fleet.decoder,
                 *this,
-                { this->config, this->registry, this->mirror, *this },
+                { this->config, this->registry, this->mirror, *this, this->storeEras },
                 FeedTopic::Upstreams,
                 { .maximumWait = milliseconds(600), .pauseAfterRead = milliseconds(60) })
 {
+    this->storeEras.addListener(*this);
 }
 
-FeedPage SimulatedFleet::Node::pull(FeedTopic topic, std::uint64_t offset)
+FeedPage SimulatedFleet::Node::pull(FeedTopic topic, const FeedPosition &position)
 {
-    for (const auto &address : this->peers.peersWithNewerRecords(topic, offset)) {
+    for (const auto &address : this->peers.peersWithNewerRecords(topic, position)) {
         auto &peer = this->fleet.at(this->fleet.nodeByAddress.at(address));
         if (peer.isUp) {
-            auto page = peer.mirror.recordsSince(topic, offset);
+            auto page = peer.mirror.recordsSince(topic, position);
             for (const auto &record : page.records) {
                 this->trafficBytes += static_cast<double>(record.key.size() + record.value.size());
                 peer.trafficBytes += static_cast<double>(record.key.size() + record.value.size());
@@ -61,9 +71,9 @@
     throw Error(ResultCode::PeerUnreachable, RunState::NotRun, "no peer");
 }
 
-bool SimulatedFleet::Node::hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const
+bool SimulatedFleet::Node::hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const
 {
-    return !this->peers.peersWithNewerRecords(topic, offset).empty();
+    return !this->peers.peersWithNewerRecords(topic, position).empty();
 }
 
 bool SimulatedFleet::Node::isReader(FeedTopic topic) const
@@ -71,9 +81,9 @@
     return this->peers.isReader(topic);
 }
 
-TimePoint SimulatedFleet::Node::freshUntil(FeedTopic topic) const
+TimePoint SimulatedFleet::Node::freshUntil(FeedTopic topic, StoreEra minimumEra) const
 {
-    return this->peers.freshUntil(topic);
+    return this->peers.freshUntil(topic, minimumEra);
 }
 
 bool SimulatedFleet::Node::isDiscoveryComplete() const
@@ -128,6 +138,12 @@
     this->nextStepAt[static_cast<std::size_t>(topic)] = this->fleet.clock.now();
 }
 
+void SimulatedFleet::Node::onStoreEra(StoreEra /*era*/)
+{
+    this->agent.announceStoreEra();
+    this->nextStepAt.fill(this->fleet.clock.now());
+}
+
 SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare) : domains(domains), lossShare(lossShare)
 {
     this->clock.advance(minutes(1));
@@ -214,7 +230,7 @@
     auto position = static_cast<std::size_t>(topic);
     std::size_t count = 0;
     for (const auto &node : this->nodes) {
-        count += node->isUp && node->mirror.nextOffset(topic) == this->feeds[position].log.size() ? 1 : 0;
+        count += node->isUp && node->mirror.nextPosition(topic) == FeedPosition { this->feeds[position].era, this->feeds[position].log.size() } ? 1 : 0;
     }
     return count;
 }
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -46,14 +46,14 @@
     void resetTraffic();
 
     /** A node: its objects, and the interfaces through which they use each other. */
-    struct Node final : public PeerFeed, public FeedListener, public FeedInbox
+    struct Node final : public PeerFeed, public FeedListener, public FeedInbox, public StoreEraListener
     {
         Node(SimulatedFleet &fleet, const KnownHost &self);
 
-        FeedPage pull(FeedTopic topic, std::uint64_t offset) override;
-        bool hasPeerWithNewerRecords(FeedTopic topic, std::uint64_t offset) const override;
+        FeedPage pull(FeedTopic topic, const FeedPosition &position) override;
+        bool hasPeerWithNewerRecords(FeedTopic topic, const FeedPosition &position) const override;
         bool isReader(FeedTopic topic) const override;
-        TimePoint freshUntil(FeedTopic topic) const override;
+        TimePoint freshUntil(FeedTopic topic, StoreEra minimumEra) const override;
         bool isDiscoveryComplete() const override;
         Duration drawListingDelay() override;
         Duration drawStoreCallJitter() override;
@@ -64,6 +64,7 @@
         void recordPeerOutage(FeedTopic topic, const StoreOutageReport &report) override;
         void receive(FeedBatch batch) override;
         void onNewerRecordsAvailable(FeedTopic topic) override;
+        void onStoreEra(StoreEra era) override;
 
         SimulatedFleet &fleet;
         KnownHost self;
@@ -71,6 +72,7 @@
         bool isUp = true;
         double trafficBytes = 0;
         FeedMirror mirror;
+        StoreEraTracker storeEras;
         ConfigHolder config;
         UpstreamRegistry registry;
         LoadTracker loads;
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -4,29 +4,6 @@
 
 using namespace Lovageward;
 
-namespace {
-
-struct FollowerFixture
-{
-    explicit FollowerFixture(FeedTopic topic) : follower(clock, events, feed, decoder, peers, { config, registry, mirror, listener }, topic, {})
-    {
-        this->clock.advance(minutes(1));
-    }
-
-    ManualClock clock;
-    NullEventLog events;
-    FakeFeed feed;
-    FakeDecoder decoder;
-    FakePeers peers;
-    ConfigHolder config;
-    UpstreamRegistry registry { clock };
-    FeedMirror mirror;
-    RecordingListener listener;
-    FeedFollower follower;
-};
-
-}
-
 TEST_CASE("A node lists the newest records first and then reads the records that follow")
 {
     FollowerFixture fixture(FeedTopic::Operators);
@@ -79,7 +56,7 @@
     fixture.follower.step();
     FeedMirror peer;
     peer.putIfNewer(FeedTopic::Operators, FeedRecord { "config", "4", 1 });
-    peer.advanceTo(FeedTopic::Operators, 2);
+    peer.advanceTo(FeedTopic::Operators, { StoreEra(), 2 });
     fixture.peers.source = &peer;
     fixture.feed.isDown = true;
     fixture.follower.step();
@@ -92,7 +69,7 @@
     fixture.feed.isDown = true;
     FeedMirror peer;
     peer.putIfNewer(FeedTopic::Operators, FeedRecord { "config", "4", 0 });
-    peer.advanceTo(FeedTopic::Operators, 1);
+    peer.advanceTo(FeedTopic::Operators, { StoreEra(), 1 });
     fixture.peers.source = &peer;
     fixture.follower.step();
     CHECK(fixture.follower.hasSynced());
@@ -119,7 +96,7 @@
     FollowerFixture fixture(FeedTopic::Upstreams);
     FeedMirror peer;
     peer.putIfNewer(FeedTopic::Upstreams, FeedRecord { "e1", "1", 6 });
-    peer.advanceTo(FeedTopic::Upstreams, 7);
+    peer.advanceTo(FeedTopic::Upstreams, { StoreEra(), 7 });
     fixture.peers.isStoreReader = false;
     fixture.peers.isDirectoryKnown = false;
     fixture.peers.source = &peer;
@@ -350,7 +327,7 @@
     fixture.follower.step();
     FeedMirror reader;
     reader.putIfNewer(FeedTopic::Operators, FeedRecord { "config", "8", 1 });
-    reader.advanceTo(FeedTopic::Operators, 2);
+    reader.advanceTo(FeedTopic::Operators, { StoreEra(), 2 });
     fixture.peers.source = &reader;
     fixture.peers.isStoreReader = false;
     fixture.peers.peersFreshUntil = fixture.clock.now() + seconds(1);
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -101,36 +101,40 @@
     CHECK(changes[0].load.runs == 0);
 }
 
-TEST_CASE("Digests of older versions without rate limits, suspected parts and outages, and of a newer one with further values, are decoded")
+TEST_CASE("Digests of older versions without rate limits, suspected parts, outages and eras, and of a newer one with further values, are decoded")
 {
     PeerDigest digest;
     digest.host = HostId("front-1");
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
     auto bytes = encodeDigest(digest);
-    // The digest is an array. Its last three values are two empty arrays and an array with an empty array for each topic.
+    // The digest is an array. Its last four values are two empty arrays, an array with an empty array for each topic, and three eras.
     constexpr char arrayOf12 = '\x9c';
     constexpr char arrayOf13 = '\x9d';
     constexpr char arrayOf14 = '\x9e';
     constexpr char arrayOf15 = '\x9f';
     const std::string arrayOf16("\xdc\x00\x10", 3);
+    const std::string arrayOf17("\xdc\x00\x11", 3);
     constexpr char emptyArray = '\x90';
     const std::string noOutages = "\x92\x90\x90";
-    REQUIRE(bytes.front() == arrayOf15);
-    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages));
-    auto newer = arrayOf16 + bytes.substr(1) + emptyArray;
-    auto withoutOutages = bytes.substr(0, bytes.size() - noOutages.size());
+    const std::string noEras("\x93\x00\x00\x00", 4);
+    REQUIRE(bytes.starts_with(arrayOf16));
+    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + noEras));
+    auto newer = arrayOf17 + bytes.substr(arrayOf16.size()) + emptyArray;
+    auto withoutEras = arrayOf15 + bytes.substr(arrayOf16.size(), bytes.size() - arrayOf16.size() - noEras.size());
+    auto withoutOutages = withoutEras.substr(0, withoutEras.size() - noOutages.size());
     withoutOutages.front() = arrayOf14;
     auto withoutSuspectedParts = withoutOutages.substr(0, withoutOutages.size() - 1);
     withoutSuspectedParts.front() = arrayOf13;
     auto withoutRateLimits = withoutOutages.substr(0, withoutOutages.size() - 2);
     withoutRateLimits.front() = arrayOf12;
-    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, newer }) {
+    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutEras, newer }) {
         auto decoded = decodeDigest(version);
         CHECK(decoded.host == HostId("front-1"));
         CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
         CHECK(decoded.rateLimits.empty());
         CHECK(decoded.suspectedParts.empty());
         CHECK(decoded.storeOutages == digest.storeOutages);
+        CHECK(decoded.knownEra == StoreEra());
     }
 }
 
@@ -141,6 +145,8 @@
     digest.failureDomain = FailureDomainId("a1");
     digest.isLeaving = true;
     digest.nextOffsets = { 17, 4711 };
+    digest.knownEra = StoreEra(3);
+    digest.eras = { StoreEra(2), StoreEra(3) };
     digest.readAges = { milliseconds(250), Duration::max() };
     digest.shares = { UpstreamLoadReport { 42, UpstreamLoad { 3, 10'500, 2'000, 2 }, microseconds(7130) } };
     digest.knownPeers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" }, { HostId(), FailureDomainId(), "10.0.0.2:7200" } };
@@ -148,7 +154,7 @@
     digest.loadScope = LoadScope::Changes;
     digest.summary = FleetSummary { 42, { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } } };
     CHECK_FALSE(decodeDigest(encodeDigest(digest)).batch);
-    digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
+    digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8, StoreEra(3) } };
     digest.isBatchForGroup = true;
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1700000000000") }, { UpstreamId("e2"), BootId() } };
     digest.rateLimits = { { UpstreamId("e1"), BootId("1700000000000"), 3.25, milliseconds(40) }, { UpstreamId("e2"), BootId(), std::nullopt, seconds(2) } };
@@ -178,11 +184,14 @@
     REQUIRE(decoded.batch->page.records.size() == 2);
     CHECK(decoded.batch->page.records[0].key == "e1");
     CHECK(decoded.batch->page.records[0].value == std::string("\0x", 2));
-    CHECK(decoded.batch->page.records[1].offset == 7);
+    CHECK(decoded.batch->page.records[1].position() == FeedPosition { StoreEra(3), 7 });
+    CHECK(decoded.batch->page.nextPosition() == FeedPosition { StoreEra(3), 8 });
     CHECK(decoded.host == digest.host);
     CHECK(decoded.failureDomain == digest.failureDomain);
     CHECK(decoded.isLeaving);
     CHECK(decoded.nextOffsets == digest.nextOffsets);
+    CHECK(decoded.knownEra == digest.knownEra);
+    CHECK(decoded.eras == digest.eras);
     CHECK(decoded.readAges[0] == milliseconds(250));
     CHECK(decoded.readAges[1] >= seconds(10));
     REQUIRE(decoded.shares.size() == 1);
--- a/Tests/LibGateway/TestPeerTable.cpp
+++ b/Tests/LibGateway/TestPeerTable.cpp
@@ -95,8 +95,8 @@
     auto digest = makeDigest("ahead");
     digest.nextOffsets = { 10, 0 };
     fixture.table.applyDigest("10.0.0.2:7200", digest);
-    CHECK(fixture.table.freshUntil(FeedTopic::Operators, 9) <= fixture.clock.now());
-    auto freshUntil = fixture.table.freshUntil(FeedTopic::Operators, 10);
+    CHECK(fixture.table.freshUntil(FeedTopic::Operators, { StoreEra(), 9 }) <= fixture.clock.now());
+    auto freshUntil = fixture.table.freshUntil(FeedTopic::Operators, { StoreEra(), 10 });
     CHECK(freshUntil > fixture.clock.now());
     // Each hop adds 50 ms to the age, so that repeated reports never become younger.
     CHECK(PeerTable::readTimeOf(freshUntil) == fixture.clock.now() - milliseconds(150));
@@ -296,9 +296,9 @@
     newer.nextOffsets = { 10, 0 };
     fixture.table.applyDigest("10.0.0.2:7200", newer);
     fixture.table.applyDigest("10.0.0.3:7200", makeDigest("behind"));
-    auto found = fixture.table.peersWithNewerRecords(FeedTopic::Operators, 9);
+    auto found = fixture.table.peersWithNewerRecords(FeedTopic::Operators, { StoreEra(), 9 });
     CHECK(found.size() == 5);
     CHECK(found.front() == "10.0.0.2:7200");
-    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Operators, 10).empty());
-    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Upstreams, 0).empty());
+    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Operators, { StoreEra(), 10 }).empty());
+    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Upstreams, { StoreEra(), 0 }).empty());
 }
--- a/Tests/platform/TestPlatformStore.cpp
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -31,6 +31,7 @@
     {
         int status = 200;
         std::string body;
+        std::string era = {};
     };
 
     using Script = std::function<Reply(const std::string &target)>;
@@ -75,6 +76,9 @@
             auto reply = this->owner.script(request.getURI());
             response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(reply.status));
             response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
+            if (!reply.era.empty()) {
+                response.set("Store-Era", reply.era);
+            }
             response.send() << reply.body;
         }
 
@@ -234,7 +238,48 @@
     CHECK(standIn.targets.front().starts_with("POST /-/log-append?topic=keyed."));
     CHECK(standIn.bodies.front() == encodeRecord("front-1", "10.0.0.1:7200 a1"));
     // A node of an older version announces no failure domain.
-    CHECK(store.hosts(clock.now() + callTimeout) == std::vector<KnownHost> { host, { HostId("old"), FailureDomainId(), "10.0.0.2:7200" } });
+    CHECK(store.hosts(clock.now() + callTimeout).hosts == std::vector<KnownHost> { host, { HostId("old"), FailureDomainId(), "10.0.0.2:7200" } });
+}
+
+TEST_CASE("The era that the store states is part of every result, is 0 if it states none, and an error if it isn't a number")
+{
+    std::string era = "2";
+    StoreStandIn standIn([&era](const std::string &target) {
+        auto records = encodeBigEndian(5, 8) + encodeBigEndian(0, 8) + encodeRecord("config", "{}");
+        auto isRead = target.find("log-read") != std::string::npos;
+        return StoreStandIn::Reply { 200, isRead ? records : R"({"items":[{"key":"i-1","value":"YWJj","offset":4}],"hasMore":false,"end":6})", era };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto deadline = clock.now() + callTimeout;
+    for (auto expected : { StoreEra(2), StoreEra(0) }) {
+        era = expected == StoreEra(2) ? "2" : "";
+        auto page = store.readFrom(FeedTopic::Operators, 4, Duration(0), deadline);
+        CHECK(page.nextPosition() == FeedPosition { expected, 5 });
+        CHECK(page.records.at(0).position() == FeedPosition { expected, 4 });
+        auto listing = store.listNewest(FeedTopic::Upstreams, std::nullopt, deadline);
+        CHECK(listing.page.nextPosition() == FeedPosition { expected, 6 });
+        CHECK(listing.page.records.at(0).position() == FeedPosition { expected, 4 });
+        CHECK(store.hosts(deadline).era == expected);
+        CHECK(store.announce({ HostId("front-1"), FailureDomainId("a1"), "10.0.0.1:7200" }, deadline) == expected);
+    }
+    era = "x";
+    CHECK_THROWS_AS(store.readFrom(FeedTopic::Operators, 4, Duration(0), deadline), Error);
+}
+
+// Guards against a node that waits at an offset that a restored store reaches only later, with other records.
+TEST_CASE("A read beyond the end of the store fails like a read of expired records")
+{
+    StoreStandIn standIn([](const std::string & /*target*/) { return StoreStandIn::Reply { 200, encodeBigEndian(9, 8) + encodeBigEndian(0, 8) }; });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    CHECK(store.readFrom(FeedTopic::Operators, 9, Duration(0), clock.now() + callTimeout).records.empty());
+    try {
+        store.readFrom(FeedTopic::Operators, 10, Duration(0), clock.now() + callTimeout);
+        FAIL("the read succeeded");
+    } catch (const Error &error) {
+        CHECK(error.code() == ResultCode::RecordsExpired);
+    }
 }
 
 TEST_CASE("A call to an unreachable store fails")
