LibGateway: Wait for a peer's records when a node starts after a restoration

A reader that started listed the topic at once, and took the configuration of the copy although its peers held a newer one. It now waits 300 ms for a peer's records if it knows, from the host directory, that the store was restored.

Adds tests of the eras in pages between nodes and in the peer table.

--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -27,6 +27,12 @@
 /** Interval at which a starting node checks whether a peer has listed the topic. */
 constexpr Duration listingCheckInterval = milliseconds(50);
 
+/**
+ * Shortest time for which a node that starts after a restoration of the store waits for a peer's records, which may be newer than the copy. Peers answer the
+ * first digest of a new node at once.
+ */
+constexpr Duration restoredListingDelay = milliseconds(300);
+
 /** Largest number of records that are logged one by one. */
 constexpr std::size_t maximumLoggedRecords = 32;
 
@@ -239,10 +245,12 @@
     if (now < this->nextListingAt && this->peers.isReader(this->topic)) {
         return true;
     }
+    auto mayCopyBeOlder = !this->isSynced && startOfEra.era > StoreEra();
     if (!this->ownListingAt) {
-        this->ownListingAt = now + this->peers.drawListingDelay();
+        auto delay = this->peers.drawListingDelay();
+        this->ownListingAt = now + (mayCopyBeOlder ? std::max(delay, restoredListingDelay) : delay);
     }
-    if (now < *this->ownListingAt && !this->peers.isReader(this->topic)) {
+    if (now < *this->ownListingAt && (mayCopyBeOlder || !this->peers.isReader(this->topic))) {
         return true;
     }
     // If this listing fails, the next one waits for another random delay.
--- a/Tests/LibGateway/TestPeerTable.cpp
+++ b/Tests/LibGateway/TestPeerTable.cpp
@@ -302,3 +302,22 @@
     CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Operators, { StoreEra(), 10 }).empty());
     CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Upstreams, { StoreEra(), 0 }).empty());
 }
+
+// Guards against a node that trusts the silence of peers which still read the store's old era, and that requests records from them.
+TEST_CASE("Once a peer has read a new era, reports on the old one aren't trusted and records are requested only in the new one")
+{
+    TableFixture fixture;
+    auto older = makeDigest("older");
+    older.nextOffsets = { 10, 0 };
+    fixture.table.applyDigest("10.0.0.2:7200", older);
+    CHECK(fixture.table.freshUntil(FeedTopic::Operators) > fixture.clock.now());
+    CHECK(fixture.table.freshUntil(FeedTopic::Operators, StoreEra(1)) <= fixture.clock.now());
+    CHECK(fixture.table.freshUntil(FeedTopic::Operators, { StoreEra(1), 10 }) <= fixture.clock.now());
+    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Operators, { StoreEra(0), 9 }).size() == 1);
+    auto newer = makeDigest("newer");
+    newer.nextOffsets = { 5, 0 };
+    newer.eras = { StoreEra(1), StoreEra(0) };
+    fixture.table.applyDigest("10.0.0.3:7200", newer);
+    CHECK(fixture.table.freshUntil(FeedTopic::Operators, StoreEra(1)) > fixture.clock.now());
+    CHECK(fixture.table.peersWithNewerRecords(FeedTopic::Operators, { StoreEra(0), 9 }) == std::vector<std::string> { "10.0.0.3:7200" });
+}
--- a/Tests/LibGateway/TestStoreEra.cpp
+++ b/Tests/LibGateway/TestStoreEra.cpp
@@ -174,6 +174,34 @@
     CHECK(starting.registry.drainedDomains().empty());
 }
 
+// Guards against a reader that starts with the configuration of the copy although its peers hold a newer one.
+TEST_CASE("A reader that starts after a restoration waits a short time for a peer's records before it lists the topic")
+{
+    FollowerFixture fixture(FeedTopic::Operators);
+    fixture.feed.restore(0);
+    fixture.feed.write("config", "3");
+    fixture.storeEras.record(secondEra);
+    fixture.peers.listingDelay = Duration(0);
+    fixture.follower.step();
+    CHECK(fixture.feed.callCount == 0);
+    SECTION("A peer has records")
+    {
+        FeedMirror peer;
+        peer.putIfNewer(FeedTopic::Operators, FeedRecord { "config", "4", 0, secondEra });
+        peer.advanceTo(FeedTopic::Operators, { secondEra, 1 });
+        fixture.peers.source = &peer;
+        fixture.follower.step();
+        CHECK(fixture.config.current()->version() == ConfigVersion(4));
+        CHECK(fixture.feed.callCount == 0);
+    }
+    SECTION("No peer responds")
+    {
+        fixture.clock.advance(milliseconds(300));
+        fixture.follower.step();
+        CHECK(fixture.config.current()->version() == ConfigVersion(3));
+    }
+}
+
 TEST_CASE("Batches and pages of an older era are discarded")
 {
     FollowerFixture fixture(FeedTopic::Upstreams);
