Soak: Restore the store from an older copy

The stand-in of the store drops the records of the last 0.3 to 2.3 s, raises its era and answers reads from offsets that it doesn't have with 410. After 0.8 s operators and upstreams write their newest records again. Every second run with unplanned faults has one restoration.

--- a/Tests/platform/soak/Deployment.cpp
+++ b/Tests/platform/soak/Deployment.cpp
@@ -33,6 +33,9 @@
 const std::string operatorTopic = "keyed.op";
 const std::string upstreamTopic = "keyed.servers";
 
+/** Time after a restoration of the store until what it lost is written again, in which nodes can only rely on what they hold. */
+constexpr Duration rewriteDelay = milliseconds(800);
+
 std::string bigEndian32(std::size_t number)
 {
     std::string text;
@@ -42,6 +45,17 @@
     return text;
 }
 
+std::string encodeRecord(const std::string &key, const std::string &value)
+{
+    auto content = std::string(1, static_cast<char>(key.size())) + key + value;
+    return bigEndian32(content.size()) + content;
+}
+
+std::string appendTarget(const std::string &topic)
+{
+    return "/-/log-append?topic=" + topic + "&part=0";
+}
+
 }
 
 const std::string &Deployment::host()
@@ -219,14 +233,28 @@
 
 void Deployment::appendRecord(const std::string &topic, const std::string &key, const std::string &value)
 {
-    auto content = std::string(1, static_cast<char>(key.size())) + key + value;
+    std::lock_guard<std::mutex> guard(this->publishMutex);
+    this->publishedValues[{ topic, key }] = value;
+    this->callStore(appendTarget(topic), encodeRecord(key, value));
+}
+
+void Deployment::restoreStore(Duration age)
+{
+    std::lock_guard<std::mutex> guard(this->publishMutex);
+    this->callStore(fmt::format("/restore?ageMs={}", age / milliseconds(1)), {});
+    this->sleep(rewriteDelay);
+    for (const auto &[name, value] : this->publishedValues) {
+        this->callStore(appendTarget(name.first), encodeRecord(name.second, value));
+    }
+}
+
+void Deployment::callStore(const std::string &target, const std::string &body)
+{
     while (true) {
         try {
-            // Operators and upstreams reach the store directly, and not through the nodes' proxy.
             Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(this->storeAddress) };
             session.setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
-            Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, "/-/log-append?topic=" + topic + "&part=0");
-            auto body = bigEndian32(content.size()) + content;
+            Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, target);
             request.setContentLength64(static_cast<Poco::Int64>(body.size()));
             session.sendRequest(request) << body;
             Poco::Net::HTTPResponse response;
@@ -388,6 +416,11 @@
         this->pauseProcess(*this->store, length);
         break;
     }
+    case FaultKind::RestoreStore: {
+        std::lock_guard<std::mutex> guard(this->storeMutex);
+        this->restoreStore(length);
+        break;
+    }
     case FaultKind::DelayLink:
     case FaultKind::ResetLink:
     case FaultKind::SilenceLink:
--- a/Tests/platform/soak/Deployment.h
+++ b/Tests/platform/soak/Deployment.h
@@ -80,6 +80,10 @@
     void writeSettings(const Node &node, int graceSeconds) const;
     /** Appends a record to a topic of the store; an empty value removes the key. Retries until the store responds. */
     void appendRecord(const std::string &topic, const std::string &key, const std::string &value);
+    /** Sends a request to the store, without the nodes' proxy. Retries until the store responds. */
+    void callStore(const std::string &target, const std::string &body);
+    /** Restores the store from a copy of this age; then operators and upstreams write their newest records again. */
+    void restoreStore(Duration age);
     void publishUpstream(const Upstream &upstream, bool isDraining);
     void publishConfig();
     void drainAndReplaceUpstream(Upstream &upstream, Duration length);
@@ -103,6 +107,10 @@
     std::atomic<std::uint64_t> configVersion = 0;
     std::mutex storeMutex;
     std::mutex domainMutex;
+    /** Held while a record is appended, so that a record that is written again doesn't replace a newer one. */
+    std::mutex publishMutex;
+    /** The newest value of each key that operators and upstreams have written, by topic and key. */
+    std::map<std::pair<std::string, std::string>, std::string> publishedValues;
 };
 
 }
--- a/Tests/platform/soak/FaultPlan.cpp
+++ b/Tests/platform/soak/FaultPlan.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 
 namespace Lovageward::Soak {
@@ -25,7 +26,8 @@
                                                          "delay link",
                                                          "reset link",
                                                          "silence link",
-                                                         "cut link one way" });
+                                                         "cut link one way",
+                                                         "restore store" });
 constexpr auto linkNames = std::to_array<const char *>({ "caller to node", "node to upstream", "node to store" });
 
 /** One in this number of seeds has planned operations only. */
@@ -34,6 +36,9 @@
 constexpr std::uint64_t maximumGapMilliseconds = 900;
 constexpr std::uint64_t minimumLengthMilliseconds = 300;
 constexpr std::uint64_t lengthRangeMilliseconds = 2'000;
+/** Earliest restoration of the store; the copy then has the first records of the deployment. */
+constexpr Duration minimumRestorationStart = seconds(3);
+constexpr std::uint64_t restorationSeedOffset = 1'000'000'007;
 
 }
 
@@ -45,7 +50,8 @@
 std::string describe(const Fault &fault)
 {
     auto name = kindNames.at(static_cast<std::size_t>(fault.kind));
-    auto link = fault.kind >= FaultKind::DelayLink ? linkNames.at(static_cast<std::size_t>(fault.link)) : "";
+    auto isOfLink = fault.kind >= FaultKind::DelayLink && fault.kind != FaultKind::RestoreStore;
+    auto link = isOfLink ? linkNames.at(static_cast<std::size_t>(fault.link)) : "";
     return fmt::format("{:6.2f} s to {:6.2f} s  {} {} (target {})",
                        std::chrono::duration<double>(fault.startsAt).count(),
                        std::chrono::duration<double>(fault.endsAt).count(),
@@ -54,6 +60,26 @@
                        fault.target);
 }
 
+namespace {
+
+/** Adds a restoration of the store to every second run with unplanned faults, where there is time for it. */
+void addRestoration(std::vector<Fault> &faults, std::uint64_t seed, Duration length)
+{
+    SeededRandom random(seed + restorationSeedOffset);
+    if (random.below(2) == 0 || length <= 2 * minimumRestorationStart) {
+        return;
+    }
+    Fault fault;
+    fault.kind = FaultKind::RestoreStore;
+    auto range = static_cast<std::uint64_t>((length - 2 * minimumRestorationStart) / milliseconds(1));
+    fault.startsAt = minimumRestorationStart + milliseconds(random.below(range + 1));
+    fault.endsAt = fault.startsAt + milliseconds(minimumLengthMilliseconds + random.below(lengthRangeMilliseconds));
+    faults.push_back(fault);
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) { return left.startsAt < right.startsAt; });
+}
+
+}
+
 std::vector<Fault> drawFaults(std::uint64_t seed, Duration length)
 {
     SeededRandom random(seed);
@@ -69,6 +95,9 @@
         faults.push_back(fault);
         at += milliseconds(random.below(maximumGapMilliseconds));
     }
+    if (kinds == kindCount) {
+        addRestoration(faults, seed, length);
+    }
     return faults;
 }
 
--- a/Tests/platform/soak/FaultPlan.h
+++ b/Tests/platform/soak/FaultPlan.h
@@ -25,6 +25,8 @@
     ResetLink,
     SilenceLink,
     CutLinkOneWay,
+    // Drawn apart from the others, so that earlier seeds keep their faults.
+    RestoreStore,
 };
 
 /** Links that run through a LinkProxy. */
--- a/Tests/platform/soak/StoreRole.cpp
+++ b/Tests/platform/soak/StoreRole.cpp
@@ -41,37 +41,66 @@
     return output.str();
 }
 
-/** In-memory logs of keyed records, one per topic, that can list the latest value of each key. */
+/** Status of a read from an offset that the store doesn't have. */
+constexpr int goneStatus = 410;
+
+/** A response of the store. */
+struct StoreReply
+{
+    int status = 200;
+    std::string body;
+    std::uint64_t era = 0;
+};
+
+/** In-memory logs of keyed records, one per topic, that can list the latest value of each key and be restored to their state of some time ago. */
 class TopicLog
 {
 public:
-    void append(const std::string &topic, const std::string &content)
+    StoreReply append(const std::string &topic, const std::string &content)
     {
         std::lock_guard<std::mutex> guard(this->mutex);
-        this->topics[topic].push_back(content);
+        this->topics[topic].push_back({ content, std::chrono::steady_clock::now() });
         this->recordAppended.notify_all();
+        return { .body = {}, .era = this->era };
     }
 
-    std::string read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait)
+    /** Drops the records of the last `age` and begins the next era. */
+    StoreReply restore(std::chrono::milliseconds age)
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        auto copiedAt = std::chrono::steady_clock::now() - age;
+        for (auto &[topic, records] : this->topics) {
+            std::erase_if(records, [copiedAt](const Record &record) { return record.appendedAt > copiedAt; });
+        }
+        ++this->era;
+        this->recordAppended.notify_all();
+        return { .body = {}, .era = this->era };
+    }
+
+    StoreReply read(const std::string &topic, std::uint64_t from, std::chrono::milliseconds wait)
     {
         std::unique_lock<std::mutex> lock(this->mutex);
-        this->recordAppended.wait_for(lock, wait, [&] { return this->topics[topic].size() > from; });
+        this->recordAppended.wait_for(lock, wait, [&, startEra = this->era] { return this->topics[topic].size() > from || this->era != startEra; });
         const auto &records = this->topics[topic];
+        if (from > records.size()) {
+            return { goneStatus, R"({"first":0})", this->era };
+        }
         auto body = bigEndian(records.size(), offsetBytes) + bigEndian(0, offsetBytes);
         for (auto at = from; at < std::min<std::uint64_t>(records.size(), from + recordsPerRead); ++at) {
-            body += bigEndian(records[at].size(), lengthBytes) + records[at];
+            body += bigEndian(records[at].content.size(), lengthBytes) + records[at].content;
         }
-        return body;
+        return { .body = body, .era = this->era };
     }
 
-    std::string listLatestValues(const std::string &topic)
+    StoreReply listLatestValues(const std::string &topic)
     {
         std::lock_guard<std::mutex> guard(this->mutex);
         std::map<std::string, std::pair<std::string, std::size_t>> values;
         const auto &records = this->topics[topic];
         for (std::size_t offset = 0; offset < records.size(); ++offset) {
-            auto keyLength = static_cast<unsigned char>(records[offset].front());
-            values[records[offset].substr(1, keyLength)] = { records[offset].substr(1 + keyLength), offset };
+            const auto &content = records[offset].content;
+            auto keyLength = static_cast<unsigned char>(content.front());
+            values[content.substr(1, keyLength)] = { content.substr(1 + keyLength), offset };
         }
         Poco::JSON::Array items;
         for (const auto &[key, value] : values) {
@@ -89,13 +118,20 @@
         page.set("hasMore", false);
         std::ostringstream text;
         page.stringify(text);
-        return text.str();
+        return { .body = text.str(), .era = this->era };
     }
 
 private:
+    struct Record
+    {
+        std::string content;
+        std::chrono::steady_clock::time_point appendedAt;
+    };
+
     std::mutex mutex;
     std::condition_variable recordAppended;
-    std::map<std::string, std::vector<std::string>> topics;
+    std::map<std::string, std::vector<Record>> topics;
+    std::uint64_t era = 0;
 };
 
 class StoreHandler final : public RoleHandler
@@ -108,18 +144,22 @@
         for (const auto &[name, value] : uri.getQueryParameters()) {
             query[name] = value;
         }
-        std::string body;
+        StoreReply reply;
         if (uri.getPath() == "/-/log-append") {
             std::ostringstream content;
             content << request.stream().rdbuf();
-            this->log.append(query["topic"], content.str().substr(lengthBytes));
+            reply = this->log.append(query["topic"], content.str().substr(lengthBytes));
         } else if (uri.getPath() == "/-/log-read") {
-            body = this->log.read(query["topic"], std::stoull(query["fromRev"]), std::chrono::milliseconds(std::stoi(query["waitMs"])));
+            reply = this->log.read(query["topic"], std::stoull(query["fromRev"]), std::chrono::milliseconds(std::stoi(query["waitMs"])));
+        } else if (uri.getPath() == "/restore") {
+            reply = this->log.restore(std::chrono::milliseconds(std::stoi(query["ageMs"])));
         } else {
-            body = this->log.listLatestValues(query["topic"]);
+            reply = this->log.listLatestValues(query["topic"]);
         }
-        response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        response.send() << body;
+        response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(reply.status));
+        response.set("Store-Era", std::to_string(reply.era));
+        response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
+        response.send() << reply.body;
     }
 
 private:
