--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -26,7 +26,8 @@
               dependencies.rateLimits,
               dependencies.queriesOfDeath,
               dependencies.speeds,
-              *this },
+              *this,
+              dependencies.storeEras },
             self.host,
             self.failureDomain)
 {
@@ -105,6 +106,15 @@
     this->wakeSender();
 }
 
+void DigestTransport::onStoreEra(StoreEra /*era*/)
+{
+    this->agent.announceStoreEra();
+    this->wakeSender();
+    for (std::size_t topic = 0; topic < feedTopicCount; ++topic) {
+        this->onNewerRecordsAvailable(static_cast<FeedTopic>(topic));
+    }
+}
+
 void DigestTransport::loadChanged()
 {
     this->agent.announceLoadChange();
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -33,13 +33,14 @@
     QueryOfDeathDetector &queriesOfDeath;
     UpstreamSpeedTracker &speeds;
     const DrainState &drain;
+    StoreEraTracker &storeEras;
 };
 
 /**
  * Sends and receives the digests of a PeerAgent as UDP datagrams. Datagrams aren't retransmitted, and there are no connections that could stall.
  * step() sends; a separate thread receives. Lock order: it has no lock of its own.
  */
-class DigestTransport final : public PeriodicTask, public PlacementListener, public FeedListener, private FeedInbox
+class DigestTransport final : public PeriodicTask, public PlacementListener, public FeedListener, public StoreEraListener, private FeedInbox
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
@@ -54,6 +55,7 @@
     void upstreamNoticeReceived() override;
     void onRecordsRead(const FeedBatch &batch) override;
     void onRecordsComplete(FeedTopic topic) override;
+    void onStoreEra(StoreEra era) override;
 
     /** Sets the thread that runs step(). To be called once, before requests are placed. */
     void setSenderThread(TaskThread *thread)
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -116,13 +116,13 @@
     CHECK(changes[0].load.runs == 0);
 }
 
-TEST_CASE("Digests of older versions without rate limits, suspected parts, outages and reported loads, and of a newer one with further values, are decoded")
+TEST_CASE("Digests of older versions without rate limits, suspected parts, outages, reported loads and eras, and of a newer one, are decoded")
 {
     PeerDigest digest;
     digest.host = HostId("front-1");
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
     auto bytes = encodeDigest(digest);
-    // The digest is an array. Its last values are two empty arrays, an array with an empty array for each topic, and an empty array.
+    // The digest is an array. Its last values are two empty arrays, an array with an empty array for each topic, an empty array, and three eras.
     constexpr char arrayOf12 = '\x9c';
     constexpr char arrayOf13 = '\x9d';
     constexpr char arrayOf14 = '\x9e';
@@ -131,18 +131,21 @@
     const std::string arrayOf17("\xdc\x00\x11", 3);
     constexpr char emptyArray = '\x90';
     const std::string noOutages = "\x92\x90\x90";
-    REQUIRE(bytes.starts_with(arrayOf16));
-    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + emptyArray));
-    auto values = bytes.substr(arrayOf16.size());
-    auto newer = arrayOf17 + values + emptyArray;
-    auto withoutReportedLoads = arrayOf15 + values.substr(0, values.size() - 1);
+    const std::string arrayOf18("\xdc\x00\x12", 3);
+    const std::string noEras("\x93\x00\x00\x00", 4);
+    REQUIRE(bytes.starts_with(arrayOf17));
+    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + emptyArray + noEras));
+    auto values = bytes.substr(arrayOf17.size());
+    auto newer = arrayOf18 + values + emptyArray;
+    auto withoutEras = arrayOf16 + values.substr(0, values.size() - noEras.size());
+    auto withoutReportedLoads = arrayOf15 + values.substr(0, values.size() - noEras.size() - 1);
     auto withoutOutages = withoutReportedLoads.substr(0, withoutReportedLoads.size() - noOutages.size());
     withoutOutages.front() = arrayOf14;
     auto withoutSuspectedParts = withoutOutages.substr(0, withoutOutages.size() - 1);
     withoutSuspectedParts.front() = arrayOf13;
     auto withoutRateLimits = withoutOutages.substr(0, withoutOutages.size() - 2);
     withoutRateLimits.front() = arrayOf12;
-    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutReportedLoads, newer }) {
+    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutReportedLoads, withoutEras, newer }) {
         auto decoded = decodeDigest(version);
         CHECK(decoded.host == HostId("front-1"));
         CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
@@ -150,6 +153,7 @@
         CHECK(decoded.suspectedParts.empty());
         CHECK(decoded.storeOutages == digest.storeOutages);
         CHECK(decoded.speedReports.empty());
+        CHECK(decoded.knownEra == StoreEra());
     }
 }
 
@@ -160,6 +164,8 @@
     digest.failureDomain = FailureDomainId("a1");
     digest.isLeaving = true;
     digest.nextOffsets = { 17, 4711 };
+    digest.knownEra = StoreEra(3);
+    digest.eras = { StoreEra(2), StoreEra(3) };
     digest.readAges = { milliseconds(250), Duration::max() };
     digest.shares = { UpstreamLoadReport { 42, UpstreamLoad { 3, 10'500, 2'000, 2 }, microseconds(7130) } };
     digest.knownPeers = { { HostId("front-2"), FailureDomainId("a1"), "10.0.0.1:7200" }, { HostId(), FailureDomainId(), "10.0.0.2:7200" } };
@@ -169,7 +175,7 @@
                                     { DomainPoolLoad { FailureDomainId("b1"), PoolId("engines"), UpstreamLoad { 7, 9'000, 100 } } },
                                     { UpstreamLoadReport { 43, UpstreamLoad { 4, 8'000, 200, 1 }, Duration(0) } } };
     CHECK_FALSE(decodeDigest(encodeDigest(digest)).batch);
-    digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8 } };
+    digest.batch = FeedBatch { FeedTopic::Upstreams, 5, { { { "e1", std::string("\0x", 2), 6 }, { "e2", "", 7 } }, 8, StoreEra(3) } };
     digest.isBatchForGroup = true;
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1700000000000") }, { UpstreamId("e2"), BootId() } };
     digest.rateLimits = { { UpstreamId("e1"), BootId("1700000000000"), 3.25, milliseconds(40) }, { UpstreamId("e2"), BootId(), std::nullopt, seconds(2) } };
@@ -202,11 +208,14 @@
     REQUIRE(decoded.batch->page.records.size() == 2);
     CHECK(decoded.batch->page.records[0].key == "e1");
     CHECK(decoded.batch->page.records[0].value == std::string("\0x", 2));
-    CHECK(decoded.batch->page.records[1].offset == 7);
+    CHECK(decoded.batch->page.records[1].position() == FeedPosition { StoreEra(3), 7 });
+    CHECK(decoded.batch->page.nextPosition() == FeedPosition { StoreEra(3), 8 });
     CHECK(decoded.host == digest.host);
     CHECK(decoded.failureDomain == digest.failureDomain);
     CHECK(decoded.isLeaving);
     CHECK(decoded.nextOffsets == digest.nextOffsets);
+    CHECK(decoded.knownEra == digest.knownEra);
+    CHECK(decoded.eras == digest.eras);
     CHECK(decoded.readAges[0] == milliseconds(250));
     CHECK(decoded.readAges[1] >= seconds(10));
     REQUIRE(decoded.shares.size() == 1);
