LibGateway: Decide on version roll-outs by the evidence of all nodes

The operator orders that a pool moves to another version; nothing read these orders, and an entry's version was not kept. Upstream entries keep their version, orders and reports are decoded as changes of the operators' topic and of a third topic, which is followed only by nodes with roll-outs enabled. RequestPlacer takes the versions that it may use from a RolloutGate. Nothing is wired into the node yet.

--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -38,6 +38,9 @@
 
 std::string_view topicName(FeedTopic topic)
 {
+    if (topic == FeedTopic::Status) {
+        return "status";
+    }
     return topic == FeedTopic::Operators ? "operators" : "upstreams";
 }
 
@@ -312,6 +315,17 @@
             this->targets.registry.remove(removal->upstream);
         }
         this->events.write("upstream_removed", { { "upstream", removal->upstream.value() }, { "offset", record.offset }, { "doubtful", isDeferred } });
+    } else if (this->targets.rollouts != nullptr) {
+        this->applyRolloutChange(change);
+    }
+}
+
+void FeedFollower::applyRolloutChange(const FeedChange &change)
+{
+    if (const auto *order = std::get_if<RolloutOrder>(&change)) {
+        this->targets.rollouts->applyOrder(*order);
+    } else if (const auto *status = std::get_if<RolloutStatus>(&change)) {
+        this->targets.rollouts->applyStatus(*status);
     }
 }
 
--- a/Libraries/LibGateway/FeedFollower.h
+++ b/Libraries/LibGateway/FeedFollower.h
@@ -5,6 +5,7 @@
 #include <LibGateway/ConfigHolder.h>
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/FeedMirror.h>
+#include <LibGateway/RolloutRecords.h>
 #include <LibGateway/StateFeed.h>
 #include <LibGateway/StoreOutageTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
@@ -74,6 +75,8 @@
     UpstreamRegistry &registry;
     FeedMirror &mirror;
     FeedListener &listener;
+    /** nullptr if roll-outs are disabled. */
+    RolloutRecordListener *rollouts = nullptr;
 };
 
 /**
@@ -133,6 +136,7 @@
     std::optional<TimePoint> syncFromPeers();
     void apply(const FeedRecord &record);
     void applyChange(const FeedChange &change, const FeedRecord &record);
+    void applyRolloutChange(const FeedChange &change);
     /** Removes the keys that a complete listing lacks, also from the mirror that peers read. */
     void removeUnlisted(const FeedPage &page);
     /** True if a peer has had records beyond `knownOffset` for longer than a batch of them takes to arrive. */
--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -83,7 +83,8 @@
 bool PeerAgent::isRelayOrReader() const
 {
     const auto &peers = this->dependencies.peers;
-    return peers.isRelay() || peers.isReader(FeedTopic::Operators) || peers.isReader(FeedTopic::Upstreams);
+    auto isStatusReader = this->dependencies.rollouts != nullptr && peers.isReader(FeedTopic::Status);
+    return peers.isRelay() || peers.isReader(FeedTopic::Operators) || peers.isReader(FeedTopic::Upstreams) || isStatusReader;
 }
 
 std::vector<OutgoingDigest> PeerAgent::takeDueDigests()
@@ -113,6 +114,7 @@
         auto isSentToGroup = (due.isFullStateDue || due.isLoadChangeDue) && !isSummaryDue;
         this->addFreshness(outgoing, isSentToGroup ? std::vector<std::string>() : group, isSummaryDue);
     }
+    this->addRolloutReports(outgoing, group);
     this->addFirstDigests(outgoing);
     std::erase_if(outgoing, [](const OutgoingDigest &digest) { return digest.targets.empty(); });
     return outgoing;
@@ -120,7 +122,8 @@
 
 TimePoint PeerAgent::nextDueAt() const
 {
-    return this->scheduler.nextDueAt(this->isRelayOrReader());
+    auto next = this->scheduler.nextDueAt(this->isRelayOrReader());
+    return this->dependencies.rollouts == nullptr ? next : std::min(next, this->dependencies.rollouts->nextReportAt());
 }
 
 void PeerAgent::addBatches(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group)
@@ -166,6 +169,24 @@
     outgoing.push_back(OutgoingDigest { this->dependencies.peers.selectRelayTargets(), encodeDigest(digest) });
 }
 
+void PeerAgent::addRolloutReports(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group)
+{
+    if (this->dependencies.rollouts == nullptr) {
+        return;
+    }
+    auto due = this->dependencies.rollouts->takeDueReports(this->dependencies.peers.groupPeerCount(), this->dependencies.peers.isRelay());
+    if (due.group.empty()) {
+        return;
+    }
+    auto digest = this->makeDigest(LoadScope::None);
+    digest.rollouts = std::move(due.group);
+    outgoing.push_back(OutgoingDigest { group, encodeDigest(digest) });
+    if (!due.relays.empty()) {
+        digest.rollouts = std::move(due.relays);
+        outgoing.push_back(OutgoingDigest { this->dependencies.peers.selectRelayTargets(), encodeDigest(digest) });
+    }
+}
+
 void PeerAgent::addFirstDigests(std::vector<OutgoingDigest> &outgoing)
 {
     std::vector<std::string> newPeers;
@@ -245,6 +266,11 @@
             this->scheduler.markFreshnessChanged();
         }
     }
+    for (const auto &report : digest.rollouts) {
+        if (this->dependencies.rollouts != nullptr) {
+            this->dependencies.rollouts->receiveReport(digest.host, digest.failureDomain, report);
+        }
+    }
     for (const auto &peer : digest.knownPeers) {
         this->dependencies.peers.addKnownHost(peer);
     }
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -7,6 +7,7 @@
 #include <LibGateway/PeerDigest.h>
 #include <LibGateway/PeerTable.h>
 #include <LibGateway/QueryOfDeathDetector.h>
+#include <LibGateway/RolloutExchange.h>
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamRegistry.h>
@@ -61,6 +62,8 @@
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
     FeedInbox &inbox;
+    /** nullptr if roll-outs are disabled. */
+    RolloutExchange *rollouts = nullptr;
 };
 
 /**
@@ -131,6 +134,7 @@
     void receiveLoad(const PeerDigest &digest);
     void addBatches(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group);
     void addFreshness(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group, bool isSummaryDue);
+    void addRolloutReports(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group);
     void addFirstDigests(std::vector<OutgoingDigest> &outgoing);
     FleetSummary summarizeOwnDomain() const;
 
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/PeerDigest.h>
 
+#include <LibGateway/RolloutReportCodec.h>
 #include <LibPeer/Compression.h>
 #include <LibPeer/MessageReader.h>
 #include <LibPeer/MessageWriter.h>
@@ -25,12 +26,16 @@
 constexpr Duration maximumTokenTime = minutes(1);
 
 /** Number of values in a digest, and in those of older versions without outages, suspected parts, rate limits and leaving upstreams. */
-constexpr std::size_t fieldCount = 15;
+constexpr std::size_t fieldCount = 16;
+constexpr std::size_t fieldCountWithoutRollouts = 15;
 constexpr std::size_t fieldCountWithoutStoreOutages = 14;
 constexpr std::size_t fieldCountWithoutSuspectedParts = 13;
 constexpr std::size_t fieldCountWithoutRateLimits = 12;
 constexpr std::size_t fieldCountWithoutLeavingUpstreams = 11;
 
+/** Number of topics in digests of versions without roll-outs. */
+constexpr std::size_t topicsWithoutStatus = 2;
+
 /** Limit of the values in an array to which newer versions can append. */
 constexpr std::size_t maximumFields = 64;
 
@@ -290,8 +295,9 @@
 
 void readStoreOutages(MessageReader &reader, PeerDigest &digest)
 {
-    reader.beginArray(digest.storeOutages.size(), maximumFields);
-    for (auto &outage : digest.storeOutages) {
+    auto topics = reader.beginArray(topicsWithoutStatus, maximumFields);
+    for (std::size_t topic = 0; topic < std::min(topics, feedTopicCount); ++topic) {
+        auto &outage = digest.storeOutages[topic];
         if (reader.beginArray(0, maximumFields) >= 2) {
             outage.emplace();
             outage->startAge = readAge(reader, maximumOutageAge);
@@ -346,6 +352,7 @@
     writeRateLimits(writer, digest.rateLimits);
     writeSuspectedParts(writer, digest.suspectedParts);
     writeStoreOutages(writer, digest);
+    writeRolloutReports(writer, digest.rollouts);
     return writer.encoded();
 }
 
@@ -358,14 +365,15 @@
     digest.failureDomain = FailureDomainId(reader.text());
     digest.isLeaving = reader.flag();
     digest.isRelay = reader.flag();
-    reader.beginArray(digest.nextOffsets.size(), maximumFields);
-    for (auto &offset : digest.nextOffsets) {
-        offset = reader.number();
+    auto offsets = reader.beginArray(topicsWithoutStatus, maximumFields);
+    for (std::size_t topic = 0; topic < std::min(offsets, feedTopicCount); ++topic) {
+        digest.nextOffsets[topic] = reader.number();
     }
     reader.endArray();
-    reader.beginArray(digest.readAges.size(), maximumFields);
-    for (auto &age : digest.readAges) {
-        age = milliseconds(reader.number(static_cast<std::uint64_t>(maximumReadAge / milliseconds(1))));
+    digest.readAges.fill(maximumReadAge);
+    auto ages = reader.beginArray(topicsWithoutStatus, maximumFields);
+    for (std::size_t topic = 0; topic < std::min(ages, feedTopicCount); ++topic) {
+        digest.readAges[topic] = milliseconds(reader.number(static_cast<std::uint64_t>(maximumReadAge / milliseconds(1))));
     }
     reader.endArray();
     digest.loadScope = static_cast<LoadScope>(reader.number(static_cast<std::uint64_t>(LoadScope::Full)));
@@ -398,9 +406,12 @@
     if (fields >= fieldCountWithoutStoreOutages) {
         digest.suspectedParts = readSuspectedParts(reader);
     }
-    if (fields >= fieldCount) {
+    if (fields >= fieldCountWithoutRollouts) {
         readStoreOutages(reader, digest);
     }
+    if (fields >= fieldCount) {
+        digest.rollouts = readRolloutReports(reader);
+    }
     reader.endArray();
     return digest;
 }
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -4,6 +4,7 @@
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/PromptPartReport.h>
+#include <LibGateway/RolloutReport.h>
 #include <LibGateway/StoreOutage.h>
 #include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
@@ -78,6 +79,8 @@
     std::vector<PromptPartReport> suspectedParts;
     /** For each topic the outage of the store after which upstreams may still be missing from it. */
     std::array<std::optional<StoreOutageReport>, feedTopicCount> storeOutages {};
+    /** State and evidence of running roll-outs. */
+    std::vector<RolloutReport> rollouts;
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
--- a/Libraries/LibGateway/PeerTable.cpp
+++ b/Libraries/LibGateway/PeerTable.cpp
@@ -69,6 +69,9 @@
 
 const char *topicKey(FeedTopic topic)
 {
+    if (topic == FeedTopic::Status) {
+        return "status";
+    }
     return topic == FeedTopic::Operators ? "operators" : "upstreams";
 }
 
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -30,7 +30,8 @@
                              UpstreamRateLimiter &rateLimiter,
                              const UpstreamPicker &picker,
                              RandomSource &random,
-                             const FleetView &fleet)
+                             const FleetView &fleet,
+                             RolloutGate *rollouts)
     : clock(clock)
     , registry(registry)
     , loadTracker(loadTracker)
@@ -42,15 +43,39 @@
     , picker(picker)
     , random(random)
     , fleet(fleet)
+    , rollouts(rollouts)
 {
 }
 
 PlacementResult RequestPlacer::place(const PlacementConstraints &constraints)
 {
     std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->rollouts == nullptr) {
+        return this->placeAmong(constraints, [](const UpstreamRecord & /*upstream*/) { return true; });
+    }
+    auto isFirstAttempt = constraints.excluded.empty();
+    auto rule = this->rollouts->beginPlacement(constraints.pool.id, constraints.route.id, isFirstAttempt);
+    PlacementResult result;
+    if (rule.target) {
+        result = this->placeAmong(constraints, [&](const UpstreamRecord &upstream) { return rule.target->includes(upstream); });
+        if (result.outcome != PickOutcome::Picked && rule.isExposure) {
+            this->rollouts->cancelExposure(constraints.pool.id);
+        }
+    }
+    if (result.outcome != PickOutcome::Picked) {
+        result = this->placeAmong(constraints, [&](const UpstreamRecord &upstream) { return rule.filter.allows(upstream.version); });
+    }
+    if (result.outcome == PickOutcome::Picked) {
+        result.run.observation = this->rollouts->observe(constraints.route.id, result.run.upstream, isFirstAttempt);
+    }
+    return result;
+}
+
+PlacementResult RequestPlacer::placeAmong(const PlacementConstraints &constraints, const VersionPredicate &isEligible)
+{
     PlacementResult result;
     std::optional<TimePoint> refusedUntil;
-    auto candidates = this->collectCandidates(constraints, refusedUntil);
+    auto candidates = this->collectCandidates(constraints, refusedUntil, isEligible);
     result.candidates = candidates.size();
     if (refusedUntil) {
         result.outcome = PickOutcome::Refused;
@@ -87,7 +112,8 @@
     std::lock_guard<std::mutex> guard(this->mutex);
     PlacementResult result;
     std::optional<TimePoint> refusedUntil;
-    auto candidates = this->collectCandidates(constraints, refusedUntil);
+    auto versions = this->rollouts == nullptr ? VersionFilter() : this->rollouts->copyFilter(constraints.pool.id, runner);
+    auto candidates = this->collectCandidates(constraints, refusedUntil, [&](const UpstreamRecord &upstream) { return versions.allows(upstream.version); });
     result.candidates = candidates.size();
     auto pick = [&] { return this->picker.pickCopyTarget(candidates, constraints.pool, constraints.footprint, runner, purpose); };
     auto position = pick();
@@ -167,10 +193,13 @@
 
 bool RequestPlacer::acceptsRequests(const UpstreamRecord &upstream) const
 {
-    return this->registry.isUsable(upstream.id) && !this->refusals.refusedUntil(upstream);
+    return this->registry.isUsable(upstream.id) && !this->refusals.refusedUntil(upstream)
+        && (this->rollouts == nullptr || this->rollouts->mayContinueOn(upstream));
 }
 
-std::vector<Candidate> RequestPlacer::collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil) const
+std::vector<Candidate> RequestPlacer::collectCandidates(const PlacementConstraints &constraints,
+                                                        std::optional<TimePoint> &refusedUntil,
+                                                        const VersionPredicate &isVersionEligible) const
 {
     const auto &location = this->picker.nodeLocation();
     auto isEligible = [&](const UpstreamRecord &record) {
@@ -178,6 +207,9 @@
         if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), location.regionOf(record.failureDomain)) == allowed.end()) {
             return false;
         }
+        if (!isVersionEligible(record)) {
+            return false;
+        }
         // Upstreams that the request has already been sent to count here, because their refusals also determine when to retry.
         auto until = this->refusals.refusedUntil(record);
         if (until) {
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -4,6 +4,7 @@
 #include <LibGateway/FleetView.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
+#include <LibGateway/RolloutGate.h>
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/TokenTimeTracker.h>
 #include <LibGateway/UpstreamHealth.h>
@@ -12,6 +13,7 @@
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +38,8 @@
 {
     UpstreamRecord upstream;
     std::unique_ptr<LoadReservation> reservation;
+    /** Evidence about the version of the upstream; nullptr unless its pool has a running roll-out. */
+    std::unique_ptr<RolloutObservation> observation;
     /** State of the upstream before the placement, for the log. */
     UpstreamLoad load;
     double failureRate = 0;
@@ -55,8 +59,8 @@
 /**
  * Places requests on upstreams and reserves their load in one step, so that two threads don't use the same capacity. In a hierarchical fleet a request
  * considers only a random sample of the upstreams, and only few far ones: their loads are known only as sums, so all nodes would send to the one that
- * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then the leaf locks of the
- * registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate limiter.
+ * seems least loaded. Load pattern: an engine that joins empty while the others are nearly full. Lock order: its own mutex, then that of the RolloutGate, then
+ * the leaf locks of the registry, the load tracker, the token times, the health scores, the refusals, the stated rate limits and the rate limiter.
  */
 class RequestPlacer
 {
@@ -71,7 +75,8 @@
                   UpstreamRateLimiter &rateLimiter,
                   const UpstreamPicker &picker,
                   RandomSource &random,
-                  const FleetView &fleet);
+                  const FleetView &fleet,
+                  RolloutGate *rollouts = nullptr);
 
     PlacementResult place(const PlacementConstraints &constraints);
 
@@ -94,8 +99,13 @@
     static PoolId choosePool(const Route &route, double draw);
 
 private:
+    using VersionPredicate = std::function<bool(const UpstreamRecord &)>;
+
+    /** Places the request at one of the upstreams that satisfy `isEligible`. */
+    PlacementResult placeAmong(const PlacementConstraints &constraints, const VersionPredicate &isEligible);
     /** The upstreams that may run the request now. If there are none because of refusals, sets `refusedUntil` to the earliest end of a refusal. */
-    std::vector<Candidate> collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil) const;
+    std::vector<Candidate>
+    collectCandidates(const PlacementConstraints &constraints, std::optional<TimePoint> &refusedUntil, const VersionPredicate &isVersionEligible) const;
     /** Takes a new request out of the upstream's request rate if it has one: a stated limit, or the rate of its pool while it is cold. */
     bool tryAcquireRate(const UpstreamRecord &upstream, const UpstreamPool &pool);
     /** Time at which this node may send a request to an upstream whose request rate is used up: its next slot, or the end of a cold start before. */
@@ -116,6 +126,8 @@
     const UpstreamPicker &picker;
     RandomSource &random;
     const FleetView &fleet;
+    /** nullptr if roll-outs are disabled. */
+    RolloutGate *rollouts;
     std::mutex mutex;
 };
 
--- a/Libraries/LibGateway/StateFeed.h
+++ b/Libraries/LibGateway/StateFeed.h
@@ -3,6 +3,7 @@
 #include <LibCore/Ids.h>
 #include <LibCore/Time.h>
 #include <LibGateway/GatewayConfig.h>
+#include <LibGateway/RolloutRecords.h>
 #include <LibGateway/UpstreamRecord.h>
 
 #include <cstdint>
@@ -20,9 +21,11 @@
     Operators = 0,
     /** The upstreams' registrations. */
     Upstreams = 1,
+    /** The system's reports on roll-outs; followed only if roll-outs are enabled. */
+    Status = 2,
 };
 
-inline constexpr std::size_t feedTopicCount = 2;
+inline constexpr std::size_t feedTopicCount = 3;
 
 /** A record of the store. Only a FeedDecoder interprets the key and the value. */
 struct FeedRecord
@@ -82,7 +85,7 @@
 };
 
 /** The change that a record makes. */
-using FeedChange = std::variant<std::shared_ptr<const GatewayConfig>, DrainChange, UpstreamRecord, UpstreamRemoval>;
+using FeedChange = std::variant<std::shared_ptr<const GatewayConfig>, DrainChange, UpstreamRecord, UpstreamRemoval, RolloutOrder, RolloutStatus>;
 
 /** Decodes records of the store. */
 class FeedDecoder
--- a/Libraries/LibGateway/UpstreamRecord.h
+++ b/Libraries/LibGateway/UpstreamRecord.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Ids.h>
 #include <LibCore/Time.h>
+#include <LibGateway/RolloutRecords.h>
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,7 @@
     /** "IP:port". */
     std::string address;
     FailureDomainId failureDomain;
+    UpstreamVersion version;
     std::uint32_t slots = 0;
     bool isDraining = false;
     /** The upstream is cold and can handle only few requests until this time. */
--- a/Libraries/LibGateway/UpstreamRegistry.cpp
+++ b/Libraries/LibGateway/UpstreamRegistry.cpp
@@ -203,7 +203,46 @@
         return EvacuationReason::Restarted;
     }
     auto isDraining = found->second.record.isDraining || this->isShuttingDown(found->second.record);
-    return isDraining ? EvacuationReason::Draining : EvacuationReason::None;
+    if (isDraining) {
+        return EvacuationReason::Draining;
+    }
+    auto replacement = this->replacements.find(found->second.record.pool);
+    auto isReplaced = replacement != this->replacements.end() && replacement->second != found->second.record.version;
+    return isReplaced ? EvacuationReason::Replaced : EvacuationReason::None;
+}
+
+std::map<PoolId, std::map<UpstreamVersion, UpstreamRegistry::VersionCount>> UpstreamRegistry::versionCounts() const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::map<PoolId, std::map<UpstreamVersion, VersionCount>> counts;
+    for (const auto &[id, entry] : this->entries) {
+        auto &count = counts[entry.record.pool][entry.record.version];
+        ++count.registered;
+        count.usable += this->acceptsWork(entry) ? 1 : 0;
+    }
+    return counts;
+}
+
+std::set<std::uint64_t> UpstreamRegistry::upstreamsOfOtherVersions(const PoolId &pool, const UpstreamVersion &version) const
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    std::set<std::uint64_t> hashes;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.record.pool == pool && entry.record.version != version) {
+            hashes.insert(LoadTracker::hashUpstreamId(id));
+        }
+    }
+    return hashes;
+}
+
+void UpstreamRegistry::setReplacement(const PoolId &pool, const std::optional<UpstreamVersion> &version)
+{
+    std::lock_guard<std::mutex> guard(this->mutex);
+    if (version) {
+        this->replacements[pool] = *version;
+    } else {
+        this->replacements.erase(pool);
+    }
 }
 
 bool UpstreamRegistry::isUsable(const UpstreamId &upstream) const
--- a/Libraries/LibGateway/UpstreamRegistry.h
+++ b/Libraries/LibGateway/UpstreamRegistry.h
@@ -22,6 +22,8 @@
     Draining,
     /** Another process has registered with the upstream's id, so the KV cache of its runs is lost. */
     Restarted,
+    /** A roll-out replaces the upstream's version by another one. */
+    Replaced,
 };
 
 /** Identifies the upstreams of one pool in one failure domain. */
@@ -91,6 +93,22 @@
 
     std::size_t size() const;
 
+    /** Number of upstreams of one version of a pool. */
+    struct VersionCount
+    {
+        std::size_t registered = 0;
+        std::size_t usable = 0;
+    };
+
+    /** The versions of all registered upstreams by pool. */
+    std::map<PoolId, std::map<UpstreamVersion, VersionCount>> versionCounts() const;
+
+    /** LoadTracker::hashUpstreamId of the registered upstreams of the pool with another version than `version`. */
+    std::set<std::uint64_t> upstreamsOfOtherVersions(const PoolId &pool, const UpstreamVersion &version) const;
+
+    /** Runs at upstreams of the pool with another version should be migrated away from now on; nullopt ends that. */
+    void setReplacement(const PoolId &pool, const std::optional<UpstreamVersion> &version);
+
 private:
     struct Entry
     {
@@ -117,6 +135,7 @@
     std::map<PoolId, std::map<FailureDomainId, std::set<UpstreamId>>> upstreamsByPool;
     std::unordered_map<std::uint64_t, DomainPool> domainPools;
     std::set<FailureDomainId> drainedFailureDomains;
+    std::map<PoolId, UpstreamVersion> replacements;
     /** Stored separately from the entries, because an entry may be removed and added again while its process lives. */
     std::map<UpstreamId, ReceivedNotice> shutdownNotices;
 };
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -101,30 +101,33 @@
     CHECK(changes[0].load.runs == 0);
 }
 
-TEST_CASE("Digests of older versions without rate limits, suspected parts and outages, and of a newer one with further values, are decoded")
+TEST_CASE("Digests of older versions without rate limits, suspected parts, outages and roll-outs, and of a newer one with further values, are decoded")
 {
     PeerDigest digest;
     digest.host = HostId("front-1");
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
     auto bytes = encodeDigest(digest);
-    // The digest is an array. Its last three values are two empty arrays and an array with an empty array for each topic.
+    // The digest is an array. Its last four values are two empty arrays, an array with an empty array for each topic, and an empty array.
     constexpr char arrayOf12 = '\x9c';
     constexpr char arrayOf13 = '\x9d';
     constexpr char arrayOf14 = '\x9e';
     constexpr char arrayOf15 = '\x9f';
     const std::string arrayOf16("\xdc\x00\x10", 3);
+    const std::string arrayOf17("\xdc\x00\x11", 3);
     constexpr char emptyArray = '\x90';
-    const std::string noOutages = "\x92\x90\x90";
-    REQUIRE(bytes.front() == arrayOf15);
-    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages));
-    auto newer = arrayOf16 + bytes.substr(1) + emptyArray;
-    auto withoutOutages = bytes.substr(0, bytes.size() - noOutages.size());
+    const std::string noOutages = "\x93\x90\x90\x90";
+    REQUIRE(bytes.starts_with(arrayOf16));
+    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + emptyArray));
+    auto values = bytes.substr(arrayOf16.size());
+    auto newer = arrayOf17 + values + emptyArray;
+    auto withoutRollouts = arrayOf15 + values.substr(0, values.size() - 1);
+    auto withoutOutages = withoutRollouts.substr(0, withoutRollouts.size() - noOutages.size());
     withoutOutages.front() = arrayOf14;
     auto withoutSuspectedParts = withoutOutages.substr(0, withoutOutages.size() - 1);
     withoutSuspectedParts.front() = arrayOf13;
     auto withoutRateLimits = withoutOutages.substr(0, withoutOutages.size() - 2);
     withoutRateLimits.front() = arrayOf12;
-    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, newer }) {
+    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutRollouts, newer }) {
         auto decoded = decodeDigest(version);
         CHECK(decoded.host == HostId("front-1"));
         CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
--- a/Tests/platform/TestPlatformDecoder.cpp
+++ b/Tests/platform/TestPlatformDecoder.cpp
@@ -91,12 +91,53 @@
     CHECK(entry.pool == PoolId("huvo11a"));
     CHECK(entry.address == "10.128.0.9:8080");
     CHECK(entry.failureDomain == FailureDomainId("surat-a"));
+    CHECK(entry.version == UpstreamVersion("v1"));
     CHECK(entry.slots == 24);
     CHECK_FALSE(entry.isDraining);
     CHECK(entry.coldUntil == TimePoint(milliseconds(51'500)));
     CHECK(std::get<UpstreamRemoval>(*decode(FeedTopic::Upstreams, "i-1", "")).upstream == UpstreamId("i-1"));
 }
 
+// Guards against an order that is misread, which would shift traffic that nobody ordered to be shifted.
+TEST_CASE("Decoding the order of a roll-out yields its pool, version, offset and end")
+{
+    auto order = std::get<RolloutOrder>(*decode(FeedTopic::Operators, "rollout/huvo11a", R"({"service":"huvo11a","target":"v2","durationS":60})"));
+    CHECK(order.id == RolloutOrderId(3));
+    CHECK(order.pool == PoolId("huvo11a"));
+    CHECK(order.target == UpstreamVersion("v2"));
+    CHECK(order.readAt == TimePoint(seconds(50)));
+    CHECK(order.endsAt == TimePoint(seconds(110)));
+    CHECK_FALSE(decode(FeedTopic::Operators, "rollout/huvo11a", ""));
+    for (const auto *value : { R"({"service":"other","target":"v2","durationS":60})",
+                               R"({"service":"huvo11a","durationS":60})",
+                               R"({"service":"huvo11a","target":"v2"})",
+                               R"({"service":"huvo11a","target":"v2","durationS":-1})",
+                               R"({"service":"huvo11a","target":"v2","durationS":true})",
+                               "[]" }) {
+        INFO(value);
+        CHECK_THROWS_AS(decode(FeedTopic::Operators, "rollout/huvo11a", value), Error);
+    }
+}
+
+// Guards against a report that its own writer can't read, so that a final state would be lost.
+TEST_CASE("Reports on roll-outs are decoded as they were written")
+{
+    for (auto state : { RolloutState::Running, RolloutState::Completed, RolloutState::RolledBack }) {
+        auto record = encodeRolloutStatus(RolloutStatus { PoolId("huvo11a"), UpstreamVersion("v2"), state, RolloutOrderId(7) });
+        CHECK(record.key == "rollout/huvo11a");
+        auto status = std::get<RolloutStatus>(*decode(FeedTopic::Status, record.key, record.value));
+        CHECK(status.pool == PoolId("huvo11a"));
+        CHECK(status.target == UpstreamVersion("v2"));
+        CHECK(status.state == state);
+        CHECK(status.order == RolloutOrderId(7));
+    }
+    auto plain = std::get<RolloutStatus>(*decode(FeedTopic::Status, "rollout/huvo11a", R"({"state":"rolled_back","target":"v2"})"));
+    CHECK(plain.state == RolloutState::RolledBack);
+    CHECK_FALSE(plain.order);
+    CHECK_FALSE(decode(FeedTopic::Status, "something/else", "{}"));
+    CHECK_THROWS_AS(decode(FeedTopic::Status, "rollout/huvo11a", R"({"state":"halted","target":"v2"})"), Error);
+}
+
 TEST_CASE("Upstream entries that are malformed or incomplete are rejected")
 {
     for (const std::string value : { "not json",
--- a/Tests/platform/TestPlatformStore.cpp
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -237,6 +237,30 @@
     CHECK(store.hosts(clock.now() + callTimeout) == std::vector<KnownHost> { host, { HostId("old"), FailureDomainId(), "10.0.0.2:7200" } });
 }
 
+// Guards against a report that overwrites a newer one, and against a refused write that counts as done.
+TEST_CASE("The report on a roll-out is written only where the topic still ends as it was read")
+{
+    StoreStandIn standIn([](const std::string &target) {
+        if (target.find("log-newest") != std::string::npos) {
+            return StoreStandIn::Reply { 200, R"({"items":[{"key":"rollout/p","value":"eyJzdGF0ZSI6InJ1bm5pbmciLCJ0YXJnZXQiOiJ2MiJ9","offset":4}],"end":6})" };
+        }
+        return target.find("&at=6") != std::string::npos ? StoreStandIn::Reply { 200, R"({"offset":6,"end":7})" } : StoreStandIn::Reply { 412, R"({"end":7})" };
+    });
+    SystemClock clock;
+    PlatformStore store(clock, standIn.address());
+    auto entry = store.readNewest(PoolId("p"), clock.now() + callTimeout);
+    REQUIRE(entry.status);
+    CHECK(entry.status->target == UpstreamVersion("v2"));
+    CHECK(entry.end == 6);
+    CHECK_FALSE(store.readNewest(PoolId("other"), clock.now() + callTimeout).status);
+    RolloutStatus status { PoolId("p"), UpstreamVersion("v2"), RolloutState::Completed, RolloutOrderId(2) };
+    CHECK(store.writeAt(status, 6, clock.now() + callTimeout) == StatusWriteResult::Written);
+    CHECK(standIn.targets.back() == "POST /-/log-append?topic=keyed.status&part=0&at=6");
+    auto record = encodeRolloutStatus(status);
+    CHECK(standIn.bodies.back() == encodeRecord(record.key, record.value));
+    CHECK(store.writeAt(status, 5, clock.now() + callTimeout) == StatusWriteResult::Conflict);
+}
+
 TEST_CASE("A call to an unreachable store fails")
 {
     SystemClock clock;
