LibNode: Roll versions out in gateways whose settings enable it

The decision modules for roll-outs weren't used by a node. A gateway with rollout-share, rollout-slack and rollout-rollback-ms now follows the topic of reports, runs a RolloutController, sends its reports in digests and asks it for each placement. Forwarders record responses as evidence, and streams at a replaced version migrate during the promotion. Without the settings no component is created.

--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -25,7 +25,8 @@
               dependencies.registry,
               dependencies.rateLimits,
               dependencies.queriesOfDeath,
-              *this },
+              *this,
+              dependencies.rollouts },
             self.host,
             self.failureDomain)
 {
@@ -116,6 +117,11 @@
     this->wakeSender();
 }
 
+void DigestTransport::rolloutChanged()
+{
+    this->wakeSender();
+}
+
 void DigestTransport::wakeSender()
 {
     auto *thread = this->senderThread.load();
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -32,13 +32,15 @@
     StatedRateLimits &rateLimits;
     QueryOfDeathDetector &queriesOfDeath;
     const DrainState &drain;
+    /** nullptr if roll-outs are disabled. */
+    RolloutExchange *rollouts = nullptr;
 };
 
 /**
  * Sends and receives the digests of a PeerAgent as UDP datagrams. Datagrams aren't retransmitted, and there are no connections that could stall.
  * step() sends; a separate thread receives. Lock order: it has no lock of its own.
  */
-class DigestTransport final : public PeriodicTask, public PlacementListener, public FeedListener, private FeedInbox
+class DigestTransport final : public PeriodicTask, public PlacementListener, public FeedListener, public RolloutListener, private FeedInbox
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
@@ -47,11 +49,12 @@
 
     TimePoint step() override;
 
-    /** Schedules the next digest without delay, as do the three functions below. */
+    /** Schedules the next digest without delay, as do the four functions below. */
     void loadChanged() override;
     void upstreamNoticeReceived() override;
     void onRecordsRead(const FeedBatch &batch) override;
     void onRecordsComplete(FeedTopic topic) override;
+    void rolloutChanged() override;
 
     /** Sets the thread that runs step(). To be called once, before requests are placed. */
     void setSenderThread(TaskThread *thread)
@@ -60,8 +63,8 @@
     }
 
     /**
-     * Sets the followers in the order of FeedTopic, and their threads, which are woken when a peer has newer records. To be called once, before
-     * requests are placed.
+     * Sets the followers in the order of FeedTopic, nullptr for topics that aren't followed, and their threads, which are woken when a peer has newer records.
+     * To be called once, before requests are placed.
      */
     void setFeedFollowers(const std::array<FeedFollower *, feedTopicCount> &feedFollowers, const std::array<TaskThread *, feedTopicCount> &feedThreads);
 
--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t urgencyOfHighestPriority = 3;
 constexpr std::uint32_t lowestUrgency = 9;
 
+constexpr int firstServerErrorStatus = 500;
+
 }
 
 StreamRelay::StreamRelay(
@@ -141,6 +143,9 @@
     auto deadline = this->hasSentHead ? this->work.deadline : this->dependencies.drain.limitDeadline(this->work.deadline);
     if (this->dependencies.clock.now() >= deadline) {
         this->call->cancel();
+        if (this->timing.eventCount() == this->eventsBeforeCall) {
+            this->observeFailure(false);
+        }
         if (!this->hasSentHead) {
             throw Error(ResultCode::DeadlineExceeded, RunState::Unknown, "the upstream did not respond in time");
         }
@@ -188,6 +193,9 @@
     }
     if (metadata.hasNotRun || metadata.isInstanceMismatch) {
         this->dependencies.health.recordFailure(this->placement.upstream.id, refusalWeight);
+        if (this->placement.observation) {
+            this->placement.observation->discard();
+        }
         this->call->cancel();
         if (this->hasSentHead) {
             // The run was not continued there, so that upstream made no backup copy either.
@@ -213,6 +221,11 @@
     }
     this->dependencies.health.recordFailure(this->placement.upstream.id, 1);
     const auto &head = this->call->head();
+    if (this->placement.observation && static_cast<int>(head.getStatus()) < firstServerErrorStatus) {
+        // The request is at fault, whatever the version.
+        this->placement.observation->discard();
+    }
+    this->observeFailure(false);
     auto fields = forwardedFields(head);
     this->caller.sendResponse(static_cast<int>(head.getStatus()), head.getReason(), fields, this->call->body(), this->isKeepAlive);
     return StepResult::Complete;
@@ -239,6 +252,9 @@
             }
             this->timing.recordEvent();
             this->lastEventAt = this->dependencies.clock.now();
+            if (this->placement.observation) {
+                this->placement.observation->recordEvent();
+            }
             if (this->timing.eventCount() == 1) {
                 this->dependencies.placementListener.loadChanged();
             }
@@ -292,6 +308,14 @@
     }
 }
 
+void StreamRelay::observeFailure(bool isConnectionLost)
+{
+    // An upstream that shuts down cuts its runs, whatever its version.
+    if (this->placement.observation && !this->leavingSince) {
+        this->placement.observation->recordFailure(isConnectionLost);
+    }
+}
+
 Error StreamRelay::interruptedError(const std::string &reason) const
 {
     return Error(ResultCode::UpstreamConnectionLost, RunState::Unknown, reason);
@@ -301,6 +325,7 @@
 {
     this->dependencies.health.recordFailure(this->placement.upstream.id, interruptionWeight);
     this->inspector.countExceededLimit(*this->call);
+    this->observeFailure(this->call->hasConnectionEnded());
     this->outcomes.recordFailure(this->work.request, this->placement.upstream, *this->call);
     this->dependencies.events.write("run_interrupted",
                                     { { "request", this->work.request.id.value() },
@@ -373,6 +398,7 @@
     this->backupTakeoverAttempts = 0;
     this->nextTakeoverAt = TimePoint();
     this->leavingSince.reset();
+    this->replacementDueAt.reset();
     this->triedTargets.clear();
     this->nextStallCheckAt = TimePoint();
     this->tokenTimeSampler.emplace(this->dependencies.clock, this->dependencies.tokenTimes, this->placement.upstream.id);
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -53,6 +53,10 @@
     StepResult recover(const std::string &reason);
     bool continueFromBackup();
     bool resumeOnAnotherUpstream();
+    /** Records a failure as evidence about the version of the upstream. */
+    void observeFailure(bool isConnectionLost);
+    /** Migrates the run to the version that replaces the one of its upstream. */
+    StepResult handleReplacement();
     StepResult handleUpstreamLeaving();
     /** Asks the backup to continue the run while the run is still active at its engine, because the backup copy may be missing. */
     bool beginBackupTakeover();
@@ -139,6 +143,8 @@
     TimePoint lastEventAt;
     /** Time at which the upstream was found to be leaving. */
     std::optional<TimePoint> leavingSince;
+    /** Time of the next attempt to migrate the run because a roll-out replaces the version of its upstream. */
+    std::optional<TimePoint> replacementDueAt;
 };
 
 }
--- a/Libraries/LibForward/StreamRelayMigration.cpp
+++ b/Libraries/LibForward/StreamRelayMigration.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t maximumBackupTakeovers = 2;
 constexpr Duration backupTakeoverInterval = milliseconds(300);
 
+/** Time over which the runs of a replaced version begin to migrate, because a link transfers one copy after another. */
+constexpr Duration replacementSpread = seconds(2);
+constexpr Duration replacementRetryDelay = milliseconds(500);
+
 /** Targets that are tried for a migration. An engine without capacity responds immediately, so several can be tried. */
 constexpr std::size_t maximumMigrationTargets = 4;
 
@@ -24,10 +28,15 @@
 {
     if (!this->leavingSince) {
         auto reason = this->dependencies.registry.evacuationReason(this->placement.upstream.id, this->placement.upstream.boot);
+        if (reason == EvacuationReason::Replaced) {
+            return this->handleReplacement();
+        }
         if (reason != EvacuationReason::Draining) {
             return StepResult::Continue;
         }
         this->leavingSince = this->dependencies.clock.now();
+        // Attempts for a roll-out don't count.
+        this->triedTargets.clear();
     }
     // A run that has produced no event has no memory to transfer.
     if (this->timing.eventCount() == 0 || this->migration || this->takeover || this->beginBackupTakeover()) {
@@ -39,6 +48,22 @@
     return StepResult::Continue;
 }
 
+StreamRelay::StepResult StreamRelay::handleReplacement()
+{
+    auto now = this->dependencies.clock.now();
+    if (!this->replacementDueAt) {
+        this->replacementDueAt = now + std::chrono::duration_cast<Duration>(this->dependencies.random.unit() * replacementSpread);
+    }
+    if (this->timing.eventCount() == 0 || this->migration || this->takeover || now < *this->replacementDueAt) {
+        return StepResult::Continue;
+    }
+    // The upstream stays for seconds, so targets that had no room are tried again.
+    this->triedTargets.clear();
+    this->replacementDueAt = now + replacementRetryDelay + std::chrono::duration_cast<Duration>(this->dependencies.random.unit() * replacementSpread);
+    this->beginMigration();
+    return StepResult::Continue;
+}
+
 bool StreamRelay::beginBackupTakeover()
 {
     if (!this->backup || this->backupTakeoverAttempts >= maximumBackupTakeovers || !this->dependencies.placer.acceptsRequests(this->backup->upstream)) {
--- a/Libraries/LibForward/UnaryForwarder.cpp
+++ b/Libraries/LibForward/UnaryForwarder.cpp
@@ -43,6 +43,24 @@
     return "passed_on";
 }
 
+void UnaryForwarder::observe(const UpstreamAttempt &attempt, AttemptResult result)
+{
+    auto *observation = attempt.placement.observation.get();
+    if (observation == nullptr) {
+        return;
+    }
+    if (result == AttemptResult::NotRun) {
+        observation->discard();
+        return;
+    }
+    auto hasResponse = result == AttemptResult::Responded || result == AttemptResult::TooLargeToBuffer;
+    if (hasResponse && static_cast<int>(attempt.call->head().getStatus()) < firstServerErrorStatus) {
+        observation->recordEvent();
+    } else {
+        observation->recordFailure(!hasResponse && attempt.call->hasConnectionEnded());
+    }
+}
+
 ForwardOutcome UnaryForwarder::forward(const AdmittedRequest &work, CallerChannel &caller, bool isKeepAlive) const
 {
     RetryState retryState;
@@ -61,6 +79,7 @@
         auto result = this->awaitResponse(work, *attempt, this->attemptDeadline(work, retryState), caller);
         const auto &upstream = attempt->placement.upstream.id;
         retryState.excludedUpstreams.push_back(upstream);
+        observe(*attempt, result);
         if (result == AttemptResult::NotRun) {
             this->dependencies.health.recordFailure(upstream, refusalWeight);
             continue;
--- a/Libraries/LibForward/UnaryForwarder.h
+++ b/Libraries/LibForward/UnaryForwarder.h
@@ -47,6 +47,8 @@
     };
 
     /** Value of the log field "ending". */
+    /** Records the result as evidence about the version of the upstream. */
+    static void observe(const UpstreamAttempt &attempt, AttemptResult result);
     static std::string_view attemptResultName(AttemptResult result);
 
     AttemptResult awaitResponse(const AdmittedRequest &work, UpstreamAttempt &attempt, TimePoint attemptDeadline, CallerChannel &caller) const;
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -122,6 +122,9 @@
             return UpstreamAttempt { std::move(placement), std::move(call) };
         } catch (const Poco::Exception &error) {
             this->dependencies.health.recordFailure(placement.upstream.id, connectionFailureWeight);
+            if (placement.observation) {
+                placement.observation->recordFailure(true);
+            }
             retryState.excludedUpstreams.push_back(placement.upstream.id);
             this->dependencies.events.write(
                 "connect_failed", { { "request", work.request.id.value() }, { "upstream", placement.upstream.id.value() }, { "error", error.displayText() } });
--- a/Libraries/LibGateway/RolloutController.cpp
+++ b/Libraries/LibGateway/RolloutController.cpp
@@ -244,11 +244,12 @@
 
 bool RolloutController::hasContact(const Rollout &rollout) const
 {
+    auto lifetime = std::min<Duration>(contactLifetime, this->limits.rollbackTime * 3 / 5);
     auto now = this->dependencies.clock.now();
-    if (!rollout.isOrderKnown || !this->dependencies.sync.hasReports() || now >= rollout.endsAt || now >= rollout.peerHeardAt + contactLifetime) {
+    if (!rollout.isOrderKnown || !this->dependencies.sync.hasReports() || now >= rollout.endsAt || now >= rollout.peerHeardAt + lifetime) {
         return false;
     }
-    return !this->dependencies.fleet.isHierarchical() || now < rollout.evidence.otherDomainsHeardAt() + contactLifetime;
+    return !this->dependencies.fleet.isHierarchical() || now < rollout.evidence.otherDomainsHeardAt() + lifetime;
 }
 
 VersionFilter RolloutController::filterFor(const PoolId &pool) const
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -13,6 +13,7 @@
 #include <LibForward/GatewayShutdown.h>
 #include <LibForward/HttpPeerFeed.h>
 #include <LibGateway/FeedFollower.h>
+#include <LibGateway/RolloutController.h>
 #include <LibMembership/TaskThread.h>
 
 #include <fmt/format.h>
@@ -30,6 +31,12 @@
 /** Several upstreams often change their entries together, so a short pause between reads reduces the number of reads. */
 constexpr FeedPollTiming upstreamPollTiming { .maximumWait = milliseconds(600), .pauseAfterRead = milliseconds(60) };
 
+/** Reports on roll-outs are read as often as the operators' records. */
+constexpr FeedPollTiming statusPollTiming = operatorPollTiming;
+
+/** Range of the random ids of processes in the evidence about roll-outs. */
+constexpr std::size_t processIdRange = std::size_t(1) << 48U;
+
 /** Time for which idle connections stay open after the stop signal. The load balancer sends new ones until two checks, a second apart, have failed. */
 constexpr Duration idleConnectionKeepTime = milliseconds(2600);
 
@@ -90,6 +97,39 @@
     bool hasReadDirectory = false;
 };
 
+/** Tells from the followers which topics were read. */
+class FollowerSync final : public RecordSync
+{
+public:
+    /** To be called before the threads start. */
+    void setFollowers(const FeedFollower &operators, const FeedFollower &upstreams, const FeedFollower &reports)
+    {
+        this->operatorFollower = &operators;
+        this->upstreamFollower = &upstreams;
+        this->statusFollower = &reports;
+    }
+
+    bool hasUpstreams() const override
+    {
+        return this->upstreamFollower != nullptr && this->upstreamFollower->hasSynced();
+    }
+
+    bool hasOrders() const override
+    {
+        return this->operatorFollower != nullptr && this->operatorFollower->hasSynced();
+    }
+
+    bool hasReports() const override
+    {
+        return this->statusFollower != nullptr && this->statusFollower->hasSynced();
+    }
+
+private:
+    const FeedFollower *operatorFollower = nullptr;
+    const FeedFollower *upstreamFollower = nullptr;
+    const FeedFollower *statusFollower = nullptr;
+};
+
 /** Reports ready from the time at which configuration and upstreams have been read until the node shuts down. */
 class GatewayReadiness final : public Readiness
 {
@@ -134,6 +174,7 @@
         , rateLimiter(this->clock, this->random)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
+        , rolloutController(this->makeRolloutController(dependencies))
         , requestPlacer(this->clock,
                         this->upstreamRegistry,
                         this->loadTracker,
@@ -144,7 +185,8 @@
                         this->rateLimiter,
                         this->upstreamPicker,
                         this->random,
-                        this->peerTable)
+                        this->peerTable,
+                        this->rolloutController.get())
         , retryBudgets(this->clock, settings.retryBudgetLimits, this->peerTable)
         , peerFeed(this->clock, this->peerTable, parsePort(settings.controlListenAddress))
         , digestTransport({ this->clock,
@@ -157,7 +199,8 @@
                             this->upstreamRegistry,
                             this->statedRateLimits,
                             this->queryOfDeathDetector,
-                            this->drainState },
+                            this->drainState,
+                            this->rolloutController.get() },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
         , operatorFollower(this->clock,
@@ -165,7 +208,7 @@
                            dependencies.operatorFeed,
                            dependencies.decoder,
                            this->peerFeed,
-                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport },
+                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->rolloutController.get() },
                            FeedTopic::Operators,
                            operatorPollTiming)
         , upstreamFollower(this->clock,
@@ -176,6 +219,7 @@
                            { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport },
                            FeedTopic::Upstreams,
                            upstreamPollTiming)
+        , statusFollower(this->makeStatusFollower(dependencies))
         , directory(this->clock, this->events, dependencies.directory, this->peerTable, settings)
         , readiness(this->config, this->upstreamFollower, this->drainState)
         , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
@@ -202,6 +246,47 @@
         for (const auto &seed : settings.seedAddresses) {
             this->peerTable.addKnownHost({ HostId(), FailureDomainId(), seed });
         }
+        if (this->rolloutController) {
+            this->followerSync.setFollowers(this->operatorFollower, this->upstreamFollower, *this->statusFollower);
+            this->rolloutController->setListener(&this->digestTransport);
+        }
+    }
+
+    /** Returns nullptr if roll-outs are disabled. */
+    std::unique_ptr<RolloutController> makeRolloutController(const GatewayDependencies &dependencies)
+    {
+        if (!this->settings.rolloutLimits) {
+            return nullptr;
+        }
+        return std::make_unique<RolloutController>(RolloutDependencies { this->clock,
+                                                                         this->events,
+                                                                         this->counters,
+                                                                         this->upstreamRegistry,
+                                                                         this->loadTracker,
+                                                                         this->peerTable,
+                                                                         this->followerSync,
+                                                                         dependencies.statusBoard },
+                                                   *this->settings.rolloutLimits,
+                                                   this->settings.host,
+                                                   this->settings.location,
+                                                   this->random.below(processIdRange) + 1);
+    }
+
+    /** Returns nullptr if roll-outs are disabled. */
+    std::unique_ptr<FeedFollower> makeStatusFollower(const GatewayDependencies &dependencies)
+    {
+        if (!this->rolloutController) {
+            return nullptr;
+        }
+        return std::make_unique<FeedFollower>(
+            this->clock,
+            this->events,
+            dependencies.statusFeed,
+            dependencies.decoder,
+            this->peerFeed,
+            FeedTargets { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->rolloutController.get() },
+            FeedTopic::Status,
+            statusPollTiming);
     }
 
     static std::uint16_t parsePort(const std::string &address)
@@ -228,6 +313,9 @@
     UpstreamRateLimiter rateLimiter;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
+    FollowerSync followerSync;
+    /** nullptr if roll-outs are disabled, as is the follower of the reports. */
+    std::unique_ptr<RolloutController> rolloutController;
     RequestPlacer requestPlacer;
     PoolRetryBudgets retryBudgets;
     OutputLengthPredictor outputLengthPredictor;
@@ -236,6 +324,7 @@
     FeedPageCache feedPageCache;
     FeedFollower operatorFollower;
     FeedFollower upstreamFollower;
+    std::unique_ptr<FeedFollower> statusFollower;
     HostDirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer controlServer;
@@ -262,8 +351,15 @@
     startTask("upstreams", state.upstreamFollower);
     startTask("peers", state.digestTransport);
     startTask("directory", state.directory);
+    TaskThread *statusThread = nullptr;
+    if (state.rolloutController) {
+        startTask("reports", *state.statusFollower);
+        statusThread = state.threads.back().get();
+        startTask("rollouts", *state.rolloutController);
+    }
     state.digestTransport.setSenderThread(state.threads[2].get());
-    state.digestTransport.setFeedFollowers({ &state.operatorFollower, &state.upstreamFollower }, { state.threads[0].get(), state.threads[1].get() });
+    state.digestTransport.setFeedFollowers({ &state.operatorFollower, &state.upstreamFollower, state.statusFollower.get() },
+                                           { state.threads[0].get(), state.threads[1].get(), statusThread });
     state.controlServer.listen(state.settings.readinessListenAddress);
     state.controlServer.listen(state.settings.controlListenAddress);
     state.server.start();
--- a/Libraries/LibNode/GatewayNode.h
+++ b/Libraries/LibNode/GatewayNode.h
@@ -3,6 +3,7 @@
 #include <LibGateway/ForwardProtocol.h>
 #include <LibGateway/HostDirectory.h>
 #include <LibGateway/StateFeed.h>
+#include <LibGateway/StatusBoard.h>
 #include <LibNode/GatewaySettings.h>
 #include <LibNode/SettingsFileWatcher.h>
 
@@ -18,6 +19,9 @@
     StateFeed &operatorFeed;
     StateFeed &upstreamFeed;
     HostDirectory &directory;
+    /** Both are used only if roll-outs are enabled. */
+    StateFeed &statusFeed;
+    StatusBoard &statusBoard;
 };
 
 /** A node that forwards callers' requests to upstreams, with all of its components. */
--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -39,6 +39,20 @@
     }
 }
 
+void checkOptionalDecimal(const std::string &text)
+{
+    if (!text.empty()) {
+        checkDecimal(text);
+    }
+}
+
+void checkOptionalFraction(const std::string &text)
+{
+    if (!text.empty()) {
+        checkFraction(text);
+    }
+}
+
 void checkDomainList(const std::string &text)
 {
     for (const auto &entry : splitSettingList(text)) {
@@ -114,6 +128,12 @@
         { "answer-body-bytes", "maximum size of a response body in bytes, including streams", "67108864", wholeNumberCheck(4096, maximumResponseByteLimit) },
         { "event-bytes", "maximum size of one event of a stream in bytes", "262144", wholeNumberCheck(1024, maximumResponseByteLimit) },
         { "standby-fill", "utilization of an engine, from 0 to 1, up to which it takes standby copies of running work; 0 for none", "0", checkFraction },
+        { "rollout-share", "maximum ratio of requests that a bad version receives in a roll-out; empty to disable roll-outs", "", checkOptionalFraction },
+        { "rollout-slack", "requests that a bad version may receive in addition, summed over all nodes; empty to disable roll-outs", "", checkOptionalDecimal },
+        { "rollout-rollback-ms",
+          "milliseconds after the 50th bad response of a version within which requests to it end; empty to disable roll-outs",
+          "",
+          checkOptionalDecimal },
         { "log-lines", "maximum number of structured log lines per second", "400", wholeNumberCheck(1, 1'000'000) },
     };
 }
@@ -135,6 +155,22 @@
 
 }
 
+namespace {
+
+std::optional<RolloutLimits> readRolloutLimits(const SettingsReader &reader)
+{
+    auto share = reader.text("rollout-share");
+    auto slack = reader.text("rollout-slack");
+    auto rollback = reader.text("rollout-rollback-ms");
+    if (share.empty() || slack.empty() || rollback.empty()) {
+        return std::nullopt;
+    }
+    std::chrono::duration<double, std::milli> rollbackTime(Poco::NumberParser::parseFloat(rollback));
+    return RolloutLimits { Poco::NumberParser::parseFloat(share), Poco::NumberParser::parseFloat(slack), std::chrono::duration_cast<Duration>(rollbackTime) };
+}
+
+}
+
 GatewaySettings readGatewaySettings(const std::string &file, const std::vector<std::string> &arguments, const EnvironmentLookup &environment)
 {
     SettingsReader reader(gatewaySettingDefinitions());
@@ -158,6 +194,7 @@
     settings.retryBudgetLimits.window = seconds(reader.number("retry-window-seconds"));
     settings.standbyUtilizationLimit = Poco::NumberParser::parseFloat(reader.text("standby-fill"));
     settings.responseLimits = readResponseLimits(reader);
+    settings.rolloutLimits = readRolloutLimits(reader);
     auto memoryLimit = reader.number("memory-megabytes") * connectionsPerMegabyte;
     auto descriptorLimit = reader.number("descriptors") / descriptorsPerConnection;
     settings.maximumConnections = static_cast<int>(std::min(memoryLimit, descriptorLimit));
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -4,10 +4,12 @@
 #include <LibCore/Time.h>
 #include <LibForward/ResponseLimits.h>
 #include <LibGateway/PoolRetryBudgets.h>
+#include <LibGateway/RolloutExposure.h>
 #include <LibGateway/UpstreamPicker.h>
 #include <LibNode/SettingsReader.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
     ResponseLimits responseLimits;
     /** Utilization of an engine, from 0 to 1, up to which it takes standby copies; 0 for none. See UpstreamPicker. */
     double standbyUtilizationLimit = 0;
+    /** Absent if roll-outs are disabled. */
+    std::optional<RolloutLimits> rolloutLimits;
     int maximumConnections = 0;
     double logLinesPerSecond = 0;
 };
--- a/Services/lovageward/GatewayMain.cpp
+++ b/Services/lovageward/GatewayMain.cpp
@@ -69,7 +69,9 @@
     PlatformStore operatorStore(clock, settings.storeAddress);
     PlatformStore upstreamStore(clock, settings.storeAddress);
     PlatformStore directoryStore(clock, settings.storeAddress);
-    GatewayNode node(settings, { protocol, decoder, operatorStore, upstreamStore, directoryStore });
+    PlatformStore statusStore(clock, settings.storeAddress);
+    PlatformStore statusBoard(clock, settings.storeAddress);
+    GatewayNode node(settings, { protocol, decoder, operatorStore, upstreamStore, directoryStore, statusStore, statusBoard });
     node.start();
     waitForStopSignal(signals, node, watcher);
     node.stop();
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -23,7 +23,17 @@
     , rateLimits(fleet.clock)
     , queriesOfDeath(fleet.clock)
     , peers(fleet.clock, this->random, self, 8)
-    , agent({ fleet.clock, this->loads, this->tokenTimes, this->peers, this->mirror, this->registry, this->rateLimits, this->queriesOfDeath, *this },
+    , rollouts(fleet.makeRollouts(*this))
+    , agent({ fleet.clock,
+              this->loads,
+              this->tokenTimes,
+              this->peers,
+              this->mirror,
+              this->registry,
+              this->rateLimits,
+              this->queriesOfDeath,
+              *this,
+              this->rollouts.get() },
             self.host,
             self.failureDomain)
     , operators(fleet.clock,
@@ -128,7 +138,33 @@
     this->nextStepAt[static_cast<std::size_t>(topic)] = this->fleet.clock.now();
 }
 
-SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare) : domains(domains), lossShare(lossShare)
+std::unique_ptr<RolloutController> SimulatedFleet::makeRollouts(Node &node)
+{
+    if (!this->rolloutSupport) {
+        return nullptr;
+    }
+    const auto &support = *this->rolloutSupport;
+    return std::make_unique<RolloutController>(
+        RolloutDependencies { this->clock, this->events, this->counters, node.registry, node.loads, node.peers, support.sync, support.board },
+        support.limits,
+        node.self.host,
+        this->locationOf(node.self.failureDomain),
+        ++this->lastProcess);
+}
+
+NodeLocation SimulatedFleet::locationOf(const FailureDomainId &domain) const
+{
+    NodeLocation location;
+    location.failureDomain = domain;
+    for (std::size_t other = 0; other < this->domains; ++other) {
+        location.regions[FailureDomainId(fmt::format("domain-{}", other))] = RegionId(std::to_string(other % regions));
+    }
+    location.region = location.regionOf(domain);
+    return location;
+}
+
+SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, const std::optional<RolloutSupport> &rolloutSupport)
+    : domains(domains), lossShare(lossShare), rolloutSupport(rolloutSupport)
 {
     this->clock.advance(minutes(1));
     for (std::size_t node = 0; node < nodes; ++node) {
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -3,6 +3,7 @@
 #include "FeedFakes.h"
 
 #include <LibGateway/PeerAgent.h>
+#include <LibGateway/RolloutController.h>
 
 #include <memory>
 #include <queue>
@@ -15,7 +16,15 @@
 public:
     static constexpr std::size_t regions = 2;
 
-    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare);
+    /** What a test adds to the nodes that have roll-outs enabled. */
+    struct RolloutSupport
+    {
+        RolloutLimits limits;
+        const RecordSync &sync;
+        StatusBoard &board;
+    };
+
+    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, const std::optional<RolloutSupport> &rolloutSupport = std::nullopt);
 
     /** Simulates `time` in steps of 5 ms. Nodes that are down neither send nor receive. */
     void run(Duration time);
@@ -45,6 +54,9 @@
 
     void resetTraffic();
 
+    /** The domain's node location, with two regions. */
+    NodeLocation locationOf(const FailureDomainId &domain) const;
+
     /** A node: its objects, and the interfaces through which they use each other. */
     struct Node final : public PeerFeed, public FeedListener, public FeedInbox
     {
@@ -78,6 +90,8 @@
         StatedRateLimits rateLimits;
         QueryOfDeathDetector queriesOfDeath;
         PeerTable peers;
+        /** nullptr unless the fleet has roll-outs enabled. */
+        std::unique_ptr<RolloutController> rollouts;
         PeerAgent agent;
         FeedFollower operators;
         FeedFollower upstreams;
@@ -111,13 +125,17 @@
     };
 
     KnownHost makeHost(std::size_t node) const;
+    std::unique_ptr<RolloutController> makeRollouts(Node &node);
     void stepNode(Node &node);
     void deliver();
 
     std::size_t domains;
     double lossShare;
+    std::optional<RolloutSupport> rolloutSupport;
+    std::uint64_t lastProcess = 0;
     SeededRandom random { 7 };
     NullEventLog events;
+    Counters counters;
     FakeDecoder decoder;
     std::uint64_t sentCount = 0;
     std::map<std::string, std::size_t> nodeByAddress;
