LibGateway: Send roll-out reports between relays less often in fleets of many domains

In a simulated fleet of 126 nodes in 21 domains a relay had 72 KB/s during a roll-out (x86_64), because it reports to two relays of each domain at the interval of its group.

--- a/Libraries/LibGateway/RolloutController.cpp
+++ b/Libraries/LibGateway/RolloutController.cpp
@@ -24,6 +24,10 @@
 constexpr Duration minimumReportInterval = milliseconds(250);
 constexpr Duration reportIntervalPerPeer = milliseconds(60);
 
+/** Interval of the reports between relays, which have two peers in each domain: at the group's interval a relay of 21 domains had 70 KB/s. */
+constexpr Duration minimumRelayReportInterval = milliseconds(500);
+constexpr Duration relayReportIntervalPerDomain = milliseconds(50);
+
 /** Time after the end of an order for which peers still learn of it. */
 constexpr Duration reportingTimeAfterEnd = seconds(10);
 
@@ -209,6 +213,7 @@
         this->dependencies.registry.setReplacement(rollout.pool, rollout.target);
     }
     this->reportDueAt = now;
+    this->relayReportDueAt = now;
     this->isChanged = true;
     auto sum = targetSum(rollout.evidence.all());
     this->dependencies.events.write("rollout_phase",
@@ -434,12 +439,15 @@
     if (now < this->reportDueAt) {
         return due;
     }
+    auto isRelayReportDue = isRelay && now >= this->relayReportDueAt;
+    std::size_t domainCount = 0;
     for (const auto &[pool, rollout] : this->rollouts) {
+        domainCount = std::max(domainCount, rollout.domains.size());
         if (rollout.finalState && now >= std::max(rollout.endsAt, rollout.phaseBeganAt) + reportingTimeAfterEnd) {
             continue;
         }
         due.group.push_back(this->makeReport(rollout, RolloutScope::Process));
-        if (isRelay) {
+        if (isRelayReportDue) {
             due.relays.push_back(this->makeReport(rollout, RolloutScope::Domain));
             if (rollout.evidence.liveDomainCount() > 0) {
                 due.group.push_back(this->makeReport(rollout, RolloutScope::OtherDomains));
@@ -447,6 +455,9 @@
         }
     }
     auto interval = std::max<Duration>(minimumReportInterval, reportIntervalPerPeer * static_cast<int>(groupPeers));
+    if (isRelayReportDue) {
+        this->relayReportDueAt = now + std::max<Duration>(minimumRelayReportInterval, relayReportIntervalPerDomain * static_cast<int>(domainCount));
+    }
     this->reportDueAt = due.group.empty() ? TimePoint::max() : now + interval;
     return due;
 }
--- a/Libraries/LibGateway/RolloutController.h
+++ b/Libraries/LibGateway/RolloutController.h
@@ -170,6 +170,8 @@
     std::map<PoolId, RolloutStatus> statuses;
     TimePoint versionsDueAt;
     TimePoint reportDueAt = TimePoint::max();
+    /** Earliest time of the next reports to other relays, which are sent with those to the group. */
+    TimePoint relayReportDueAt;
     bool isChanged = false;
 };
 
--- a/Tests/LibGateway/TestFeedFollower.cpp
+++ b/Tests/LibGateway/TestFeedFollower.cpp
@@ -450,3 +450,66 @@
     CHECK(batches[1].page.nextOffset == 12);
     CHECK(splitBatch(batch, 1000).front().page.nextOffset == 15);
 }
+
+namespace {
+
+/** Each record of the operators is an order, each report one of a completion. */
+class RolloutDecoder final : public FeedDecoder
+{
+public:
+    std::optional<FeedChange> decode(FeedTopic topic, const FeedRecord &record, TimePoint now) const override
+    {
+        if (topic == FeedTopic::Operators) {
+            return RolloutOrder { RolloutOrderId(record.offset), PoolId(record.key), UpstreamVersion(record.value), now, now };
+        }
+        return RolloutStatus { PoolId(record.key), UpstreamVersion(record.value), RolloutState::Completed, RolloutOrderId(record.offset) };
+    }
+};
+
+class RecordingRollouts final : public RolloutRecordListener
+{
+public:
+    void applyOrder(const RolloutOrder &order) override
+    {
+        this->orders.push_back(order);
+    }
+
+    void applyStatus(const RolloutStatus &status) override
+    {
+        this->statuses.push_back(status);
+    }
+
+    std::vector<RolloutOrder> orders;
+    std::vector<RolloutStatus> statuses;
+};
+
+}
+
+// Guards against orders that take effect where roll-outs are disabled, and against orders and reports that don't arrive where they are enabled.
+TEST_CASE("Orders and reports of roll-outs are passed on only if roll-outs are enabled")
+{
+    for (auto topic : { FeedTopic::Operators, FeedTopic::Status }) {
+        FollowerFixture fixture(topic);
+        RolloutDecoder decoder;
+        RecordingRollouts rollouts;
+        FeedMirror mirror;
+        FeedTargets targets { fixture.config, fixture.registry, mirror, fixture.listener, &rollouts };
+        FeedFollower enabled(fixture.clock, fixture.events, fixture.feed, decoder, fixture.peers, targets, topic, {});
+        FeedFollower disabled(fixture.clock,
+                              fixture.events,
+                              fixture.feed,
+                              decoder,
+                              fixture.peers,
+                              { fixture.config, fixture.registry, fixture.mirror, fixture.listener },
+                              topic,
+                              {});
+        fixture.feed.write("services", "v2");
+        disabled.step();
+        CHECK(disabled.hasSynced());
+        CHECK(rollouts.orders.empty());
+        CHECK(rollouts.statuses.empty());
+        enabled.step();
+        CHECK(rollouts.orders.size() == (topic == FeedTopic::Operators ? 1 : 0));
+        CHECK(rollouts.statuses.size() == (topic == FeedTopic::Status ? 1 : 0));
+    }
+}
--- a/Tests/LibGateway/TestRolloutFleet.cpp
+++ b/Tests/LibGateway/TestRolloutFleet.cpp
@@ -94,6 +94,26 @@
     CHECK(rollout.limitReachedAt != TimePoint::max());
 }
 
+// Guards against reports that exceed the specified 5 KB/s of a node in each direction.
+TEST_CASE("The traffic of a node stays within its limit during a roll-out")
+{
+    for (auto domains : { std::size_t(6), std::size_t(21) }) {
+        RolloutFleet rollout(126, domains, sound, 2);
+        rollout.order("v2", 7);
+        rollout.run(seconds(4));
+        rollout.fleet.resetTraffic();
+        rollout.run(seconds(4));
+        std::vector<double> rates;
+        for (std::size_t node = 0; node < rollout.fleet.size(); ++node) {
+            rates.push_back(rollout.fleet.trafficBytes(node) / 4);
+        }
+        std::sort(rates.begin(), rates.end());
+        INFO(domains << " domains: median " << rates[rates.size() / 2] << " B/s, busiest " << rates.back() << " B/s");
+        CHECK(rates[rates.size() / 2] <= 10'000);
+        CHECK(rates.back() <= 50'000);
+    }
+}
+
 // Guards against a good version that isn't completed in time, also if bursts slow all upstreams down, and against old runs at the completion.
 TEST_CASE("A good version is completed before its time ends, also with bursts")
 {
--- a/Tests/LibNode/TestGatewaySettings.cpp
+++ b/Tests/LibNode/TestGatewaySettings.cpp
@@ -36,6 +36,20 @@
     CHECK(settings.retryBudgetLimits.slack == Approx(52.5));
 }
 
+// Guards against roll-outs that begin without all bounds, and against empty placeholders that keep a node from starting.
+TEST_CASE("Roll-outs are enabled only if all of their settings are given")
+{
+    auto limits = readGatewaySettings("rollout-share = 0.1\nrollout-slack = 50\nrollout-rollback-ms = 5000\n", {}, noEnvironment).rolloutLimits;
+    REQUIRE(limits);
+    CHECK(limits->share == Approx(0.1));
+    CHECK(limits->slack == Approx(50));
+    CHECK(limits->rollbackTime == milliseconds(5000));
+    for (const auto *file : { "", "rollout-share = \nrollout-slack = \nrollout-rollback-ms = \n", "rollout-share = 0.1\nrollout-slack = 50\n" }) {
+        CHECK_FALSE(readGatewaySettings(file, {}, noEnvironment).rolloutLimits);
+    }
+    CHECK_THROWS_AS(readGatewaySettings("rollout-share = 2\n", {}, noEnvironment), Error);
+}
+
 TEST_CASE("All invalid settings are listed in one error")
 {
     std::string problems;
