--- a/Libraries/LibForward/DigestTransport.cpp
+++ b/Libraries/LibForward/DigestTransport.cpp
@@ -27,7 +27,8 @@
               dependencies.queriesOfDeath,
               dependencies.speeds,
               *this,
-              dependencies.storeEras },
+              dependencies.storeEras,
+              dependencies.rollouts },
             self.host,
             self.failureDomain)
 {
@@ -133,6 +134,11 @@
     this->wakeSender();
 }
 
+void DigestTransport::rolloutChanged()
+{
+    this->wakeSender();
+}
+
 void DigestTransport::wakeSender()
 {
     auto *thread = this->senderThread.load();
--- a/Libraries/LibForward/DigestTransport.h
+++ b/Libraries/LibForward/DigestTransport.h
@@ -34,13 +34,20 @@
     UpstreamSpeedTracker &speeds;
     const DrainState &drain;
     StoreEraTracker &storeEras;
+    /** nullptr if roll-outs are disabled. */
+    RolloutExchange *rollouts = nullptr;
 };
 
 /**
  * Sends and receives the digests of a PeerAgent as UDP datagrams. Datagrams aren't retransmitted, and there are no connections that could stall.
  * step() sends; a separate thread receives. Lock order: it has no lock of its own.
  */
-class DigestTransport final : public PeriodicTask, public PlacementListener, public FeedListener, public StoreEraListener, private FeedInbox
+class DigestTransport final : public PeriodicTask,
+                              public PlacementListener,
+                              public FeedListener,
+                              public StoreEraListener,
+                              public RolloutListener,
+                              private FeedInbox
 {
 public:
     /** Throws Error(InvalidSettings) if the address can't be bound. */
@@ -56,6 +63,7 @@
     void onRecordsRead(const FeedBatch &batch) override;
     void onRecordsComplete(FeedTopic topic) override;
     void onStoreEra(StoreEra era) override;
+    void rolloutChanged() override;
 
     /** Sets the thread that runs step(). To be called once, before requests are placed. */
     void setSenderThread(TaskThread *thread)
@@ -64,8 +72,8 @@
     }
 
     /**
-     * Sets the followers in the order of FeedTopic, and their threads, which are woken when a peer has newer records. To be called once, before
-     * requests are placed.
+     * Sets the followers in the order of FeedTopic, nullptr for topics that aren't followed, and their threads, which are woken when a peer has newer records.
+     * To be called once, before requests are placed.
      */
     void setFeedFollowers(const std::array<FeedFollower *, feedTopicCount> &feedFollowers, const std::array<TaskThread *, feedTopicCount> &feedThreads);
 
--- a/Libraries/LibGateway/PeerAgent.h
+++ b/Libraries/LibGateway/PeerAgent.h
@@ -7,6 +7,7 @@
 #include <LibGateway/PeerDigest.h>
 #include <LibGateway/PeerTable.h>
 #include <LibGateway/QueryOfDeathDetector.h>
+#include <LibGateway/RolloutExchange.h>
 #include <LibGateway/StatedRateLimits.h>
 #include <LibGateway/StoreEraTracker.h>
 #include <LibGateway/TokenTimeTracker.h>
@@ -65,6 +66,8 @@
     UpstreamSpeedTracker &speeds;
     FeedInbox &inbox;
     StoreEraTracker &storeEras;
+    /** nullptr if roll-outs are disabled. */
+    RolloutExchange *rollouts = nullptr;
 };
 
 /**
@@ -145,6 +148,7 @@
     void receiveLoad(const PeerDigest &digest);
     void addBatches(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group);
     void addFreshness(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group, bool isSummaryDue);
+    void addRolloutReports(std::vector<OutgoingDigest> &outgoing, const std::vector<std::string> &group);
     void addFirstDigests(std::vector<OutgoingDigest> &outgoing);
     FleetSummary summarizeOwnDomain() const;
     /** Adds up the loads of each upstream, and turns them into sums of areas if they are too many for a digest. */
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -4,6 +4,7 @@
 #include <LibGateway/FeedBatch.h>
 #include <LibGateway/LoadTracker.h>
 #include <LibGateway/PromptPartReport.h>
+#include <LibGateway/RolloutReport.h>
 #include <LibGateway/StoreOutage.h>
 #include <LibGateway/UpstreamRateLimitReport.h>
 #include <LibGateway/UpstreamShutdownNotice.h>
@@ -94,6 +95,8 @@
     {
         return { this->eras[topic], this->nextOffsets[topic] };
     }
+    /** State and evidence of running roll-outs. */
+    std::vector<RolloutReport> rollouts;
 };
 
 /** Limit of the uncompressed keys and values in one digest, with which a digest fits into maximumDigestBytes. */
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -14,6 +14,7 @@
 #include <LibForward/HttpPeerFeed.h>
 #include <LibGateway/FeedFollower.h>
 #include <LibGateway/HostDirectoryTask.h>
+#include <LibGateway/RolloutController.h>
 #include <LibMembership/TaskThread.h>
 
 #include <fmt/format.h>
@@ -31,6 +32,12 @@
 /** Several upstreams often change their entries together, so a short pause between reads reduces the number of reads. */
 constexpr FeedPollTiming upstreamPollTiming { .maximumWait = milliseconds(600), .pauseAfterRead = milliseconds(60) };
 
+/** Reports on roll-outs are read as often as the operators' records. */
+constexpr FeedPollTiming statusPollTiming = operatorPollTiming;
+
+/** Range of the random ids of processes in the evidence about roll-outs. */
+constexpr std::size_t processIdRange = std::size_t(1) << 48U;
+
 /** Time for which idle connections stay open after the stop signal. The load balancer sends new ones until two checks, a second apart, have failed. */
 constexpr Duration idleConnectionKeepTime = milliseconds(2600);
 
@@ -68,6 +75,39 @@
     std::atomic<TaskThread *> directoryThread = nullptr;
 };
 
+/** Tells from the followers which topics were read. */
+class FollowerSync final : public RecordSync
+{
+public:
+    /** To be called before the threads start. */
+    void setFollowers(const FeedFollower &operators, const FeedFollower &upstreams, const FeedFollower &reports)
+    {
+        this->operatorFollower = &operators;
+        this->upstreamFollower = &upstreams;
+        this->statusFollower = &reports;
+    }
+
+    bool hasUpstreams() const override
+    {
+        return this->upstreamFollower != nullptr && this->upstreamFollower->hasSynced();
+    }
+
+    bool hasOrders() const override
+    {
+        return this->operatorFollower != nullptr && this->operatorFollower->hasSynced();
+    }
+
+    bool hasReports() const override
+    {
+        return this->statusFollower != nullptr && this->statusFollower->hasSynced();
+    }
+
+private:
+    const FeedFollower *operatorFollower = nullptr;
+    const FeedFollower *upstreamFollower = nullptr;
+    const FeedFollower *statusFollower = nullptr;
+};
+
 /** Reports ready from the time at which configuration and upstreams have been read until the node shuts down. */
 class GatewayReadiness final : public Readiness
 {
@@ -113,6 +153,7 @@
         , upstreamSpeeds(this->clock, this->loadTracker, settings.usesReportedLoadOfAllPools)
         , upstreamPicker(settings.location, this->random, settings.standbyUtilizationLimit)
         , peerTable(this->clock, this->random, { settings.host, settings.location.failureDomain, settings.peerListenAddress }, assumedNodeCount)
+        , rolloutController(this->makeRolloutController(dependencies))
         , requestPlacer(this->clock,
                         this->upstreamRegistry,
                         this->loadTracker,
@@ -124,7 +165,8 @@
                         this->upstreamSpeeds,
                         this->upstreamPicker,
                         this->random,
-                        this->peerTable)
+                        this->peerTable,
+                        this->rolloutController.get())
         , retryBudgets(this->clock, settings.retryBudgetLimits, this->peerTable)
         , peerFeed(this->clock, this->peerTable, parsePort(settings.controlListenAddress))
         , digestTransport({ this->clock,
@@ -139,7 +181,8 @@
                             this->queryOfDeathDetector,
                             this->upstreamSpeeds,
                             this->drainState,
-                            this->storeEras },
+                            this->storeEras,
+                            this->rolloutController.get() },
                           { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , feedPageCache(this->feedMirror)
         , operatorFollower(this->clock,
@@ -147,7 +190,7 @@
                            dependencies.operatorFeed,
                            dependencies.decoder,
                            this->peerFeed,
-                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras },
+                           { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras, this->rolloutController.get() },
                            FeedTopic::Operators,
                            operatorPollTiming)
         , upstreamFollower(this->clock,
@@ -158,6 +201,7 @@
                            { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras },
                            FeedTopic::Upstreams,
                            upstreamPollTiming)
+        , statusFollower(this->makeStatusFollower(dependencies))
         , storeEraObserver(this->events, this->counters)
         , directory(this->clock,
                     this->events,
@@ -193,6 +237,47 @@
         for (const auto &seed : settings.seedAddresses) {
             this->peerTable.addKnownHost({ HostId(), FailureDomainId(), seed });
         }
+        if (this->rolloutController) {
+            this->followerSync.setFollowers(this->operatorFollower, this->upstreamFollower, *this->statusFollower);
+            this->rolloutController->setListener(&this->digestTransport);
+        }
+    }
+
+    /** Returns nullptr if roll-outs are disabled. */
+    std::unique_ptr<RolloutController> makeRolloutController(const GatewayDependencies &dependencies)
+    {
+        if (!this->settings.rolloutLimits) {
+            return nullptr;
+        }
+        return std::make_unique<RolloutController>(RolloutDependencies { this->clock,
+                                                                         this->events,
+                                                                         this->counters,
+                                                                         this->upstreamRegistry,
+                                                                         this->loadTracker,
+                                                                         this->peerTable,
+                                                                         this->followerSync,
+                                                                         dependencies.statusBoard },
+                                                   *this->settings.rolloutLimits,
+                                                   this->settings.host,
+                                                   this->settings.location,
+                                                   this->random.below(processIdRange) + 1);
+    }
+
+    /** Returns nullptr if roll-outs are disabled. */
+    std::unique_ptr<FeedFollower> makeStatusFollower(const GatewayDependencies &dependencies)
+    {
+        if (!this->rolloutController) {
+            return nullptr;
+        }
+        return std::make_unique<FeedFollower>(
+            this->clock,
+            this->events,
+            dependencies.statusFeed,
+            dependencies.decoder,
+            this->peerFeed,
+            FeedTargets { this->config, this->upstreamRegistry, this->feedMirror, this->digestTransport, this->storeEras, this->rolloutController.get() },
+            FeedTopic::Status,
+            statusPollTiming);
     }
 
     static std::uint16_t parsePort(const std::string &address)
@@ -221,6 +306,9 @@
     UpstreamSpeedTracker upstreamSpeeds;
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
+    FollowerSync followerSync;
+    /** nullptr if roll-outs are disabled, as is the follower of the reports. */
+    std::unique_ptr<RolloutController> rolloutController;
     RequestPlacer requestPlacer;
     PoolRetryBudgets retryBudgets;
     OutputLengthPredictor outputLengthPredictor;
@@ -229,6 +317,7 @@
     FeedPageCache feedPageCache;
     FeedFollower operatorFollower;
     FeedFollower upstreamFollower;
+    std::unique_ptr<FeedFollower> statusFollower;
     StoreEraObserver storeEraObserver;
     HostDirectoryTask directory;
     GatewayReadiness readiness;
@@ -257,8 +346,15 @@
     startTask("peers", state.digestTransport);
     startTask("directory", state.directory);
     state.storeEraObserver.setDirectoryThread(state.threads[3].get());
+    TaskThread *statusThread = nullptr;
+    if (state.rolloutController) {
+        startTask("reports", *state.statusFollower);
+        statusThread = state.threads.back().get();
+        startTask("rollouts", *state.rolloutController);
+    }
     state.digestTransport.setSenderThread(state.threads[2].get());
-    state.digestTransport.setFeedFollowers({ &state.operatorFollower, &state.upstreamFollower }, { state.threads[0].get(), state.threads[1].get() });
+    state.digestTransport.setFeedFollowers({ &state.operatorFollower, &state.upstreamFollower, state.statusFollower.get() },
+                                           { state.threads[0].get(), state.threads[1].get(), statusThread });
     state.controlServer.listen(state.settings.readinessListenAddress);
     state.controlServer.listen(state.settings.controlListenAddress);
     state.server.start();
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -4,11 +4,13 @@
 #include <LibCore/Time.h>
 #include <LibForward/ResponseLimits.h>
 #include <LibGateway/PoolRetryBudgets.h>
+#include <LibGateway/RolloutExposure.h>
 #include <LibGateway/UpstreamPicker.h>
 #include <LibNode/SettingsReader.h>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,8 @@
     double standbyUtilizationLimit = 0;
     /** The load that upstreams report takes effect for all pools, not only for those that report how long work takes. */
     bool usesReportedLoadOfAllPools = false;
+    /** Absent if roll-outs are disabled. */
+    std::optional<RolloutLimits> rolloutLimits;
     int maximumConnections = 0;
     double logLinesPerSecond = 0;
 };
--- a/Tests/LibGateway/SimulatedFleet.cpp
+++ b/Tests/LibGateway/SimulatedFleet.cpp
@@ -22,8 +22,9 @@
     , tokenTimes(fleet.clock)
     , rateLimits(fleet.clock)
     , queriesOfDeath(fleet.clock)
-    , speeds(fleet.clock, this->loads, fleet.usesReportedLoads)
+    , speeds(fleet.clock, this->loads, fleet.options.usesReportedLoads)
     , peers(fleet.clock, this->random, self, 8)
+    , rollouts(fleet.makeRollouts(*this))
     , agent({ fleet.clock,
               this->loads,
               this->tokenTimes,
@@ -34,7 +35,8 @@
               this->queriesOfDeath,
               this->speeds,
               *this,
-              this->storeEras },
+              this->storeEras,
+              this->rollouts.get() },
             self.host,
             self.failureDomain)
     , operators(fleet.clock,
@@ -146,8 +148,33 @@
     this->nextStepAt.fill(this->fleet.clock.now());
 }
 
-SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, bool usesReportedLoads)
-    : domains(domains), lossShare(lossShare), usesReportedLoads(usesReportedLoads)
+std::unique_ptr<RolloutController> SimulatedFleet::makeRollouts(Node &node)
+{
+    if (!this->options.rolloutSupport) {
+        return nullptr;
+    }
+    const auto &support = *this->options.rolloutSupport;
+    return std::make_unique<RolloutController>(
+        RolloutDependencies { this->clock, this->events, this->counters, node.registry, node.loads, node.peers, support.sync, support.board },
+        support.limits,
+        node.self.host,
+        this->locationOf(node.self.failureDomain),
+        ++this->lastProcess);
+}
+
+NodeLocation SimulatedFleet::locationOf(const FailureDomainId &domain) const
+{
+    NodeLocation location;
+    location.failureDomain = domain;
+    for (std::size_t other = 0; other < this->domains; ++other) {
+        location.regions[FailureDomainId(fmt::format("domain-{}", other))] = RegionId(std::to_string(other % regions));
+    }
+    location.region = location.regionOf(domain);
+    return location;
+}
+
+SimulatedFleet::SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, const FleetOptions &options)
+    : domains(domains), lossShare(lossShare), options(options)
 {
     this->clock.advance(minutes(1));
     for (std::size_t node = 0; node < nodes; ++node) {
--- a/Tests/LibGateway/SimulatedFleet.h
+++ b/Tests/LibGateway/SimulatedFleet.h
@@ -3,6 +3,7 @@
 #include "FeedFakes.h"
 
 #include <LibGateway/PeerAgent.h>
+#include <LibGateway/RolloutController.h>
 
 #include <memory>
 #include <queue>
@@ -15,8 +16,26 @@
 public:
     static constexpr std::size_t regions = 2;
 
-    /** With `usesReportedLoads`, loads that upstreams report apply to all pools. */
-    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, bool usesReportedLoads = false);
+    /** What a test adds to the nodes that have roll-outs enabled. */
+    struct RolloutSupport
+    {
+        RolloutLimits limits;
+        const RecordSync &sync;
+        StatusBoard &board;
+    };
+
+    struct FleetOptions
+    {
+        /** Roll-outs are disabled if absent. */
+        std::optional<RolloutSupport> rolloutSupport;
+        /** Loads that upstreams report apply to all pools. */
+        bool usesReportedLoads = false;
+    };
+
+    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare, const FleetOptions &options);
+    SimulatedFleet(std::size_t nodes, std::size_t domains, double lossShare) : SimulatedFleet(nodes, domains, lossShare, FleetOptions {})
+    {
+    }
 
     /** Simulates `time` in steps of 5 ms. Nodes that are down neither send nor receive. */
     void run(Duration time);
@@ -46,6 +65,9 @@
 
     void resetTraffic();
 
+    /** The domain's node location, with two regions. */
+    NodeLocation locationOf(const FailureDomainId &domain) const;
+
     /** A node: its objects, and the interfaces through which they use each other. */
     struct Node final : public PeerFeed, public FeedListener, public FeedInbox, public StoreEraListener
     {
@@ -82,6 +104,8 @@
         QueryOfDeathDetector queriesOfDeath;
         UpstreamSpeedTracker speeds;
         PeerTable peers;
+        /** nullptr unless the fleet has roll-outs enabled. */
+        std::unique_ptr<RolloutController> rollouts;
         PeerAgent agent;
         FeedFollower operators;
         FeedFollower upstreams;
@@ -115,14 +139,17 @@
     };
 
     KnownHost makeHost(std::size_t node) const;
+    std::unique_ptr<RolloutController> makeRollouts(Node &node);
     void stepNode(Node &node);
     void deliver();
 
     std::size_t domains;
     double lossShare;
-    bool usesReportedLoads;
+    FleetOptions options;
+    std::uint64_t lastProcess = 0;
     SeededRandom random { 7 };
     NullEventLog events;
+    Counters counters;
     FakeDecoder decoder;
     std::uint64_t sentCount = 0;
     std::map<std::string, std::size_t> nodeByAddress;
--- a/Tests/LibGateway/TestLoadTracker.cpp
+++ b/Tests/LibGateway/TestLoadTracker.cpp
@@ -116,13 +116,13 @@
     CHECK(changes[0].load.runs == 0);
 }
 
-TEST_CASE("Digests of older versions without rate limits, suspected parts, outages, reported loads and eras, and of a newer one, are decoded")
+TEST_CASE("Digests of older versions without rate limits, suspected parts, outages, reported loads, eras and roll-outs, and of a newer one, are decoded")
 {
     PeerDigest digest;
     digest.host = HostId("front-1");
     digest.leavingUpstreams = { { UpstreamId("e1"), BootId("1") } };
     auto bytes = encodeDigest(digest);
-    // The digest is an array. Its last values are two empty arrays, an array with an empty array for each topic, an empty array, and three eras.
+    // The digest is an array. Its last values are two empty arrays, an array with an empty array for each topic, an empty array, four eras, and an empty array.
     constexpr char arrayOf12 = '\x9c';
     constexpr char arrayOf13 = '\x9d';
     constexpr char arrayOf14 = '\x9e';
@@ -130,22 +130,24 @@
     const std::string arrayOf16("\xdc\x00\x10", 3);
     const std::string arrayOf17("\xdc\x00\x11", 3);
     constexpr char emptyArray = '\x90';
-    const std::string noOutages = "\x92\x90\x90";
+    const std::string noOutages = "\x93\x90\x90\x90";
     const std::string arrayOf18("\xdc\x00\x12", 3);
-    const std::string noEras("\x93\x00\x00\x00", 4);
-    REQUIRE(bytes.starts_with(arrayOf17));
-    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + emptyArray + noEras));
-    auto values = bytes.substr(arrayOf17.size());
-    auto newer = arrayOf18 + values + emptyArray;
-    auto withoutEras = arrayOf16 + values.substr(0, values.size() - noEras.size());
-    auto withoutReportedLoads = arrayOf15 + values.substr(0, values.size() - noEras.size() - 1);
+    const std::string arrayOf19("\xdc\x00\x13", 3);
+    const std::string noEras("\x94\x00\x00\x00\x00", 5);
+    REQUIRE(bytes.starts_with(arrayOf18));
+    REQUIRE(bytes.ends_with(std::string(2, emptyArray) + noOutages + emptyArray + noEras + emptyArray));
+    auto values = bytes.substr(arrayOf18.size());
+    auto newer = arrayOf19 + values + emptyArray;
+    auto withoutRollouts = arrayOf17 + values.substr(0, values.size() - 1);
+    auto withoutEras = arrayOf16 + values.substr(0, values.size() - 1 - noEras.size());
+    auto withoutReportedLoads = arrayOf15 + values.substr(0, values.size() - 1 - noEras.size() - 1);
     auto withoutOutages = withoutReportedLoads.substr(0, withoutReportedLoads.size() - noOutages.size());
     withoutOutages.front() = arrayOf14;
     auto withoutSuspectedParts = withoutOutages.substr(0, withoutOutages.size() - 1);
     withoutSuspectedParts.front() = arrayOf13;
     auto withoutRateLimits = withoutOutages.substr(0, withoutOutages.size() - 2);
     withoutRateLimits.front() = arrayOf12;
-    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutReportedLoads, withoutEras, newer }) {
+    for (const auto &version : { withoutRateLimits, withoutSuspectedParts, withoutOutages, withoutReportedLoads, withoutEras, withoutRollouts, newer }) {
         auto decoded = decodeDigest(version);
         CHECK(decoded.host == HostId("front-1"));
         CHECK(decoded.leavingUpstreams == digest.leavingUpstreams);
--- a/Tests/LibGateway/TestPeerFleet.cpp
+++ b/Tests/LibGateway/TestPeerFleet.cpp
@@ -81,7 +81,7 @@
     constexpr std::size_t nodes = 68;
     for (std::size_t engines : { std::size_t(45), 2 * maximumSummaryUpstreams }) {
         CAPTURE(engines);
-        SimulatedFleet fleet(nodes, 6, lossShare, true);
+        SimulatedFleet fleet(nodes, 6, lossShare, { std::nullopt, true });
         for (std::size_t engine = 0; engine < engines; ++engine) {
             fleet.writeUpstream(fmt::format("engine-{}", engine), "1");
         }
