LibNode: Add the setting wait-order

Requests that find no capacity wait by themselves, in no order. The setting selects the order in which they wait: arrival, as today, or deadline. It is absent unless given, so that a feature of the platform can select the order. It has no effect yet.

--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -39,6 +39,21 @@
     }
 }
 
+void checkWaitOrder(const std::string &text)
+{
+    if (!text.empty() && text != "arrival" && text != "deadline") {
+        reject(fmt::format("'{}' is neither 'arrival' nor 'deadline'", text));
+    }
+}
+
+std::optional<WaitOrder> parseWaitOrder(const std::string &text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    return text == "deadline" ? WaitOrder::Deadline : WaitOrder::Arrival;
+}
+
 void checkDomainList(const std::string &text)
 {
     for (const auto &entry : splitSettingList(text)) {
@@ -114,6 +129,7 @@
         { "answer-body-bytes", "maximum size of a response body in bytes, including streams", "67108864", wholeNumberCheck(4096, maximumResponseByteLimit) },
         { "event-bytes", "maximum size of one event of a stream in bytes", "262144", wholeNumberCheck(1024, maximumResponseByteLimit) },
         { "standby-fill", "utilization of an engine, from 0 to 1, up to which it takes standby copies of running work; 0 for none", "0", checkFraction },
+        { "wait-order", "order in which requests wait for capacity: 'arrival' or 'deadline'; empty means 'arrival'", "", checkWaitOrder },
         { "log-lines", "maximum number of structured log lines per second", "400", wholeNumberCheck(1, 1'000'000) },
     };
 }
@@ -157,6 +173,7 @@
     settings.retryBudgetLimits.slack = Poco::NumberParser::parseFloat(reader.text("retry-slack"));
     settings.retryBudgetLimits.window = seconds(reader.number("retry-window-seconds"));
     settings.standbyUtilizationLimit = Poco::NumberParser::parseFloat(reader.text("standby-fill"));
+    settings.waitOrder = parseWaitOrder(reader.text("wait-order"));
     settings.responseLimits = readResponseLimits(reader);
     auto memoryLimit = reader.number("memory-megabytes") * connectionsPerMegabyte;
     auto descriptorLimit = reader.number("descriptors") / descriptorsPerConnection;
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -5,9 +5,11 @@
 #include <LibForward/ResponseLimits.h>
 #include <LibGateway/PoolRetryBudgets.h>
 #include <LibGateway/UpstreamPicker.h>
+#include <LibGateway/WaitOrder.h>
 #include <LibNode/SettingsReader.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
     ResponseLimits responseLimits;
     /** Utilization of an engine, from 0 to 1, up to which it takes standby copies; 0 for none. See UpstreamPicker. */
     double standbyUtilizationLimit = 0;
+    /** Absent if the setting isn't given, which means WaitOrder::Arrival unless a feature of the platform selects another order. */
+    std::optional<WaitOrder> waitOrder;
     int maximumConnections = 0;
     double logLinesPerSecond = 0;
 };
--- a/Libraries/LibNode/SettingsFileWatcher.cpp
+++ b/Libraries/LibNode/SettingsFileWatcher.cpp
@@ -86,6 +86,7 @@
     compare("retry-window-seconds", current.retryBudgetLimits.window, changed.retryBudgetLimits.window);
     compare("memory-megabytes or descriptors", current.maximumConnections, changed.maximumConnections);
     compare("standby-fill", current.standbyUtilizationLimit, changed.standbyUtilizationLimit);
+    compare("wait-order", current.waitOrder, changed.waitOrder);
     compare("response limits", current.responseLimits, changed.responseLimits);
     compare("log-lines", current.logLinesPerSecond, changed.logLinesPerSecond);
     return names;
--- a/Tests/LibNode/TestGatewaySettings.cpp
+++ b/Tests/LibNode/TestGatewaySettings.cpp
@@ -59,3 +59,11 @@
     CHECK(small.maximumConnections < large.maximumConnections);
     CHECK(large.maximumConnections <= 8192 / 3);
 }
+
+TEST_CASE("The wait order is absent unless it is given, and other names are rejected")
+{
+    CHECK_FALSE(readGatewaySettings("", {}, noEnvironment).waitOrder.has_value());
+    CHECK(readGatewaySettings("wait-order = arrival\n", {}, noEnvironment).waitOrder == WaitOrder::Arrival);
+    CHECK(readGatewaySettings("wait-order = deadline\n", {}, noEnvironment).waitOrder == WaitOrder::Deadline);
+    CHECK_THROWS_AS(readGatewaySettings("wait-order = random\n", {}, noEnvironment), Error);
+}
