--- a/Libraries/LibGateway/EngineCost.cpp
+++ b/Libraries/LibGateway/EngineCost.cpp
@@ -27,19 +27,36 @@
     return std::chrono::duration<double>(time).count();
 }
 
+/** Seconds until the engine has processed the prompts pending there and the one of the run. */
+double secondsToFirstEvent(const EngineState &engine, const Footprint &run)
+{
+    return (engine.load.pendingPrefillTokens + run.promptTokens) * (toSeconds(engine.tokenTime) * prefillTimeRatio);
+}
+
+double outputSeconds(const EngineState &engine, const Footprint &run)
+{
+    return run.expectedOutputTokens * toSeconds(engine.tokenTime) * (1 + slowdownPerRun * static_cast<double>(engine.load.decodingRuns));
+}
+
 }
 
 double estimateEngineCost(const EngineState &engine, const Footprint &run)
 {
-    auto tokenTime = toSeconds(engine.tokenTime);
-    auto prefillTimePerToken = tokenTime * prefillTimeRatio;
+    auto prefillTimePerToken = toSeconds(engine.tokenTime) * prefillTimeRatio;
     auto concurrentRuns = static_cast<double>(engine.load.decodingRuns);
-    auto timeToFirstEvent = (engine.load.pendingPrefillTokens + run.promptTokens) * prefillTimePerToken;
-    auto outputTime = run.expectedOutputTokens * tokenTime * (1 + slowdownPerRun * concurrentRuns);
+    auto timeToFirstEvent = secondsToFirstEvent(engine, run);
+    auto outputTime = outputSeconds(engine, run);
     auto delayOfConcurrentRuns = concurrentRuns * run.promptTokens * prefillTimePerToken * prefillDelayShare;
     return firstEventWeight * timeToFirstEvent + outputTime + delayOfConcurrentRuns + fullEngineCostSeconds * engine.utilization * engine.utilization;
 }
 
+RunForecast forecastRun(const EngineState &engine, const Footprint &run)
+{
+    auto toDuration = [](double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); };
+    auto firstEvent = secondsToFirstEvent(engine, run);
+    return RunForecast { toDuration(firstEvent), toDuration(firstEvent + outputSeconds(engine, run)) };
+}
+
 void FallbackTokenTime::addSample(Duration tokenTime)
 {
     if (tokenTime > Duration(0)) {
--- a/Libraries/LibGateway/EngineCost.h
+++ b/Libraries/LibGateway/EngineCost.h
@@ -22,6 +22,16 @@
  */
 double estimateEngineCost(const EngineState &engine, const Footprint &run);
 
+/** Predicted times of a run from its start at an engine. */
+struct RunForecast
+{
+    Duration firstEvent = Duration(0);
+    Duration completion = Duration(0);
+};
+
+/** Predicts the times of a run from the prompts pending at the engine and from its concurrent runs. */
+RunForecast forecastRun(const EngineState &engine, const Footprint &run);
+
 /** Time per output token that is assumed for an engine without measurements: the mean of the known engines, or a default if none is known. */
 class FallbackTokenTime
 {
--- a/Libraries/LibGateway/RequestPlacer.cpp
+++ b/Libraries/LibGateway/RequestPlacer.cpp
@@ -58,6 +58,15 @@
         return result;
     }
     result.availableAt = TimePoint::max();
+    result.forecast = forecastBestRun(candidates, constraints.pool, constraints.footprint);
+    if (constraints.following && !candidates.empty()) {
+        removeEnginesThatDelay(*constraints.following, candidates, constraints.pool, constraints.footprint);
+        result.candidates = candidates.size();
+        if (candidates.empty()) {
+            result.outcome = PickOutcome::NoRoom;
+            return result;
+        }
+    }
     while (true) {
         auto pick = this->picker.pick(candidates, constraints.pool, constraints.footprint);
         auto hasSkipped = candidates.size() < result.candidates;
--- a/Libraries/LibGateway/RequestPlacer.h
+++ b/Libraries/LibGateway/RequestPlacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/EngineForecast.h>
 #include <LibGateway/FleetView.h>
 #include <LibGateway/GatewayConfig.h>
 #include <LibGateway/LoadTracker.h>
@@ -29,6 +30,8 @@
     std::vector<RegionId> allowedRegions;
     /** Upstreams that the request has already been sent to. */
     std::vector<UpstreamId> excluded;
+    /** Only for place(): engines that would delay this request are left out. See removeEnginesThatDelay(). */
+    std::optional<FollowingRequest> following = std::nullopt;
 };
 
 /** A run placed at an upstream. Its load is reserved from the decision on. */
@@ -50,6 +53,8 @@
     std::size_t candidates = 0;
     /** With PickOutcome::Refused and RateLimited: the earliest time at which one of the upstreams accepts requests from this node again. */
     TimePoint availableAt;
+    /** From place(): the shortest predicted times at the candidates that were considered. Absent for plain services. */
+    std::optional<RunForecast> forecast;
 };
 
 /**
