LibForward: Let requests wait in one ordered list per pool

With wait-order = deadline a first attempt at an engine waits in WaitingRequests instead of polling by itself for an eighth of its target: ordered by whether it can still be in time, priority, its team's share and its latest start. Long requests with slack are placed only where more urgent ones stay in time. A request is rejected when it can't finish before its deadline, or when the node shuts down. Repeats and resumed streams try at once, as before. With arrival nothing changes.

--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -16,6 +16,8 @@
 #include <LibGateway/UpstreamHealth.h>
 #include <LibGateway/UpstreamRefusals.h>
 #include <LibGateway/UpstreamRegistry.h>
+#include <LibGateway/WaitOrder.h>
+#include <LibGateway/WaitingRequests.h>
 
 namespace Lovageward {
 
@@ -54,6 +56,9 @@
     /** Notified of placements and of notices in responses, which peers must learn of without delay. */
     PlacementListener &placementListener;
     ResponseLimits responseLimits;
+    /** Used with WaitOrder::Deadline only. */
+    WaitingRequests &waitingRequests;
+    WaitOrder waitOrder = WaitOrder::Arrival;
 };
 
 }
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -1,5 +1,6 @@
 #include <LibForward/UpstreamDialer.h>
 
+#include <LibForward/DescriptorSignal.h>
 #include <LibGateway/RetryAfterPolicy.h>
 
 #include <Poco/Exception.h>
@@ -26,6 +27,21 @@
 /** A failed connection counts twice as much as an error response for UpstreamHealth, because the upstream isn't reachable at all. */
 constexpr double connectionFailureWeight = 2;
 
+/** Retry-After of a request that was waiting when the node began to shut down; short, because the retry reaches another node. */
+constexpr Duration shutdownRetryAfter = milliseconds(50);
+
+WaitingRequest describeWait(const AdmittedRequest &work)
+{
+    WaitingRequest request;
+    request.pool = work.pool->id;
+    request.route = work.route->id;
+    request.team = work.team;
+    request.timing = RequestTiming { work.request.arrivedAt, work.route->targetLatency, work.deadline, work.priority, work.footprint };
+    request.allowedRegions = work.allowedRegions;
+    request.heldBytes = work.request.body.size();
+    return request;
+}
+
 }
 
 Error UpstreamDialer::noCapacityError(const PlacementResult &result, const std::string &message) const
@@ -76,8 +92,73 @@
     return PlacementConstraints { *work.route, *work.pool, work.footprint, work.allowedRegions, retryState.excludedUpstreams };
 }
 
+void UpstreamDialer::rejectIfHopeless(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const
+{
+    if (this->dependencies.drain.isDraining()) {
+        throw Error(ResultCode::ShuttingDown, RunState::NotRun, "the node shuts down before capacity is free", shutdownRetryAfter);
+    }
+    // Another node has its own share of the request rates, so a retry is better than a long wait here. Without any upstream, the wait has no known end.
+    auto isRateLimited = result.outcome == PickOutcome::RateLimited && result.availableAt >= waitDeadline;
+    auto isWithoutUpstream = result.outcome == PickOutcome::NoUpstream && this->dependencies.clock.now() >= waitDeadline;
+    if (result.outcome == PickOutcome::Refused || isRateLimited || isWithoutUpstream) {
+        this->rejectForCapacity(work, result);
+    }
+}
+
+void UpstreamDialer::rejectWaiting(const AdmittedRequest &work, const WaitStep &step) const
+{
+    auto now = this->dependencies.clock.now();
+    this->dependencies.counters.counter(fmt::format("lovageward_wait_rejected_total{{reason=\"{}\",priority=\"{}\"}}", step.reason, work.priority)).add();
+    this->dependencies.events.write("wait_rejected",
+                                    { { "request", work.request.id.value() },
+                                      { "pool", work.pool->id.value() },
+                                      { "reason", step.reason },
+                                      { "waited_ms", std::chrono::duration_cast<milliseconds>(now - work.request.arrivedAt).count() },
+                                      { "predicted_wait_ms", std::chrono::duration_cast<milliseconds>(step.predictedWait).count() } });
+    throw Error(ResultCode::NoCapacity, RunState::NotRun, step.reason, RetryAfterPolicy(this->dependencies.random).delayWhenFull());
+}
+
+PlacedRun UpstreamDialer::awaitTurn(const AdmittedRequest &work, CallerChannel &caller) const
+{
+    auto waitDeadline = std::min(work.request.arrivedAt + work.route->targetLatency / capacityWaitDivisor, work.deadline);
+    DescriptorSignal signal;
+    WaitingEntry entry(this->dependencies.waitingRequests, describeWait(work), signal);
+    while (true) {
+        auto step = entry.next();
+        if (step.action == WaitStep::Action::Reject) {
+            this->rejectWaiting(work, step);
+        }
+        if (step.action == WaitStep::Action::Attempt) {
+            auto need = this->placementNeed(work, RetryState());
+            need.following = step.following;
+            auto result = this->dependencies.placer.place(need);
+            entry.recordAttempt(result);
+            if (result.outcome == PickOutcome::Picked) {
+                this->dependencies.placementListener.loadChanged();
+                return std::move(result.run);
+            }
+            this->rejectIfHopeless(work, result, waitDeadline);
+        } else if (this->dependencies.drain.isDraining()) {
+            this->rejectIfHopeless(work, PlacementResult(), waitDeadline);
+        }
+        DescriptorPoller poller;
+        auto callerIndex = poller.add(caller.descriptor());
+        poller.add(signal.descriptor());
+        poller.wait(this->dependencies.clock, step.checkAt);
+        if (poller.isReadable(callerIndex) && caller.isDisconnected()) {
+            throw CallerDisconnected();
+        }
+        signal.clear();
+    }
+}
+
 PlacedRun UpstreamDialer::awaitCapacity(const AdmittedRequest &work, const RetryState &retryState, CallerChannel &caller) const
 {
+    // Repeats and streams that are resumed try at once, because their callers have waited before and the work done so far would be lost.
+    auto isFirstAttempt = retryState.sentRequests == 0 && retryState.excludedUpstreams.empty();
+    if (this->dependencies.waitOrder == WaitOrder::Deadline && work.pool->engine && isFirstAttempt) {
+        return this->awaitTurn(work, caller);
+    }
     auto waitDeadline = std::min(work.request.arrivedAt + work.route->targetLatency / capacityWaitDivisor, work.deadline);
     while (true) {
         auto result = this->dependencies.placer.place(this->placementNeed(work, retryState));
--- a/Libraries/LibForward/UpstreamDialer.h
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -66,6 +66,11 @@
     /** Error for a request that could not be placed, with a Retry-After that fits the cause. */
     Error noCapacityError(const PlacementResult &result, const std::string &message) const;
     [[noreturn]] void rejectForCapacity(const AdmittedRequest &work, const PlacementResult &result) const;
+    /** Waits in WaitingRequests, for as long as the response can still be complete in time. Only for engines and first attempts. */
+    PlacedRun awaitTurn(const AdmittedRequest &work, CallerChannel &caller) const;
+    [[noreturn]] void rejectWaiting(const AdmittedRequest &work, const WaitStep &step) const;
+    /** Throws if the result of a placement shows that waiting any longer is of no use. */
+    void rejectIfHopeless(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const;
     PlacedRun awaitCapacity(const AdmittedRequest &work, const RetryState &retryState, CallerChannel &caller) const;
 
     const ForwardDependencies &dependencies;
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -145,6 +145,7 @@
                         this->upstreamPicker,
                         this->random,
                         this->peerTable)
+        , waitingRequests(this->clock, this->counters)
         , retryBudgets(this->clock, settings.retryBudgetLimits, this->peerTable)
         , peerFeed(this->clock, this->peerTable, parsePort(settings.controlListenAddress))
         , digestTransport({ this->clock,
@@ -196,7 +197,9 @@
                                 dependencies.protocol,
                                 this->drainState,
                                 this->digestTransport,
-                                settings.responseLimits }
+                                settings.responseLimits,
+                                this->waitingRequests,
+                                settings.waitOrder.value_or(WaitOrder::Arrival) }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
     {
         for (const auto &seed : settings.seedAddresses) {
@@ -229,6 +232,7 @@
     UpstreamPicker upstreamPicker;
     PeerTable peerTable;
     RequestPlacer requestPlacer;
+    WaitingRequests waitingRequests;
     PoolRetryBudgets retryBudgets;
     OutputLengthPredictor outputLengthPredictor;
     HttpPeerFeed peerFeed;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -147,8 +147,9 @@
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
-    ForwardDependencies dependencies { clock,    random,     events,         counters, config,        registry, placer, tokenTimes, health,
-                                       refusals, rateLimits, queriesOfDeath, retries,  outputLengths, protocol, drain,  placements, {} };
+    WaitingRequests waitingRequests { clock, counters };
+    ForwardDependencies dependencies { clock,      random,         events,  counters,      config,   registry, placer,     tokenTimes, health,         refusals,
+                                       rateLimits, queriesOfDeath, retries, outputLengths, protocol, drain,    placements, {},         waitingRequests };
     std::unique_ptr<GatewayServer> server;
 };
 
