--- a/Tests/LibForward/TestResponseLimits.cpp
+++ b/Tests/LibForward/TestResponseLimits.cpp
@@ -157,7 +157,9 @@
     fixture.add("e1", upstream);
     RawCaller caller(fixture);
     caller.request("/long/plan", "r1", "Wait-Ms: 700\r\n");
-    CHECK(caller.readUntil("run_state").starts_with("HTTP/1.1 502"));
+    auto response = caller.readUntil("run_state");
+    CAPTURE(response);
+    CHECK(response.starts_with("HTTP/1.1 502"));
 }
 
 TEST_CASE("Memory stays bounded while fifty upstreams send endless responses")
