--- a/Libraries/LibGateway/PeerAgent.cpp
+++ b/Libraries/LibGateway/PeerAgent.cpp
@@ -25,6 +25,9 @@
  */
 constexpr Duration detailedSummaryInterval = milliseconds(600);
 
+/** Largest fleet whose summaries name single upstreams. In larger ones they would take more than the specified 5 KB/s of a relay's link for each peer. */
+constexpr std::size_t maximumNodesWithDetailedSummaries = 150;
+
 /** Time after which a load summary that wasn't renewed is dropped. */
 constexpr Duration summaryLifetime = seconds(6);
 
@@ -289,7 +292,8 @@
 bool PeerAgent::hasDetailedSummary() const
 {
     auto upstreams = this->dependencies.registry.size();
-    return upstreams > 0 && upstreams <= maximumSummaryUpstreams && this->dependencies.speeds.appliesToAnyPool();
+    auto isSmallFleet = this->dependencies.peers.nodeCount() <= maximumNodesWithDetailedSummaries;
+    return isSmallFleet && upstreams > 0 && upstreams <= maximumSummaryUpstreams && this->dependencies.speeds.appliesToAnyPool();
 }
 
 void PeerAgent::queueRecords(const FeedBatch &batch)
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -167,6 +167,7 @@
                         this->random,
                         this->peerTable,
                         this->rolloutController.get())
+        , waitingRequests(this->clock, this->random, this->counters)
         , retryBudgets(this->clock, settings.retryBudgetLimits, this->peerTable)
         , peerFeed(this->clock, this->peerTable, parsePort(settings.controlListenAddress))
         , digestTransport({ this->clock,
@@ -229,7 +230,9 @@
                                 dependencies.protocol,
                                 this->drainState,
                                 this->digestTransport,
-                                settings.responseLimits }
+                                settings.responseLimits,
+                                this->waitingRequests,
+                                settings.waitOrder.value_or(WaitOrder::Arrival) }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
     {
         this->storeEras.addListener(this->digestTransport);
@@ -310,6 +313,7 @@
     /** nullptr if roll-outs are disabled, as is the follower of the reports. */
     std::unique_ptr<RolloutController> rolloutController;
     RequestPlacer requestPlacer;
+    WaitingRequests waitingRequests;
     PoolRetryBudgets retryBudgets;
     OutputLengthPredictor outputLengthPredictor;
     HttpPeerFeed peerFeed;
--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -66,6 +66,21 @@
     }
 }
 
+void checkWaitOrder(const std::string &text)
+{
+    if (!text.empty() && text != "arrival" && text != "deadline") {
+        reject(fmt::format("'{}' is neither 'arrival' nor 'deadline'", text));
+    }
+}
+
+std::optional<WaitOrder> parseWaitOrder(const std::string &text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    return text == "deadline" ? WaitOrder::Deadline : WaitOrder::Arrival;
+}
+
 void checkDomainList(const std::string &text)
 {
     for (const auto &entry : splitSettingList(text)) {
@@ -149,6 +164,7 @@
           "milliseconds after the 50th bad response of a version within which requests to it end; empty to disable roll-outs",
           "",
           checkOptionalDecimal },
+        { "wait-order", "order in which requests wait for capacity: 'arrival' or 'deadline'; empty means 'arrival'", "", checkWaitOrder },
         { "log-lines", "maximum number of structured log lines per second", "400", wholeNumberCheck(1, 1'000'000) },
     };
 }
@@ -234,6 +250,7 @@
     settings.retryBudgetLimits.window = seconds(reader.number("retry-window-seconds"));
     settings.standbyUtilizationLimit = Poco::NumberParser::parseFloat(reader.text("standby-fill"));
     settings.usesReportedLoadOfAllPools = reader.text("reported-load") == "on";
+    settings.waitOrder = parseWaitOrder(reader.text("wait-order"));
     settings.responseLimits = readResponseLimits(reader);
     settings.rolloutLimits = readRolloutLimits(reader);
     auto memoryLimit = reader.number("memory-megabytes") * connectionsPerMegabyte;
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include <LibGateway/PoolRetryBudgets.h>
 #include <LibGateway/RolloutExposure.h>
 #include <LibGateway/UpstreamPicker.h>
+#include <LibGateway/WaitOrder.h>
 #include <LibNode/SettingsReader.h>
 
 #include <cstdint>
@@ -44,6 +45,8 @@
     bool usesReportedLoadOfAllPools = false;
     /** Absent if roll-outs are disabled. */
     std::optional<RolloutLimits> rolloutLimits;
+    /** Absent if the setting isn't given, which means WaitOrder::Arrival unless a feature of the platform selects another order. */
+    std::optional<WaitOrder> waitOrder;
     int maximumConnections = 0;
     double logLinesPerSecond = 0;
 };
--- a/Libraries/LibNode/SettingsFileWatcher.cpp
+++ b/Libraries/LibNode/SettingsFileWatcher.cpp
@@ -90,6 +90,7 @@
     compare("memory-megabytes or descriptors", current.maximumConnections, changed.maximumConnections);
     compare("standby-fill", current.standbyUtilizationLimit, changed.standbyUtilizationLimit);
     compare("reported-load or platform-features", current.usesReportedLoadOfAllPools, changed.usesReportedLoadOfAllPools);
+    compare("wait-order", current.waitOrder, changed.waitOrder);
     compare("response limits", current.responseLimits, changed.responseLimits);
     compare("log-lines", current.logLinesPerSecond, changed.logLinesPerSecond);
     return names;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -152,8 +152,9 @@
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
+    WaitingRequests waitingRequests { clock, random, counters };
     ForwardDependencies dependencies { clock,      random,         events, counters, config,        registry, placer, tokenTimes, health, refusals,
-                                       rateLimits, queriesOfDeath, speeds, retries,  outputLengths, protocol, drain,  placements, {} };
+                                       rateLimits, queriesOfDeath, speeds, retries,  outputLengths, protocol, drain,  placements, {}, waitingRequests };
     std::unique_ptr<GatewayServer> server;
 };
 
