--- a/Tests/platform/soak/ChildProcess.h
+++ b/Tests/platform/soak/ChildProcess.h
@@ -26,6 +26,12 @@
     /** Sends the signal unless waitForExit() has returned. */
     void signal(int number) const;
 
+    /** Process id, to look the process up in /proc. Valid until waitForExit() has returned. */
+    pid_t id() const
+    {
+        return this->processId;
+    }
+
     /** Waits until the process has exited and its output has been read. */
     void waitForExit();
 
--- a/Tests/platform/soak/UpstreamRole.cpp
+++ b/Tests/platform/soak/UpstreamRole.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdio>
 #include <functional>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <set>
@@ -35,6 +36,14 @@
 constexpr auto rateLimitDelay = std::chrono::milliseconds(1500);
 constexpr auto rateLimitTime = std::chrono::seconds(12);
 
+/** Value of the query parameter `bytes`, by which a request asks for a longer response body, or longer events; 0 without it. */
+std::size_t paddingBytes(const HTTPServerRequest &request)
+{
+    static const std::string parameter = "?bytes=";
+    auto begin = request.getURI().find(parameter);
+    return begin == std::string::npos ? 0 : std::stoull(request.getURI().substr(begin + parameter.size()));
+}
+
 class UpstreamHandler final : public RoleHandler
 {
 public:
@@ -48,6 +57,7 @@
             this->copyRunMemory(request, response);
             return;
         }
+        request.stream().ignore(std::numeric_limits<std::streamsize>::max());
         auto requestId = request.get(WireNames::requestId, "");
         response.set(WireNames::serverStamp, this->id);
         response.set(WireNames::requestId, requestId);
@@ -74,7 +84,7 @@
             this->streamEvents(request, response, requestId, run);
             return;
         }
-        auto body = "answer of " + requestId;
+        auto body = "answer of " + requestId + std::string(paddingBytes(request), '.');
         response.setContentLength64(static_cast<Poco::Int64>(body.size()));
         response.send() << body;
     }
@@ -134,8 +144,9 @@
         auto &output = response.send();
         auto count = minimumEvents + std::hash<std::string>()(requestId) % eventCountRange;
         auto last = request.get(WireNames::lastEventId, "");
+        std::string padding(paddingBytes(request), '.');
         for (auto event = last.empty() ? 0 : std::stoull(last) + 1; event < count && output.good(); ++event) {
-            output << fmt::format("id: {}\ndata: {} {}{}\n\n", event, requestId, run, event + 1 == count ? " end" : "") << std::flush;
+            output << fmt::format("id: {}\ndata: {} {}{}{}\n\n", event, requestId, run, padding, event + 1 == count ? " end" : "") << std::flush;
             std::this_thread::sleep_for(eventInterval);
         }
         std::lock_guard<std::mutex> guard(this->mutex);
