LibForward: Reserve memory before bodies and responses are received

Clients that sent many large bodies at once, stopped short of their end, pipelined requests without reading responses, or left connections idle used up the memory or the connections of a node: each body could take its largest size several times, read-ahead had no bound, and up to 1,024 accepted connections could wait behind idle ones.

MemoryAccount (LibCore, no I/O) is one account of the bytes held for clients. CallerChannel reserves from it before it receives more than 16 KB of a body, and UpstreamCall before it buffers more than 32 KB of a response. What doesn't fit waits in the kernel, is rejected as not run with 503, or takes the place of the largest client that keeps the node waiting. A body has a minimum rate (MinimumDataRate), read-ahead a limit, and accepted connections a bound, at which the longest idle one is closed. Bodies are moved and sent without being joined to the head, which saves two copies; a large one gets its address space at once, and the allocator returns it when it is freed. ForwardProtocol::encodeRequest() is now encodeRequestHead().

New settings: read-ahead-bytes, body-bytes-per-second, body-rate-seconds, memory-wait-ms.

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -27,6 +27,21 @@
 /** Time before the exit of the process at which requests without a response are answered. */
 constexpr Duration finalResponseMargin = milliseconds(200);
 
+/** Bytes of a body that the fixed charge of a connection covers, so that small requests need no reservation. */
+constexpr std::uint64_t unreservedBodyBytes = 16'384;
+
+/** Step in which the reservation of a body grows. */
+constexpr std::uint64_t bodyReservationStep = 65'536;
+
+/** Size from which a chunked body gets address space for the largest one. The allocator asks the kernel for smaller ones only rarely. */
+constexpr std::uint64_t chunkedReserveThreshold = 131'072;
+
+/** Interval between two attempts to reserve memory. */
+constexpr Duration memoryCheckInterval = milliseconds(15);
+
+/** Retry-After of a request for which there was no memory; bodies that are being served end within about a second. */
+constexpr Duration memoryRetryAfter = seconds(1);
+
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string formatResponseHead(int status, const std::string &reason, const HeaderFields &fields)
@@ -89,13 +104,83 @@
     return this->isDraining() ? std::min(deadline, this->endsAt() - finalResponseMargin) : deadline;
 }
 
-CallerChannel::CallerChannel(const Clock &clock, const ConfigHolder &config, const DrainState &drain, const Poco::Net::StreamSocket &socket)
-    : clock(clock), config(config), drain(drain), channel(clock, socket)
+CallerChannel::CallerChannel(const CallerChannelDependencies &dependencies, const Poco::Net::StreamSocket &socket)
+    : dependencies(dependencies)
+    , clock(dependencies.clock)
+    , config(dependencies.config)
+    , drain(dependencies.drain)
+    , channel(dependencies.clock, socket)
+    , memoryClient(dependencies.memory.addClient(*this))
+{
+}
+
+CallerChannel::~CallerChannel()
+{
+    this->dependencies.memory.removeClient(this->memoryClient);
+}
+
+void CallerChannel::requestRelease()
+{
+    this->isReleaseRequested = true;
+    this->channel.shutdownReceiving();
+}
+
+void CallerChannel::rejectIfReleaseRequested() const
+{
+    if (this->isReleaseRequested) {
+        this->dependencies.counters.counter("lovageward_clients_released_total").add();
+        throw Error(ResultCode::NoCapacity, RunState::NotRun, "the memory of this unfinished request was needed for others", memoryRetryAfter);
+    }
+}
+
+bool CallerChannel::waitFor(DescriptorPoller &poller, TimePoint deadline, ClientWait wait)
 {
+    this->dependencies.memory.beginWait(this->memoryClient, wait);
+    auto isReadable = poller.wait(this->clock, deadline);
+    this->dependencies.memory.endWait(this->memoryClient);
+    return isReadable;
+}
+
+void CallerChannel::releaseBody()
+{
+    if (this->reservedBodyBytes > 0) {
+        this->dependencies.memory.release(this->memoryClient, MemoryPurpose::Body, this->reservedBodyBytes);
+        this->reservedBodyBytes = 0;
+    }
+}
+
+void CallerChannel::reserveBody(std::uint64_t bytes, std::uint64_t largest)
+{
+    if (bytes <= std::max(unreservedBodyBytes, this->reservedBodyBytes)) {
+        return;
+    }
+    auto step = std::max(bytes - this->reservedBodyBytes, std::min(bodyReservationStep, std::max(largest, bytes) - this->reservedBodyBytes));
+    // A body that has its first step may grow to its largest size; the headroom keeps memory for those that have begun.
+    auto isFirst = this->reservedBodyBytes == 0;
+    auto headroom = isFirst && largest > step ? std::min(largest - step, this->dependencies.memory.totalBytes() / 2) : 0;
+    auto deadline = this->clock.now() + this->dependencies.limits.memoryWait;
+    while (!this->dependencies.memory.tryReserve(this->memoryClient, MemoryPurpose::Body, step, headroom)) {
+        this->awaitMemory(deadline);
+    }
+    this->reservedBodyBytes += step;
+}
+
+void CallerChannel::awaitMemory(TimePoint deadline)
+{
+    this->rejectIfReleaseRequested();
+    if (this->clock.now() >= deadline) {
+        this->dependencies.counters.counter("lovageward_memory_rejections_total").add();
+        throw Error(ResultCode::NoCapacity, RunState::NotRun, "there is no memory for the body of this request", memoryRetryAfter);
+    }
+    // The rest of the body waits in the kernel.
+    DescriptorPoller poller;
+    poller.add({ this->channel.descriptor(), true });
+    poller.wait(this->clock, std::min(deadline, this->clock.now() + memoryCheckInterval));
 }
 
 std::optional<ReceivedRequest> CallerChannel::readRequest()
 {
+    this->releaseBody();
     auto isFirst = !std::exchange(this->hasReceivedRequest, true);
     if (this->channel.buffer().empty() && !(isFirst && this->awaitFirstRequest()) && !this->awaitNextRequest()) {
         return std::nullopt;
@@ -135,8 +220,16 @@
         return false;
     }
     BodyDecoder decoder(framing.type, framing.length);
-    // The head timeout applies to each receive; the caller's own deadline bounds the total time.
+    auto largest = framing.type == BodyFraming::ContentLength ? framing.length : limits.maximumBodyBytes;
+    MinimumDataRate rate(this->dependencies.limits.bodyRate, this->clock.now());
+    // The head timeout applies to each receive, and the minimum rate to the whole body.
     while (true) {
+        auto arrived = this->channel.buffer().size();
+        this->reserveBody(std::min<std::uint64_t>(request.body.size() + arrived, std::max<std::uint64_t>(largest, arrived)), largest);
+        if (request.body.size() + arrived > (framing.type == BodyFraming::ContentLength ? unreservedBodyBytes : chunkedReserveThreshold)) {
+            // Address space only: the kernel provides memory as the body arrives. Growing by doubling would take up to three times the size.
+            request.body.reserve(std::min(largest, this->dependencies.memory.totalBytes()));
+        }
         auto state = decoder.decode(this->channel.buffer(), request.body);
         if (state == BodyDecoder::State::Malformed || state == BodyDecoder::State::LimitExceeded) {
             throw Error(ResultCode::BadRequest, RunState::NotRun, "the body is malformed");
@@ -147,9 +240,16 @@
         if (state == BodyDecoder::State::Complete) {
             return true;
         }
+        if (rate.isTooSlow(this->clock.now())) {
+            this->dependencies.counters.counter("lovageward_slow_bodies_total").add();
+            throw Error(ResultCode::RequestTooSlow, RunState::NotRun, "the body arrives more slowly than the minimum rate");
+        }
+        auto remainder = this->channel.buffer().size();
         if (!this->receiveMore(this->clock.now() + limits.headTimeout)) {
+            this->rejectIfReleaseRequested();
             return false;
         }
+        rate.countBytes(this->channel.buffer().size() - remainder, this->clock.now());
     }
 }
 
@@ -168,7 +268,7 @@
         case SocketChannel::ReceiveResult::WouldBlock:
             break;
         }
-        if (!poller.wait(this->clock, deadline)) {
+        if (!this->waitFor(poller, deadline, ClientWait::Receiving)) {
             throw Error(ResultCode::RequestTooSlow, RunState::NotRun, "the request did not arrive in time");
         }
     }
@@ -184,7 +284,7 @@
     DescriptorPoller poller;
     poller.add(this->channel.descriptor());
     auto deadline = this->clock.now() + firstRequestTime;
-    return poller.wait(this->clock, deadline) && this->receiveMore(deadline);
+    return this->waitFor(poller, deadline, ClientWait::Idle) && this->receiveMore(deadline);
 }
 
 bool CallerChannel::awaitNextRequest()
@@ -195,7 +295,7 @@
         DescriptorPoller poller;
         auto caller = poller.add(this->channel.descriptor());
         poller.add(this->drain.descriptor());
-        if (poller.wait(this->clock, deadline)) {
+        if (this->waitFor(poller, deadline, ClientWait::Idle)) {
             // A request that has already arrived is still served while the node drains.
             return poller.isReadable(caller) && this->receiveMore(deadline);
         }
@@ -210,8 +310,13 @@
 
 bool CallerChannel::isDisconnected()
 {
-    if (!this->hasClosed) {
-        auto state = this->channel.receive();
+    if (!this->hasClosed && this->isReadAheadFull()) {
+        if (!std::exchange(this->hasReachedReadAhead, true)) {
+            this->dependencies.counters.counter("lovageward_read_ahead_full_total").add();
+        }
+        this->hasClosed = this->channel.hasHungUp();
+    } else if (!this->hasClosed) {
+        auto state = this->channel.receive(this->dependencies.limits.readAheadBytes - this->channel.buffer().size());
         this->hasClosed = state == SocketChannel::ReceiveResult::Closed || state == SocketChannel::ReceiveResult::Reset;
     }
     return this->hasClosed;
@@ -252,6 +357,8 @@
 
 void CallerChannel::abort()
 {
+    // Another thread must not shut down a descriptor that may already belong to another connection.
+    this->dependencies.memory.removeClient(this->memoryClient);
     // An orderly close still delivers the bytes in flight. The missing last chunk marks a chunked response as incomplete.
     this->channel.close();
     this->hasClosed = true;
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/Counters.h>
 #include <LibCore/Error.h>
+#include <LibCore/MemoryAccount.h>
+#include <LibCore/MinimumDataRate.h>
 #include <LibForward/SocketChannel.h>
 #include <LibGateway/ConfigHolder.h>
 #include <LibGateway/ForwardedRequest.h>
@@ -63,11 +66,40 @@
     TimePoint arrivedAt;
 };
 
-/** HTTP/1.1 server side of one caller's connection: reads requests within the configured limits and writes responses. */
-class CallerChannel
+/** Limits on what a connection may take up beyond the limits of single requests. */
+struct ConnectionLimits
+{
+    /** Bytes of further requests that are received while a response is pending. The rest waits in the kernel. */
+    std::size_t readAheadBytes = 16'384;
+    /** Rate at which a request's body has to arrive. */
+    DataRateLimit bodyRate { 1'024, seconds(5) };
+    /** Time for which a body waits for memory before it is rejected. */
+    Duration memoryWait = seconds(1);
+};
+
+/** Dependencies of a CallerChannel. All references must outlive it. */
+struct CallerChannelDependencies
+{
+    const Clock &clock;
+    const ConfigHolder &config;
+    const DrainState &drain;
+    MemoryAccount &memory;
+    Counters &counters;
+    ConnectionLimits limits;
+};
+
+/**
+ * HTTP/1.1 server side of one caller's connection: reads requests within the configured limits and writes responses. Memory for a body is reserved before
+ * the body is received.
+ */
+class CallerChannel final : public MemoryHolder
 {
 public:
-    CallerChannel(const Clock &clock, const ConfigHolder &config, const DrainState &drain, const Poco::Net::StreamSocket &socket);
+    CallerChannel(const CallerChannelDependencies &dependencies, const Poco::Net::StreamSocket &socket);
+    ~CallerChannel() override;
+
+    CallerChannel(const CallerChannel &) = delete;
+    CallerChannel &operator=(const CallerChannel &) = delete;
 
     /**
      * Waits for the next request. Returns nothing if the caller disconnected, the idle timeout passed, or the node drains.
@@ -75,9 +107,12 @@
      */
     std::optional<ReceivedRequest> readRequest();
 
-    /** True if the caller closed its connection. Doesn't block. */
+    /** True if the caller closed its connection. Receives further requests up to the read-ahead limit. Doesn't block. */
     bool isDisconnected();
 
+    /** Called by the account from other threads: the connection is closed, after a rejection if a request has begun. */
+    void requestRelease() override;
+
     /** Writes a complete response. Returns false if the caller disconnected, or if a stream has begun, since no second response may be written into it. */
     bool sendResponse(int status, const std::string &reason, const HeaderFields &fields, const std::string &body, bool isKeepAlive);
 
@@ -89,12 +124,18 @@
     /** Closes the connection so that an unfinished response doesn't look complete. */
     void abort();
 
-    int descriptor() const
+    /** The caller's connection, to wait until isDisconnected() may have changed. */
+    WatchedDescriptor descriptor() const
     {
-        return this->channel.descriptor();
+        return { this->channel.descriptor(), this->isReadAheadFull() };
     }
 
 private:
+    bool isReadAheadFull() const
+    {
+        return this->channel.buffer().size() >= this->dependencies.limits.readAheadBytes;
+    }
+
     bool awaitNextRequest();
     /** Waits for the first request of a new connection. Returns false if none arrives in time, or the caller disconnected. */
     bool awaitFirstRequest();
@@ -103,11 +144,25 @@
     /** Waits for more bytes. Returns false if the caller disconnected. Throws Error(RequestTooSlow) at the deadline. */
     bool receiveMore(TimePoint deadline);
     bool readBody(ReceivedRequest &request, const CallerLimits &limits);
-
+    /** Reserves memory so that the body can grow to `bytes`, of at most `largest`. Throws Error(NoCapacity) if none is released in time. */
+    void reserveBody(std::uint64_t bytes, std::uint64_t largest);
+    void awaitMemory(TimePoint deadline);
+    void releaseBody();
+    void rejectIfReleaseRequested() const;
+    /** Polls, and tells the account for that time that this connection waits for its caller. */
+    bool waitFor(DescriptorPoller &poller, TimePoint deadline, ClientWait wait);
+
+    CallerChannelDependencies dependencies;
     const Clock &clock;
     const ConfigHolder &config;
     const DrainState &drain;
     SocketChannel channel;
+    MemoryClientId memoryClient;
+    /** Bytes reserved for the body of the current request. */
+    std::uint64_t reservedBodyBytes = 0;
+    std::atomic<bool> isReleaseRequested = false;
+    /** True if the read-ahead limit was reached on this connection. */
+    bool hasReachedReadAhead = false;
     bool hasClosed = false;
     bool hasReceivedRequest = false;
     /** True between beginStream() and endStream(). */
--- a/Libraries/LibForward/ForwardDependencies.h
+++ b/Libraries/LibForward/ForwardDependencies.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Counters.h>
 #include <LibCore/EventLog.h>
+#include <LibCore/MemoryAccount.h>
 #include <LibCore/RandomSource.h>
 #include <LibForward/CallerChannel.h>
 #include <LibForward/ResponseLimits.h>
@@ -54,6 +55,8 @@
     /** Notified of placements and of notices in responses, which peers must learn of without delay. */
     PlacementListener &placementListener;
     ResponseLimits responseLimits;
+    MemoryAccount &memory;
+    ConnectionLimits connectionLimits;
 };
 
 }
--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -91,12 +91,25 @@
 
 GatewayConnection::GatewayConnection(const Poco::Net::StreamSocket &socket, GatewayContext &context) : Poco::Net::TCPServerConnection(socket), context(context)
 {
+    ++this->context.servedConnections;
+}
+
+GatewayConnection::~GatewayConnection()
+{
+    --this->context.servedConnections;
+    --this->context.acceptedConnections;
 }
 
 void GatewayConnection::run()
 {
     const auto &dependencies = this->context.dependencies;
-    CallerChannel caller(dependencies.clock, dependencies.config, dependencies.drain, this->socket());
+    if (this->context.hasWaitingConnections()) {
+        // Each connection that gets a thread makes room for the next one that waits.
+        this->context.closeLongestIdle();
+    }
+    CallerChannel caller(
+        { dependencies.clock, dependencies.config, dependencies.drain, dependencies.memory, dependencies.counters, dependencies.connectionLimits },
+        this->socket());
     auto newConnection = std::make_unique<CountedScope>(this->context.newConnections);
     try {
         while (auto received = caller.readRequest()) {
@@ -126,15 +139,15 @@
     }
 }
 
-bool GatewayConnection::handleRequest(const ReceivedRequest &received, CallerChannel &caller)
+bool GatewayConnection::handleRequest(ReceivedRequest &received, CallerChannel &caller)
 {
     const auto &dependencies = this->context.dependencies;
-    auto isKeepAlive = requestsKeepAlive(received.head) && !dependencies.drain.isDraining();
+    auto isKeepAlive = requestsKeepAlive(received.head) && !dependencies.drain.isDraining() && !this->context.hasWaitingConnections();
     RequestId id;
     try {
         auto request = dependencies.protocol.decodeRequest(received.head, received.arrivedAt);
         id = request.id;
-        request.body = received.body;
+        request.body = std::move(received.body);
         request.hasBody = received.hasBody;
         auto work = this->context.admission.admit(std::move(request), dependencies.config.current());
         this->rejectIfOutlastsShutdown(work);
--- a/Libraries/LibForward/GatewayConnection.h
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -36,6 +36,25 @@
     std::atomic<std::size_t> activeRequests = 0;
     /** Connections that have sent no complete request yet. */
     std::atomic<std::size_t> newConnections = 0;
+    /** Accepted connections, and those of them that have a thread. */
+    std::atomic<std::size_t> acceptedConnections = 0;
+    std::atomic<std::size_t> servedConnections = 0;
+
+    /** Asks the longest idle connection to close, because another one needs its place. */
+    void closeLongestIdle() const
+    {
+        if (this->dependencies.memory.closeLongestIdle()) {
+            this->dependencies.counters.counter("lovageward_idle_connections_closed_total").add();
+            this->dependencies.events.write("idle_connection_closed",
+                                            { { "reason", "a new connection needs its place" }, { "open", this->acceptedConnections.load() } });
+        }
+    }
+
+    /** True while accepted connections wait for a thread. */
+    bool hasWaitingConnections() const
+    {
+        return this->acceptedConnections > this->servedConnections;
+    }
 };
 
 /** Serves the requests of one caller's connection on one thread until it is closed. */
@@ -43,12 +62,16 @@
 {
 public:
     GatewayConnection(const Poco::Net::StreamSocket &socket, GatewayContext &context);
+    ~GatewayConnection() override;
+
+    GatewayConnection(const GatewayConnection &) = delete;
+    GatewayConnection &operator=(const GatewayConnection &) = delete;
 
     void run() override;
 
 private:
     /** Handles one request. Returns true if the connection can be kept open, as do the two functions below. */
-    bool handleRequest(const ReceivedRequest &received, CallerChannel &caller);
+    bool handleRequest(ReceivedRequest &received, CallerChannel &caller);
     bool forward(const AdmittedRequest &work, CallerChannel &caller, bool isKeepAlive);
     bool sendError(const Error &error, const RequestId &request, CallerChannel &caller, bool isKeepAlive);
     void rejectIfOutlastsShutdown(const AdmittedRequest &work) const;
--- a/Libraries/LibForward/RunMigration.cpp
+++ b/Libraries/LibForward/RunMigration.cpp
@@ -18,9 +18,9 @@
 RunMigration::RunMigration(const ForwardDependencies &dependencies, const RequestId &request, const UpstreamRecord &source, PlacedRun target)
     : dependencies(dependencies), request(request), source(source), destination(std::move(target)), transferDeadline(dependencies.clock.now() + copyTimeout)
 {
-    this->call
-        = std::make_unique<UpstreamCall>(dependencies.clock, source.address, "POST", dependencies.clock.now() + connectTimeout, dependencies.responseLimits);
-    this->call->send(dependencies.protocol.encodeMoveRequest(request, this->destination.upstream.address), this->transferDeadline);
+    this->call = std::make_unique<UpstreamCall>(
+        dependencies.clock, dependencies.memory, source.address, "POST", dependencies.clock.now() + connectTimeout, dependencies.responseLimits);
+    this->call->send(dependencies.protocol.encodeMoveRequest(request, this->destination.upstream.address), {}, this->transferDeadline);
 }
 
 RunMigration::Stage RunMigration::advance()
--- a/Libraries/LibForward/SocketChannel.cpp
+++ b/Libraries/LibForward/SocketChannel.cpp
@@ -62,10 +62,10 @@
     return { clock, socket };
 }
 
-SocketChannel::ReceiveResult SocketChannel::receive()
+SocketChannel::ReceiveResult SocketChannel::receive(std::size_t maximumBytes)
 {
     std::array<char, receiveBytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init): recv fills what is used.
-    auto count = ::recv(this->descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    auto count = ::recv(this->descriptor(), bytes.data(), std::min(maximumBytes, bytes.size()), MSG_DONTWAIT);
     if (count > 0) {
         this->receiveBuffer.append(bytes.data(), static_cast<std::size_t>(count));
         return ReceiveResult::Data;
@@ -107,6 +107,17 @@
     return true;
 }
 
+bool SocketChannel::hasHungUp() const
+{
+    pollfd pollDescriptor { this->descriptor(), POLLRDHUP, 0 };
+    return ::poll(&pollDescriptor, 1, 0) > 0;
+}
+
+void SocketChannel::shutdownReceiving()
+{
+    ::shutdown(this->descriptor(), SHUT_RD);
+}
+
 void SocketChannel::close()
 {
     this->socket.close();
@@ -121,7 +132,7 @@
     this->socket.close();
 }
 
-std::size_t DescriptorPoller::add(int descriptor)
+std::size_t DescriptorPoller::add(WatchedDescriptor descriptor)
 {
     this->descriptors.push_back(descriptor);
     this->readable.push_back(false);
@@ -132,8 +143,9 @@
 {
     std::vector<pollfd> pollDescriptors;
     pollDescriptors.reserve(this->descriptors.size());
-    for (auto descriptor : this->descriptors) {
-        pollDescriptors.push_back(pollfd { descriptor, POLLIN, 0 });
+    for (const auto &descriptor : this->descriptors) {
+        auto events = descriptor.isForHangUpOnly ? POLLRDHUP : POLLIN;
+        pollDescriptors.push_back(pollfd { descriptor.number, static_cast<short>(events), 0 });
     }
     while (true) {
         auto remaining = deadline - clock.now();
--- a/Libraries/LibForward/SocketChannel.h
+++ b/Libraries/LibForward/SocketChannel.h
@@ -34,8 +34,14 @@
     /** Connects to "IP:port". Throws Poco::Exception if that fails or the deadline passes. */
     static SocketChannel connect(const Clock &clock, const std::string &address, TimePoint deadline);
 
-    /** Appends available bytes to the buffer. Doesn't block. */
-    ReceiveResult receive();
+    /** Appends available bytes, at most `maximumBytes`, to the buffer. Doesn't block. */
+    ReceiveResult receive(std::size_t maximumBytes = receiveBytes);
+
+    /** True if the peer has closed the connection or reset it. Bytes that weren't received hide a close until they have been received. Doesn't block. */
+    bool hasHungUp() const;
+
+    /** Wakes a thread that waits for bytes: the connection can still be written to, but reads as closed. May be called from any thread. */
+    void shutdownReceiving();
 
     /** Writes all bytes. Returns false if the connection failed or the deadline passed. */
     bool write(std::string_view bytes, TimePoint deadline)
@@ -53,6 +59,11 @@
         return this->receiveBuffer;
     }
 
+    const std::string &buffer() const
+    {
+        return this->receiveBuffer;
+    }
+
     int descriptor() const
     {
         return this->socket.impl()->sockfd();
@@ -70,12 +81,26 @@
     std::string receiveBuffer;
 };
 
+/** A descriptor to wait for. */
+struct WatchedDescriptor
+{
+    // Implicit, since most descriptors are watched for bytes.
+    WatchedDescriptor(int number, bool isForHangUpOnly = false) // NOLINT(google-explicit-constructor)
+        : number(number), isForHangUpOnly(isForHangUpOnly)
+    {
+    }
+
+    int number;
+    /** Readable only when the peer has closed or reset the connection, for a connection from which no bytes are taken at present. */
+    bool isForHangUpOnly;
+};
+
 /** Waits until one of several descriptors is readable. */
 class DescriptorPoller
 {
 public:
     /** Returns the index of the descriptor for isReadable(). Negative descriptors are ignored and never readable. */
-    std::size_t add(int descriptor);
+    std::size_t add(WatchedDescriptor descriptor);
 
     /** Waits until a descriptor is readable, closed or failed, or the deadline passes. Returns false if the deadline passed. */
     bool wait(const Clock &clock, TimePoint deadline);
@@ -86,7 +111,7 @@
     }
 
 private:
-    std::vector<int> descriptors;
+    std::vector<WatchedDescriptor> descriptors;
     std::vector<bool> readable;
 };
 
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -14,20 +14,45 @@
 /** Maximum number of receives per advance(), so that a fast upstream doesn't delay the checks of deadlines and of the caller's connection. */
 constexpr int maximumReceives = 16;
 
+/** Step in which the reservation of a response's body grows. */
+constexpr std::uint64_t reservationStep = 65'536;
+
 /** Statuses below are interim (1xx) and precede the final response. */
 constexpr int firstFinalStatus = 200;
 
 }
 
-UpstreamCall::UpstreamCall(const Clock &clock, const std::string &address, const std::string &method, TimePoint connectDeadline, const ResponseLimits &limits)
-    : clock(clock), method(method), limits(limits), sendTime(clock.now()), channel(SocketChannel::connect(clock, address, connectDeadline))
+UpstreamCall::UpstreamCall(
+    const Clock &clock, MemoryAccount &memory, const std::string &address, const std::string &method, TimePoint connectDeadline, const ResponseLimits &limits)
+    : clock(clock), memory(memory), method(method), limits(limits), sendTime(clock.now()), channel(SocketChannel::connect(clock, address, connectDeadline))
+{
+}
+
+UpstreamCall::~UpstreamCall()
 {
+    if (this->reservedBodyBytes > 0) {
+        this->memory.releaseShared(MemoryPurpose::Response, this->reservedBodyBytes);
+    }
+}
+
+void UpstreamCall::reserveBody(std::size_t bytes)
+{
+    this->isMemoryShort = false;
+    if (bytes <= std::max<std::uint64_t>(unreservedBodyBytes, this->reservedBodyBytes)) {
+        return;
+    }
+    auto step = std::max<std::uint64_t>(reservationStep, bytes - this->reservedBodyBytes);
+    if (this->memory.tryReserveShared(MemoryPurpose::Response, step)) {
+        this->reservedBodyBytes += step;
+    } else {
+        this->isMemoryShort = true;
+    }
 }
 
-void UpstreamCall::send(std::string_view bytes, TimePoint deadline)
+void UpstreamCall::send(std::string_view head, std::string_view body, TimePoint deadline)
 {
     this->sendTime = this->clock.now();
-    if (!this->channel.write(bytes, deadline)) {
+    if (!this->channel.writeParts({ head, body }, deadline)) {
         this->advance();
     }
 }
@@ -73,6 +98,7 @@
     }
     auto previousSize = this->bodyBuffer.size();
     auto nextSize = previousSize + this->channel.buffer().size();
+    this->reserveBody(nextSize);
     if (nextSize > this->bodyBuffer.capacity() && 2 * nextSize > this->limits.bufferedBodyBytes) {
         // A string that grows by doubling would take up to twice the limit.
         this->bodyBuffer.reserve(std::max(nextSize, this->limits.bufferedBodyBytes + SocketChannel::receiveBytes));
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/MemoryAccount.h>
 #include <LibForward/BodyDecoder.h>
 #include <LibForward/ResponseLimits.h>
 #include <LibForward/SocketChannel.h>
@@ -32,10 +33,20 @@
     };
 
     /** Connects to "IP:port". Throws Poco::Exception if that fails or the deadline passes, in which case nothing was sent. */
-    UpstreamCall(const Clock &clock, const std::string &address, const std::string &method, TimePoint connectDeadline, const ResponseLimits &limits);
-
-    /** Sends the encoded request. A failed write isn't final, because the upstream may respond before it has read the whole request. */
-    void send(std::string_view bytes, TimePoint deadline);
+    UpstreamCall(const Clock &clock,
+                 MemoryAccount &memory,
+                 const std::string &address,
+                 const std::string &method,
+                 TimePoint connectDeadline,
+                 const ResponseLimits &limits);
+    ~UpstreamCall();
+
+    UpstreamCall(const UpstreamCall &) = delete;
+    UpstreamCall &operator=(const UpstreamCall &) = delete;
+
+    /** Sends the encoded head and the body of the request. A failed write isn't final, because the upstream may respond before it has read the whole request.
+     */
+    void send(std::string_view head, std::string_view body, TimePoint deadline);
 
     /** Receives and decodes a bounded amount of available bytes. Never blocks, and never throws for malformed responses. */
     State advance();
@@ -62,10 +73,10 @@
         return this->bodyBuffer;
     }
 
-    /** True if the body buffer has reached its limit. No more is received until the reader removes bytes. */
+    /** True if the body buffer has reached its limit, which is lower while the node is short of memory. No more is received until the reader removes bytes. */
     bool isBodyBufferFull() const
     {
-        return this->bodyBuffer.size() > this->limits.bufferedBodyBytes;
+        return this->bodyBuffer.size() > (this->isMemoryShort ? unreservedBodyBytes : this->limits.bufferedBodyBytes);
     }
 
     /** Why the call failed; empty otherwise. */
@@ -104,12 +115,18 @@
     void cancel();
 
 private:
+    /** Size of the body buffer that needs no reservation, since the charge of the caller's connection covers it. */
+    static constexpr std::size_t unreservedBodyBytes = 32'768;
+
+    /** Reserves memory so that the body buffer can grow to the size, or notes that there is none. */
+    void reserveBody(std::size_t bytes);
     void decode();
     bool processHead();
     void fail(const std::string &reason);
     void failWithExceededLimit(std::string_view limit, std::uint64_t bytes);
 
     const Clock &clock;
+    MemoryAccount &memory;
     std::string method;
     ResponseLimits limits;
     TimePoint sendTime;
@@ -124,6 +141,8 @@
     std::string failure;
     std::string_view exceeded;
     bool connectionEnded = false;
+    std::uint64_t reservedBodyBytes = 0;
+    bool isMemoryShort = false;
     State currentState = State::AwaitingHead;
 };
 
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -138,8 +138,12 @@
 {
     auto now = this->dependencies.clock.now();
     auto connectDeadline = std::min(now + connectTimeout, work.deadline);
-    auto call = std::make_unique<UpstreamCall>(
-        this->dependencies.clock, placement.upstream.address, work.request.method, connectDeadline, this->dependencies.responseLimits);
+    auto call = std::make_unique<UpstreamCall>(this->dependencies.clock,
+                                               this->dependencies.memory,
+                                               placement.upstream.address,
+                                               work.request.method,
+                                               connectDeadline,
+                                               this->dependencies.responseLimits);
     options.upstream = placement.upstream.id;
     options.team = work.team;
     // Read again after the handshake, so that the time left doesn't include the time that the handshake took.
@@ -148,7 +152,7 @@
     if (options.remainingTime <= Duration(0)) {
         throw Poco::TimeoutException("the deadline passed during the handshake");
     }
-    call->send(this->dependencies.protocol.encodeRequest(work.request, options), work.deadline);
+    call->send(this->dependencies.protocol.encodeRequestHead(work.request, options), work.request.body, work.deadline);
     ++retryState.sentRequests;
     auto rateLimit = this->dependencies.rateLimits.limit(placement.upstream);
     if (rateLimit) {
--- a/Libraries/LibGateway/ForwardProtocol.h
+++ b/Libraries/LibGateway/ForwardProtocol.h
@@ -82,8 +82,8 @@
     /** Throws Error(BadRequest) for an invalid request head. `arrivedAt` and the request's deadline are times of the node's clock. */
     virtual ForwardedRequest decodeRequest(const Poco::Net::HTTPRequest &head, TimePoint arrivedAt) const = 0;
 
-    /** The bytes of the request, head and body, as they are sent to the upstream. */
-    virtual std::string encodeRequest(const ForwardedRequest &request, const ForwardOptions &options) const = 0;
+    /** The head of the request as it is sent to the upstream. The body follows it unchanged, so that a large one isn't copied. */
+    virtual std::string encodeRequestHead(const ForwardedRequest &request, const ForwardOptions &options) const = 0;
 
     virtual ResponseMetadata decodeResponse(const Poco::Net::HTTPResponse &head) const = 0;
 
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -179,6 +179,7 @@
         , directory(this->clock, this->events, dependencies.directory, this->peerTable, settings)
         , readiness(this->config, this->upstreamFollower, this->drainState)
         , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
+        , memory(this->clock, settings.memoryLimits)
         , forwardDependencies { this->clock,
                                 this->random,
                                 this->events,
@@ -196,7 +197,9 @@
                                 dependencies.protocol,
                                 this->drainState,
                                 this->digestTransport,
-                                settings.responseLimits }
+                                settings.responseLimits,
+                                this->memory,
+                                settings.connectionLimits }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
     {
         for (const auto &seed : settings.seedAddresses) {
@@ -239,6 +242,7 @@
     HostDirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer controlServer;
+    MemoryAccount memory;
     ForwardDependencies forwardDependencies;
     GatewayServer server;
     /** Declared last, so that the threads end before the components that they use are destroyed. */
--- a/Libraries/LibNode/GatewaySettings.cpp
+++ b/Libraries/LibNode/GatewaySettings.cpp
@@ -9,14 +9,31 @@
 
 namespace {
 
-/** File descriptors of one request: the caller's connection and two connections to upstreams. */
-constexpr std::int64_t descriptorsPerConnection = 3;
+/**
+ * File descriptors of four requests: for each the caller's connection and two connections to upstreams, and one accepted connection that waits for a
+ * thread (GatewayServer::queuedConnections).
+ */
+constexpr std::int64_t descriptorsPerFourConnections = 13;
+
+/** File descriptors of the node itself: listeners, the store, peers, control connections, standard streams and pipes. */
+constexpr std::int64_t ownDescriptors = 64;
 
 /** Largest value of a setting that limits the size of a response. */
 constexpr std::int64_t maximumResponseByteLimit = std::int64_t(1) << 40;
 
-/** Connections whose threads and buffers fit in a megabyte. */
-constexpr std::int64_t connectionsPerMegabyte = 8;
+constexpr std::int64_t bytesPerMegabyte = 1'000'000;
+
+/** Resident memory of the node without callers: the program and its libraries (11 MB), and the state of a fleet of 340 nodes (docs/CAPACITY.md). */
+constexpr std::int64_t ownMegabytes = 16;
+
+/** Part of the remaining memory that the account hands out, in percent. The rest covers fragmentation and rounding of the allocator. */
+constexpr std::int64_t accountedPercent = 80;
+
+/** Bytes of a connection: the used part of its stack (40 KB), received bytes (32 KB), and the first part of a response (32 KB). */
+constexpr std::int64_t bytesPerConnection = 104'000;
+
+/** Part of the account that connections may take without any body, as a divisor. */
+constexpr std::int64_t connectionShareDivisor = 2;
 
 [[noreturn]] void reject(const std::string &reason)
 {
@@ -100,6 +117,13 @@
         { "retry-window-seconds", "window in seconds over which both retry limits apply", "10", wholeNumberCheck(1, 3'600) },
         { "memory-megabytes", "memory limit of this process in megabytes", "256", wholeNumberCheck(32, 1'000'000) },
         { "descriptors", "limit on the file descriptors of this process", "4096", wholeNumberCheck(256, 10'000'000) },
+        { "read-ahead-bytes",
+          "maximum size in bytes of further requests that are received from a connection while a response is pending",
+          "16384",
+          wholeNumberCheck(1, 1'048'576) },
+        { "body-bytes-per-second", "minimum rate in bytes per second at which a request's body has to arrive", "1024", wholeNumberCheck(0, 1'000'000'000) },
+        { "body-rate-seconds", "time in seconds over which the minimum rate is taken", "5", wholeNumberCheck(1, 3'600) },
+        { "memory-wait-ms", "time in milliseconds for which a body waits for memory before it is rejected", "1000", wholeNumberCheck(0, 60'000) },
         { "answer-head-bytes", "maximum size of an upstream's response head in bytes", "65536", wholeNumberCheck(1024, maximumResponseByteLimit) },
         { "answer-interim-bytes",
           "maximum total size of the interim response heads before a response in bytes",
@@ -158,9 +182,16 @@
     settings.retryBudgetLimits.window = seconds(reader.number("retry-window-seconds"));
     settings.standbyUtilizationLimit = Poco::NumberParser::parseFloat(reader.text("standby-fill"));
     settings.responseLimits = readResponseLimits(reader);
-    auto memoryLimit = reader.number("memory-megabytes") * connectionsPerMegabyte;
-    auto descriptorLimit = reader.number("descriptors") / descriptorsPerConnection;
+    auto accountBytes = (reader.number("memory-megabytes") - ownMegabytes) * bytesPerMegabyte * accountedPercent / 100;
+    settings.memoryLimits.totalBytes = static_cast<std::uint64_t>(accountBytes);
+    settings.memoryLimits.connectionBytes = static_cast<std::uint64_t>(bytesPerConnection);
+    auto memoryLimit = accountBytes / connectionShareDivisor / bytesPerConnection;
+    auto descriptorLimit = (reader.number("descriptors") - ownDescriptors) * 4 / descriptorsPerFourConnections;
     settings.maximumConnections = static_cast<int>(std::min(memoryLimit, descriptorLimit));
+    settings.connectionLimits.readAheadBytes = static_cast<std::size_t>(reader.number("read-ahead-bytes"));
+    settings.connectionLimits.bodyRate.bytesPerSecond = static_cast<std::uint64_t>(reader.number("body-bytes-per-second"));
+    settings.connectionLimits.bodyRate.window = seconds(reader.number("body-rate-seconds"));
+    settings.connectionLimits.memoryWait = milliseconds(reader.number("memory-wait-ms"));
     settings.logLinesPerSecond = static_cast<double>(reader.number("log-lines"));
     return settings;
 }
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibCore/MemoryAccount.h>
 #include <LibCore/Time.h>
+#include <LibForward/CallerChannel.h>
 #include <LibForward/ResponseLimits.h>
 #include <LibGateway/PoolRetryBudgets.h>
 #include <LibGateway/UpstreamPicker.h>
@@ -38,6 +40,8 @@
     /** Utilization of an engine, from 0 to 1, up to which it takes standby copies; 0 for none. See UpstreamPicker. */
     double standbyUtilizationLimit = 0;
     int maximumConnections = 0;
+    MemoryLimits memoryLimits;
+    ConnectionLimits connectionLimits;
     double logLinesPerSecond = 0;
 };
 
--- a/Libraries/LibNode/SettingsFileWatcher.cpp
+++ b/Libraries/LibNode/SettingsFileWatcher.cpp
@@ -85,6 +85,11 @@
     compare("retry-slack", current.retryBudgetLimits.slack, changed.retryBudgetLimits.slack);
     compare("retry-window-seconds", current.retryBudgetLimits.window, changed.retryBudgetLimits.window);
     compare("memory-megabytes or descriptors", current.maximumConnections, changed.maximumConnections);
+    compare("memory-megabytes", current.memoryLimits.totalBytes, changed.memoryLimits.totalBytes);
+    compare("read-ahead-bytes", current.connectionLimits.readAheadBytes, changed.connectionLimits.readAheadBytes);
+    compare("body-bytes-per-second", current.connectionLimits.bodyRate.bytesPerSecond, changed.connectionLimits.bodyRate.bytesPerSecond);
+    compare("body-rate-seconds", current.connectionLimits.bodyRate.window, changed.connectionLimits.bodyRate.window);
+    compare("memory-wait-ms", current.connectionLimits.memoryWait, changed.connectionLimits.memoryWait);
     compare("standby-fill", current.standbyUtilizationLimit, changed.standbyUtilizationLimit);
     compare("response limits", current.responseLimits, changed.responseLimits);
     compare("log-lines", current.logLinesPerSecond, changed.logLinesPerSecond);
--- a/Services/lovageward/GatewayMain.cpp
+++ b/Services/lovageward/GatewayMain.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
+#include <malloc.h>
 #include <pthread.h>
 
 namespace Lovageward {
@@ -27,6 +28,18 @@
     return { path == nullptr ? "" : path, arguments, [](const std::string &name) { return std::getenv(name.c_str()); } };
 }
 
+/**
+ * Makes the allocator return the memory of large bodies to the kernel when they are freed, as the account of memory assumes. By default glibc raises its
+ * threshold with the first large body, and keeps an arena for each of many threads.
+ */
+void limitAllocator()
+{
+    constexpr int returnedBytes = 262'144;
+    constexpr int arenas = 2;
+    ::mallopt(M_MMAP_THRESHOLD, returnedBytes);
+    ::mallopt(M_ARENA_MAX, arenas);
+}
+
 sigset_t blockHandledSignals()
 {
     sigset_t signals;
@@ -62,6 +75,7 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    limitAllocator();
     auto signals = blockHandledSignals();
     SystemClock clock;
     PlatformProtocol protocol;
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -147,8 +147,9 @@
     OutputLengthPredictor outputLengths;
     TestProtocol protocol;
     NullPlacementListener placements;
-    ForwardDependencies dependencies { clock,    random,     events,         counters, config,        registry, placer, tokenTimes, health,
-                                       refusals, rateLimits, queriesOfDeath, retries,  outputLengths, protocol, drain,  placements, {} };
+    MemoryAccount memory { clock, MemoryLimits { 100'000'000, 100'000 } };
+    ForwardDependencies dependencies { clock,      random,         events,  counters,      config,   registry, placer,     tokenTimes, health, refusals,
+                                       rateLimits, queriesOfDeath, retries, outputLengths, protocol, drain,    placements, {},         memory, {} };
     std::unique_ptr<GatewayServer> server;
 };
 
--- a/Tests/LibForward/TestProtocol.h
+++ b/Tests/LibForward/TestProtocol.h
@@ -42,7 +42,7 @@
         return request;
     }
 
-    std::string encodeRequest(const ForwardedRequest &request, const ForwardOptions &options) const override
+    std::string encodeRequestHead(const ForwardedRequest &request, const ForwardOptions &options) const override
     {
         auto bytes = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
         for (const auto &[name, value] : request.forwardedHeaders) {
@@ -58,7 +58,7 @@
         if (options.lastEventId) {
             bytes += fmt::format("Last-Event-Id: {}\r\n", *options.lastEventId);
         }
-        return bytes + fmt::format("Content-Length: {}\r\n\r\n{}", request.body.size(), request.body);
+        return bytes + fmt::format("Content-Length: {}\r\n\r\n", request.body.size());
     }
 
     ResponseMetadata decodeResponse(const Poco::Net::HTTPResponse &head) const override
--- a/Tests/LibForward/TestStreamForwarding.cpp
+++ b/Tests/LibForward/TestStreamForwarding.cpp
@@ -324,7 +324,9 @@
     SystemClock clock;
     ConfigHolder config;
     DrainState drain;
-    CallerChannel channel(clock, config, drain, listener.acceptConnection());
+    MemoryAccount memory(clock, MemoryLimits { 1'000'000, 100'000 });
+    Counters counters;
+    CallerChannel channel({ clock, config, drain, memory, counters, {} }, listener.acceptConnection());
     CHECK(channel.beginStream(200, "OK", {}, true));
     CHECK_FALSE(channel.sendResponse(502, "Bad Gateway", {}, "failure", true));
     std::string received(4096, '\0');
--- a/Tests/LibForward/TestUnaryForwarding.cpp
+++ b/Tests/LibForward/TestUnaryForwarding.cpp
@@ -183,6 +183,29 @@
     CHECK(caller.readUntil("too long").starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE("The body of a request reaches the upstream unchanged, whether it has a length or chunks")
+{
+    ScriptedUpstream upstream(
+        [](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, request.substr(request.find("\r\n\r\n") + 4)); });
+    GatewayFixture fixture;
+    fixture.add("s1", upstream, "services");
+    std::string body;
+    for (int number = 0; body.size() < 9'000; ++number) {
+        body += fmt::format("{},", number);
+    }
+    RawCaller caller(fixture);
+    caller.request("/once/book", "r1", {}, body);
+    CHECK(caller.readUntil(body).ends_with("\r\n\r\n" + body));
+    RawCaller chunked(fixture);
+    chunked.send("POST /once/book HTTP/1.1\r\nHost: test\r\nId: r2\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t offset = 0; offset < body.size(); offset += 1'000) {
+        auto part = body.substr(offset, 1'000);
+        chunked.send(fmt::format("{:x}\r\n{}\r\n", part.size(), part));
+    }
+    chunked.send("0\r\n\r\n");
+    CHECK(chunked.readUntil(body).ends_with("\r\n\r\n" + body));
+}
+
 TEST_CASE("The upstream call is cancelled when the caller disconnects")
 {
     Gate ended;
