LibForward, LibHttp: Reject responses with an impossible status

A response with the status 600 or 999 was passed on to the caller; 000, 099, 101, a sign or two digits counted as interim, so that the caller waited until its deadline and got a 504. POCO takes any number of up to three characters.

parseResponseHead() now requires three digits from 100 to 599 other than 101, and ClientSession::exchange(), which the product's own interface and the calls to the store, the log and peers use, requires a status from 200 to 599.

--- a/Libraries/LibForward/HttpHeads.cpp
+++ b/Libraries/LibForward/HttpHeads.cpp
@@ -35,6 +35,25 @@
     }
 }
 
+/** Throws Error(AnswerMismatch) unless the status is three digits that a response to an ordinary request can have. */
+void checkResponseStatus(const std::string &head)
+{
+    constexpr std::size_t digits = 3;
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
+    constexpr int switchingProtocols = 101;
+    auto begin = head.find(' ');
+    auto text = begin == std::string::npos ? std::string_view() : std::string_view(head).substr(begin + 1);
+    text = text.substr(0, text.find_first_of(" \r\n"));
+    int status = 0;
+    auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), status);
+    auto isNumber = problem == std::errc() && end == text.data() + text.size() && text.size() == digits;
+    // The node never asks for another protocol.
+    if (!isNumber || status < firstStatus || status > lastStatus || status == switchingProtocols) {
+        throw Error(ResultCode::AnswerMismatch, RunState::Unknown, fmt::format("'{}' is not the status of a response", text));
+    }
+}
+
 MessageFraming parseFraming(const Poco::Net::MessageHeader &head, ResultCode failure)
 {
     auto lengths = std::count_if(head.begin(), head.end(), [](const auto &field) { return Poco::icompare(field.first, "Content-Length") == 0; });
@@ -76,7 +95,9 @@
 
 Poco::Net::HTTPResponse parseResponseHead(const std::string &head)
 {
-    return parseHead<Poco::Net::HTTPResponse>(head, ResultCode::AnswerMismatch);
+    auto response = parseHead<Poco::Net::HTTPResponse>(head, ResultCode::AnswerMismatch);
+    checkResponseStatus(head);
+    return response;
 }
 
 MessageFraming requestFraming(const Poco::Net::HTTPRequest &head)
--- a/Libraries/LibForward/HttpHeads.h
+++ b/Libraries/LibForward/HttpHeads.h
@@ -18,7 +18,7 @@
 /** Throws Error(BadRequest) for bytes that aren't an HTTP/1.x request head. */
 Poco::Net::HTTPRequest parseRequestHead(const std::string &head);
 
-/** Throws Error(AnswerMismatch) for bytes that aren't an HTTP/1.x response head. */
+/** Throws Error(AnswerMismatch) for bytes that aren't an HTTP/1.x response head with a status from 100 to 599 other than 101. */
 Poco::Net::HTTPResponse parseResponseHead(const std::string &head);
 
 /** Framing of a message body. */
--- a/Libraries/LibHttp/ClientSession.cpp
+++ b/Libraries/LibHttp/ClientSession.cpp
@@ -17,6 +17,17 @@
 // POCO and the kernel take a timeout of zero as none.
 constexpr Duration shortestWait = milliseconds(1);
 
+/** Throws for a status that no final response has. POCO takes any number, and a sign. */
+void checkStatus(const Poco::Net::HTTPResponse &response)
+{
+    constexpr int firstFinalStatus = 200;
+    constexpr int lastStatus = 599;
+    int status = response.getStatus();
+    if (status < firstFinalStatus || status > lastStatus) {
+        throw Poco::Net::MessageException("the answer has the impossible status", std::to_string(status));
+    }
+}
+
 }
 
 Poco::Timespan toTimespan(Duration time)
@@ -61,6 +72,7 @@
     if (this->connection->hasReceivedEnd()) {
         throw Poco::Net::ConnectionResetException("the connection broke within the head of the answer");
     }
+    checkStatus(response);
     return *stream;
 }
 
--- a/Tests/LibForward/TestStreamForwarding.cpp
+++ b/Tests/LibForward/TestStreamForwarding.cpp
@@ -317,6 +317,24 @@
     CHECK(engine.requests().size() == 1);
 }
 
+TEST_CASE("A stream whose head has an impossible status is no response, so its request gets a 502")
+{
+    auto status = GENERATE(as<std::string>(), "000", "099", "600", "999", "+20", "2000", "101");
+    CAPTURE(status);
+    ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string & /*request*/) {
+        connection.send("HTTP/1.1 " + status + " Status\r\nId: r1\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.sendEvent(0);
+        connection.awaitClose();
+    });
+    GatewayFixture fixture;
+    fixture.add("e1", upstream);
+    RawCaller caller(fixture);
+    caller.request("/long/generate", "r1", "Wait-Ms: 3000\r\n");
+    auto response = caller.readUntil("run_state");
+    CHECK(response.starts_with("HTTP/1.1 502 "));
+    CHECK(fixture.health.failureRate(UpstreamId("e1")) > 0);
+}
+
 TEST_CASE("No response can be written into a stream that has begun")
 {
     Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
--- a/Tests/LibForward/TestUnaryForwarding.cpp
+++ b/Tests/LibForward/TestUnaryForwarding.cpp
@@ -183,6 +183,41 @@
     CHECK(caller.readUntil("too long").starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE("A response with an impossible status is no response, so its request gets a 502 with an unknown run state")
+{
+    auto status = GENERATE(as<std::string>(), "000", "099", "600", "999", "+20", "-20", "20", "2000", "2x0", "101");
+    CAPTURE(status);
+    ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string & /*request*/) {
+        connection.send("HTTP/1.1 " + status + " Status\r\nId: r1\r\nMark: m\r\nContent-Length: 2\r\n\r\nok");
+        connection.awaitClose();
+    });
+    GatewayFixture fixture;
+    fixture.add("s1", upstream, "services");
+    RawCaller caller(fixture);
+    caller.request("/once/book", "r1", "Wait-Ms: 3000\r\n");
+    auto response = caller.readUntil("run_state");
+    CHECK(response.starts_with("HTTP/1.1 502 "));
+    CHECK(response.find("\"unknown\"") != std::string::npos);
+    CHECK(fixture.health.failureRate(UpstreamId("s1")) > 0);
+}
+
+TEST_CASE("An idempotent request is repeated at another upstream after a response with an impossible status")
+{
+    ScriptedUpstream faulty([](ScriptedConnection &connection, const std::string &request) { connection.respond(999, request, "no"); });
+    ScriptedUpstream sound([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "yes"); });
+    GatewayFixture fixture;
+    fixture.add("s1", faulty, "services");
+    fixture.add("s2", sound, "services");
+    for (int number = 0; number < 8; ++number) {
+        RawCaller caller(fixture);
+        caller.request("/plain/look", fmt::format("r{}", number), "Connection: close\r\n");
+        auto response = caller.readAll();
+        CHECK(response.starts_with("HTTP/1.1 200 "));
+        CHECK(response.ends_with("yes"));
+    }
+    CHECK(fixture.health.failureRate(UpstreamId("s1")) > 0);
+}
+
 TEST_CASE("The body of a request reaches the upstream unchanged, whether it has a length or chunks")
 {
     ScriptedUpstream upstream(
--- a/Tests/LibHttp/TestUpstreamFraming.cpp
+++ b/Tests/LibHttp/TestUpstreamFraming.cpp
@@ -128,6 +128,16 @@
     }
 }
 
+// Guards against statuses that POCO reads as a number: 999 would be passed on to the caller as an answer, and 000 as one, too.
+TEST_CASE("An answer with an impossible status is a malformed answer whose run state is unknown", "[http]")
+{
+    for (const std::string status : { "000", "099", "101", "199", "600", "999", "+20", "-20", "20", "2000", "2x0" }) {
+        CAPTURE(status);
+        CHECK(callResult({ "HTTP/1.1 " + status + " Status\r\nX-Request-Id: r\r\nContent-Length: 7\r\n\r\n{\"a\":1}" }, false) == "AnswerMismatch:unknown");
+    }
+    CHECK(callResult({ "HTTP/1.1 599 Status\r\nX-Request-Id: r\r\nContent-Length: 7\r\n\r\n{\"a\":1}" }, true) == R"({"a":1})");
+}
+
 // Guards against a head that breaks off after some of its fields: POCO reads it like a whole one, so a refusal that nobody sent counts as a promise.
 TEST_CASE("An answer whose head breaks off anywhere is a lost connection, whatever the fields before say", "[http]")
 {
