--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -212,6 +212,7 @@
                     { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , readiness(this->config, this->upstreamFollower, this->drainState)
         , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
+        , memory(this->clock, settings.memoryLimits)
         , forwardDependencies { this->clock,
                                 this->random,
                                 this->events,
@@ -231,6 +232,8 @@
                                 this->drainState,
                                 this->digestTransport,
                                 settings.responseLimits,
+                                this->memory,
+                                settings.connectionLimits,
                                 this->waitingRequests,
                                 settings.waitOrder.value_or(WaitOrder::Arrival) }
         , server(this->forwardDependencies, settings.listenAddress, settings.maximumConnections)
@@ -326,6 +329,7 @@
     HostDirectoryTask directory;
     GatewayReadiness readiness;
     ControlServer controlServer;
+    MemoryAccount memory;
     ForwardDependencies forwardDependencies;
     GatewayServer server;
     /** Declared last, so that the threads end before the components that they use are destroyed. */
--- a/Libraries/LibNode/GatewaySettings.h
+++ b/Libraries/LibNode/GatewaySettings.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibCore/MemoryAccount.h>
 #include <LibCore/Time.h>
+#include <LibForward/CallerChannel.h>
 #include <LibForward/ResponseLimits.h>
 #include <LibGateway/PoolRetryBudgets.h>
 #include <LibGateway/RolloutExposure.h>
@@ -48,6 +50,8 @@
     /** Absent if the setting isn't given, which means WaitOrder::Arrival unless a feature of the platform selects another order. */
     std::optional<WaitOrder> waitOrder;
     int maximumConnections = 0;
+    MemoryLimits memoryLimits;
+    ConnectionLimits connectionLimits;
     double logLinesPerSecond = 0;
 };
 
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -153,8 +153,10 @@
     TestProtocol protocol;
     NullPlacementListener placements;
     WaitingRequests waitingRequests { clock, random, counters };
-    ForwardDependencies dependencies { clock,      random,         events, counters, config,        registry, placer, tokenTimes, health, refusals,
-                                       rateLimits, queriesOfDeath, speeds, retries,  outputLengths, protocol, drain,  placements, {}, waitingRequests };
+    MemoryAccount memory { clock, MemoryLimits { 100'000'000, 100'000 } };
+    ForwardDependencies dependencies { clock,  random,     events,     counters,       config, registry,       placer,        tokenTimes,
+                                       health, refusals,   rateLimits, queriesOfDeath, speeds, retries,        outputLengths, protocol,
+                                       drain,  placements, {},         memory,         {},     waitingRequests };
     std::unique_ptr<GatewayServer> server;
 };
 
