LibGateway: Leave room in relays' traffic for eras and roll-outs

With the eras and the third topic in each digest, the busiest relay of 340 nodes exceeded its limit of 50,000 B/s by 3,554 B/s. Relays now send half of the reported loads to other domains.

--- a/Libraries/LibGateway/UpstreamSpeedTracker.cpp
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.cpp
@@ -61,8 +61,8 @@
  * in each direction. It receives as much from its group as it sends there, and the same reports from two relays.
  */
 constexpr double groupBytesPerSecond = 600;
-constexpr double relayBytesPerSecond = 3'000;
-constexpr double forwardBytesPerSecondToEach = 400;
+constexpr double relayBytesPerSecond = 1'500;
+constexpr double forwardBytesPerSecondToEach = 300;
 
 /**
  * Shortest time between two digests that a node sends only because of a report. Otherwise reports are sent with load changes, and the first event of a
