LibGateway: Don't start a roll-out again whose order is written again

After a restoration of the store the operator writes an order again at another offset. It counted as a new order, so a version that had been rolled back would have been tried again. Order ids now include the era, and an order of a newer era for the version already ordered is the same order.

--- a/Libraries/LibGateway/RolloutController.cpp
+++ b/Libraries/LibGateway/RolloutController.cpp
@@ -149,12 +149,14 @@
     {
         std::lock_guard<std::mutex> guard(this->mutex);
         auto known = this->rollouts.find(order.pool);
-        if (known != this->rollouts.end() && known->second.order > order.id) {
+        if (known != this->rollouts.end() && this->isKnownOrder(known->second, order)) {
+            known->second.era = std::max(known->second.era, order.era);
             return;
         }
         auto isKnown = known != this->rollouts.end() && known->second.order == order.id;
         auto &rollout = isKnown ? known->second : this->beginRollout(order.pool, order.id, order.target, order.readAt);
         rollout.isOrderKnown = true;
+        rollout.era = order.era;
         rollout.startedAt = std::min(rollout.startedAt, order.readAt);
         rollout.endsAt = rollout.startedAt + (order.endsAt - order.readAt);
         this->dependencies.events.write("rollout_order",
@@ -166,6 +168,13 @@
     this->notifyListener();
 }
 
+bool RolloutController::isKnownOrder(const Rollout &rollout, const RolloutOrder &order)
+{
+    // After a restoration of the store the operator writes the order again, at another offset. A version that was rolled back must not be tried again.
+    auto isWrittenAgain = order.era > rollout.era && rollout.isOrderKnown && order.target == rollout.target;
+    return isWrittenAgain || order.id < rollout.order;
+}
+
 void RolloutController::applyStatus(const RolloutStatus &status)
 {
     {
--- a/Libraries/LibGateway/RolloutController.h
+++ b/Libraries/LibGateway/RolloutController.h
@@ -98,6 +98,8 @@
         }
 
         RolloutOrderId order;
+        /** Era of the store in which the order was last read. */
+        StoreEra era;
         PoolId pool;
         UpstreamVersion target;
         /** False until this node has read the order itself. */
@@ -133,6 +135,8 @@
         std::optional<TimePoint> idleSince;
     };
 
+    /** Whether the order is older than that of the roll-out, or the same one written again after a restoration of the store. */
+    static bool isKnownOrder(const Rollout &rollout, const RolloutOrder &order);
     Rollout &beginRollout(const PoolId &pool, RolloutOrderId order, const UpstreamVersion &target, TimePoint startedAt);
     Rollout *findRun(const ObservedRun &run);
     void setPhase(Rollout &rollout, RolloutPhase phase, const std::string &reason);
--- a/Libraries/LibGateway/RolloutRecords.h
+++ b/Libraries/LibGateway/RolloutRecords.h
@@ -11,9 +11,16 @@
 /** Version of the program that an upstream runs, as its entry states it. */
 using UpstreamVersion = TextId<struct UpstreamVersionTag>;
 
-/** Identifies an order by the offset of its record. A higher id is a newer order. */
+/** Identifies an order by the position of its record. A higher id is a newer order. */
 using RolloutOrderId = NumberId<struct RolloutOrderIdTag>;
 
+/** Offsets are assigned again after a restoration of the store, so the era takes the upper bits of the id. */
+inline RolloutOrderId makeRolloutOrderId(StoreEra era, std::uint64_t offset)
+{
+    constexpr unsigned offsetBits = 48;
+    return RolloutOrderId(era.value() << offsetBits | offset);
+}
+
 /** The operator's order to shift the traffic of a pool to the upstreams of one version. */
 struct RolloutOrder
 {
@@ -24,6 +31,8 @@
     TimePoint readAt;
     /** End of the order's time if it was written at `readAt`. */
     TimePoint endsAt;
+    /** Era of the store in which the order was read. */
+    StoreEra era {};
 };
 
 /** State of a roll-out as the system reports it to the operator. */
--- a/Tests/LibGateway/RolloutFleet.cpp
+++ b/Tests/LibGateway/RolloutFleet.cpp
@@ -95,17 +95,17 @@
     }
 }
 
-void RolloutFleet::order(const std::string &version, std::uint64_t id, Duration time)
+void RolloutFleet::order(const std::string &version, std::uint64_t id, Duration time, StoreEra era)
 {
     this->target = version;
-    this->orderId = id;
+    this->orderId = makeRolloutOrderId(era, id).value();
     this->orderedAt = this->fleet.clock.now();
     this->orderEndsAt = this->orderedAt + time;
     this->requests = 0;
     this->exposed = 0;
     for (std::size_t node = 0; node < this->fleet.size(); ++node) {
         this->addUpstreams(node);
-        RolloutOrder order { RolloutOrderId(id), this->pool.id, UpstreamVersion(version), this->orderedAt, this->orderEndsAt };
+        RolloutOrder order { makeRolloutOrderId(era, id), this->pool.id, UpstreamVersion(version), this->orderedAt, this->orderEndsAt, era };
         this->fleet.at(node).rollouts->applyOrder(order);
     }
 }
@@ -119,7 +119,7 @@
     this->addUpstreams(node);
     auto now = this->fleet.clock.now();
     // The node can't tell when the order was written.
-    RolloutOrder order { RolloutOrderId(this->orderId), this->pool.id, UpstreamVersion(this->target), now, now + (this->orderEndsAt - this->orderedAt) };
+    RolloutOrder order { RolloutOrderId(this->orderId), this->pool.id, UpstreamVersion(this->target), now, now + (this->orderEndsAt - this->orderedAt), {} };
     this->fleet.at(node).rollouts->applyOrder(order);
 }
 
--- a/Tests/LibGateway/RolloutFleet.h
+++ b/Tests/LibGateway/RolloutFleet.h
@@ -74,7 +74,7 @@
     RolloutFleet(std::size_t nodes, std::size_t domains, VersionModel model, double requestsPerNodeAndSecond = 20);
 
     /** All nodes read an order of the version. */
-    void order(const std::string &version, std::uint64_t id, Duration time = orderTime);
+    void order(const std::string &version, std::uint64_t id, Duration time = orderTime, StoreEra era = {});
     void run(Duration time);
     void restart(std::size_t node);
     /** Simulates until the store has a final report of the order, at most until the end of its time. */
--- a/Tests/LibGateway/TestRolloutFleet.cpp
+++ b/Tests/LibGateway/TestRolloutFleet.cpp
@@ -223,6 +223,22 @@
 }
 
 // Guards against a version that stays in use after a newer order, and against an order without end.
+// Guards against a version that was rolled back and gets requests again, because the restored store gives its order another offset.
+TEST_CASE("An order that is written again after a restoration of the store doesn't start its roll-out again, but another order does")
+{
+    RolloutFleet rollout(8, 4, sound);
+    rollout.order("v2", 7, milliseconds(200));
+    rollout.run(seconds(3));
+    REQUIRE(rollout.finalState() == RolloutState::RolledBack);
+    rollout.order("v2", 5, seconds(40), StoreEra(1));
+    rollout.run(seconds(5));
+    CHECK(rollout.exposed == 0);
+    // The version in use: completed at once.
+    rollout.order("v1", 6, seconds(40), StoreEra(1));
+    rollout.run(seconds(3));
+    CHECK(rollout.finalState() == RolloutState::Completed);
+}
+
 TEST_CASE("A newer order supersedes a running one, and an order whose time has passed is rolled back")
 {
     RolloutFleet rollout(8, 4, sound);
