--- a/Tests/platform/TestPlatformDecoder.cpp
+++ b/Tests/platform/TestPlatformDecoder.cpp
@@ -88,6 +88,7 @@
         R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"surat-a","version":"v1","slots":24,"state":"ready","coldLeftMs":1500,"sequence":4,"born":1767800328036})"));
     CHECK(entry.id == UpstreamId("i-1"));
     CHECK(entry.boot == BootId("1767800328036"));
+    CHECK(entry.sequence == 4);
     CHECK(entry.pool == PoolId("huvo11a"));
     CHECK(entry.address == "10.128.0.9:8080");
     CHECK(entry.failureDomain == FailureDomainId("surat-a"));
