LibForward: Date a reported load by the arrival of the response head

The load was dated by the time of its inspection. While a stalled stream waits for its replacement, the same head is inspected repeatedly, and a long unary body arrives after its head, so an old report looked new.

UpstreamCall keeps the time at which it received the head; the report has that time and doesn't replace a newer one.

--- a/Libraries/LibForward/ResponseInspector.cpp
+++ b/Libraries/LibForward/ResponseInspector.cpp
@@ -76,9 +76,9 @@
         this->dependencies.counters.counter("lovageward_upstream_loads_with_waiting_requests_total").add();
     }
     if (call.head().getStatus() < Poco::Net::HTTPResponse::HTTP_BAD_REQUEST) {
-        this->dependencies.speeds.recordServiceTime(upstream, *metadata.load, this->dependencies.clock.now() - call.sentAt());
+        this->dependencies.speeds.recordServiceTime(upstream, *metadata.load, call.headReceivedAt() - call.sentAt());
     }
-    if (this->dependencies.speeds.recordReport(upstream, *metadata.load)) {
+    if (this->dependencies.speeds.recordReport(upstream, *metadata.load, call.headReceivedAt())) {
         this->dependencies.events.write("upstream_load",
                                         { { "request", request.value() },
                                           { "upstream", upstream.id.value() },
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -123,6 +123,7 @@
     }
     auto framing = responseFraming(parsed, this->method);
     this->response = std::move(parsed);
+    this->headTime = this->clock.now();
     this->decoder.emplace(framing.type, framing.length, FramingLimits { this->limits.lineBytes, this->limits.trailerBytes });
     return true;
 }
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -95,6 +95,12 @@
         return this->sendTime;
     }
 
+    /** Time at which the response head was received; valid if hasHead(). */
+    TimePoint headReceivedAt() const
+    {
+        return this->headTime;
+    }
+
     int descriptor() const
     {
         return this->channel.descriptor();
@@ -113,6 +119,7 @@
     std::string method;
     ResponseLimits limits;
     TimePoint sendTime;
+    TimePoint headTime;
     SocketChannel channel;
     std::optional<Poco::Net::HTTPResponse> response;
     std::optional<BodyDecoder> decoder;
--- a/Libraries/LibGateway/UpstreamSpeedTracker.cpp
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.cpp
@@ -127,7 +127,7 @@
     return static_cast<std::uint32_t>(XXH64(boot.value().data(), boot.value().size(), 0));
 }
 
-bool UpstreamSpeedTracker::recordReport(const UpstreamRecord &upstream, const ReportedLoad &load)
+bool UpstreamSpeedTracker::recordReport(const UpstreamRecord &upstream, const ReportedLoad &load, TimePoint receivedAt)
 {
     auto upstreamHash = LoadTracker::hashUpstreamId(upstream.id);
     auto bootHash = hashBootId(upstream.boot);
@@ -141,8 +141,12 @@
     if (!this->appliesToAllPools && !this->reportingPools.contains(upstream.pool)) {
         return false;
     }
+    auto known = this->states.find(upstreamHash);
+    if (known != this->states.end() && receivedAt < known->second.reportedAt) {
+        return false;
+    }
     auto now = this->clock.now();
-    auto isUrgent = this->replace(upstreamHash, State { bootHash, load.running, load.waiting, load.slowness, 1, now, ReportOrigin::Own });
+    auto isUrgent = this->replace(upstreamHash, State { bootHash, load.running, load.waiting, load.slowness, 1, receivedAt, ReportOrigin::Own });
     if (!isUrgent || now < this->announcementAllowedAt) {
         return false;
     }
--- a/Libraries/LibGateway/UpstreamSpeedTracker.h
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.h
@@ -86,8 +86,11 @@
     /** Unless `appliesToAllPools` is set, reports affect only pools in which an upstream has reported its slowness. */
     UpstreamSpeedTracker(const Clock &clock, const LoadTracker &loads, bool appliesToAllPools);
 
-    /** Records the load in a response of the process. Returns true if peers need it without delay, at most every few seconds. */
-    bool recordReport(const UpstreamRecord &upstream, const ReportedLoad &load);
+    /**
+     * Records the load in a response of the process whose head arrived at `receivedAt`, unless a newer report is known. Returns true if peers need it
+     * without delay, at most every few seconds.
+     */
+    bool recordReport(const UpstreamRecord &upstream, const ReportedLoad &load, TimePoint receivedAt);
 
     /** Records the time that the process took for a request after which it reported this load. Times of requests that may have waited are ignored. */
     void recordServiceTime(const UpstreamRecord &upstream, const ReportedLoad &load, Duration time);
--- a/Tests/LibGateway/TestUpstreamSpeedFleet.cpp
+++ b/Tests/LibGateway/TestUpstreamSpeedFleet.cpp
@@ -90,11 +90,11 @@
             CAPTURE(informed);
             auto &node = fleet.at(informed);
             // The first event of a stream, with which the report arrives, is a change of load as well.
-            node.speeds.recordReport(engine, ReportedLoad { 8, 3, 24, 100 });
+            node.speeds.recordReport(engine, ReportedLoad { 8, 3, 24, 100 }, fleet.clock.now());
             node.agent.announceLoadChange();
             fleet.run(reportPropagationLimit);
             CHECK(countNodesThatPlaceAt(fleet, "engine-1") == 0);
-            node.speeds.recordReport(engine, ReportedLoad { 0, 0, 24, 100 });
+            node.speeds.recordReport(engine, ReportedLoad { 0, 0, 24, 100 }, fleet.clock.now());
             node.agent.announceLoadChange();
             fleet.run(reportPropagationLimit);
             CHECK(countNodesThatPlaceAt(fleet, "engine-1") == nodes);
@@ -122,7 +122,7 @@
                 peer.loads.addRun(engine.id, Footprint { 3000, 900, 2000 }, RunKind::Fresh);
                 peer.agent.announceLoadChange();
             }
-            if (peer.speeds.recordReport(engine, ReportedLoad { round % 24, round % 2 * 3, 24, 100 + round % 2 * 150 })) {
+            if (peer.speeds.recordReport(engine, ReportedLoad { round % 24, round % 2 * 3, 24, 100 + round % 2 * 150 }, fleet.clock.now())) {
                 peer.agent.announceUpstreamLoad();
             }
         }
--- a/Tests/LibGateway/TestUpstreamSpeedTracker.cpp
+++ b/Tests/LibGateway/TestUpstreamSpeedTracker.cpp
@@ -52,17 +52,17 @@
 TEST_CASE("Without a reported slowness in the pool, reports change nothing unless they apply to all pools")
 {
     SpeedFixture fixture;
-    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(20, 5, std::nullopt)));
+    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(20, 5, std::nullopt), fixture.clock.now()));
     CHECK(fixture.estimate().indirectLoad.runs == 5);
     CHECK_FALSE(fixture.estimate().hasWaitingRequests);
     CHECK_FALSE(fixture.estimate().speed);
     CHECK(fixture.speeds.takeReports(ReportChannel::Group, 8).empty());
     auto other = upstreamRecord("e2");
-    fixture.speeds.recordReport(other, reportOf(1, 0));
-    fixture.speeds.recordReport(fixture.engine, reportOf(20, 5, std::nullopt));
+    fixture.speeds.recordReport(other, reportOf(1, 0), fixture.clock.now());
+    fixture.speeds.recordReport(fixture.engine, reportOf(20, 5, std::nullopt), fixture.clock.now());
     CHECK(fixture.estimate().indirectLoad.runs == 25);
     UpstreamSpeedTracker all(fixture.clock, fixture.loads, true);
-    CHECK(all.recordReport(fixture.engine, reportOf(20, 5, std::nullopt)));
+    CHECK(all.recordReport(fixture.engine, reportOf(20, 5, std::nullopt), fixture.clock.now()));
     CHECK(all.estimate(fixture.engine, fiveRunsElsewhere).hasWaitingRequests);
 }
 
@@ -72,7 +72,7 @@
     SpeedFixture fixture;
     auto first = fixture.addRun();
     fixture.addRun();
-    fixture.speeds.recordReport(fixture.engine, reportOf(11, 0));
+    fixture.speeds.recordReport(fixture.engine, reportOf(11, 0), fixture.clock.now());
     CHECK(fixture.estimate().indirectLoad.runs == 9);
     CHECK(fixture.estimate().indirectLoad.peakTokens == Approx(27'000));
     fixture.clock.advance(milliseconds(100));
@@ -90,7 +90,7 @@
 TEST_CASE("A report of less load than the sums show counts at once and loses its weight within a second")
 {
     SpeedFixture fixture;
-    fixture.speeds.recordReport(fixture.engine, reportOf(0, 0));
+    fixture.speeds.recordReport(fixture.engine, reportOf(0, 0), fixture.clock.now());
     CHECK(fixture.estimate().indirectLoad.runs == 0);
     CHECK(fixture.estimate().indirectLoad.peakTokens == Approx(0));
     fixture.clock.advance(milliseconds(1500));
@@ -101,11 +101,11 @@
 {
     SpeedFixture fixture;
     auto run = fixture.addRun();
-    CHECK(fixture.speeds.recordReport(fixture.engine, reportOf(8, 1)));
+    CHECK(fixture.speeds.recordReport(fixture.engine, reportOf(8, 1), fixture.clock.now()));
     CHECK(fixture.estimate().hasWaitingRequests);
     SECTION("a later report")
     {
-        fixture.speeds.recordReport(fixture.engine, reportOf(8, 0));
+        fixture.speeds.recordReport(fixture.engine, reportOf(8, 0), fixture.clock.now());
         CHECK_FALSE(fixture.estimate().hasWaitingRequests);
     }
     SECTION("an older report doesn't")
@@ -120,6 +120,11 @@
         fixture.loads.removeRun(run);
         CHECK_FALSE(fixture.estimate().hasWaitingRequests);
     }
+    SECTION("a response whose head arrived before doesn't")
+    {
+        CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(8, 0), fixture.clock.now() - milliseconds(1)));
+        CHECK(fixture.estimate().hasWaitingRequests);
+    }
     SECTION("its age")
     {
         fixture.clock.advance(milliseconds(1900));
@@ -138,9 +143,9 @@
 TEST_CASE("Implausible figures are ignored")
 {
     SpeedFixture fixture;
-    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 10'001)));
-    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 1, 0)));
-    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 1, 10'001)));
+    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 10'001), fixture.clock.now()));
+    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 1, 0), fixture.clock.now()));
+    CHECK_FALSE(fixture.speeds.recordReport(fixture.engine, reportOf(1, 1, 10'001), fixture.clock.now()));
     auto report = fixture.peerReport(10'001, 1, Duration(0));
     CHECK_FALSE(fixture.speeds.recordPeerReport(report, ReportOrigin::Group));
     CHECK_FALSE(fixture.estimate().speed);
@@ -151,10 +156,10 @@
 {
     SpeedFixture fixture;
     for (int report = 0; report < 200; ++report) {
-        fixture.speeds.recordReport(fixture.engine, reportOf(1, 0, report % 6 == 0 ? 250 : 100));
+        fixture.speeds.recordReport(fixture.engine, reportOf(1, 0, report % 6 == 0 ? 250 : 100), fixture.clock.now());
         fixture.clock.advance(seconds(1));
     }
-    fixture.speeds.recordReport(fixture.engine, reportOf(1, 0, 250));
+    fixture.speeds.recordReport(fixture.engine, reportOf(1, 0, 250), fixture.clock.now());
     auto speed = fixture.estimate().speed;
     REQUIRE(speed);
     CHECK(speed->mean == Approx(1.25).margin(0.15));
@@ -173,7 +178,8 @@
     for (int round = 0; round < rounds; ++round) {
         for (int engine = 0; engine < 40; ++engine) {
             auto isWaiting = engine == round % 40;
-            fixture.speeds.recordReport(upstreamRecord(fmt::format("e{}", engine)), reportOf(5 + static_cast<std::uint32_t>(round % 7), isWaiting ? 2 : 0));
+            fixture.speeds.recordReport(
+                upstreamRecord(fmt::format("e{}", engine)), reportOf(5 + static_cast<std::uint32_t>(round % 7), isWaiting ? 2 : 0), fixture.clock.now());
         }
         auto reports = fixture.speeds.takeReports(ReportChannel::Group, 16);
         if (!reports.empty() && round == 0) {
@@ -221,11 +227,11 @@
     PlacementFixture fixture;
     auto busy = upstreamRecord("busy");
     fixture.registry.put(busy);
-    fixture.speeds.recordReport(busy, reportOf(6, 2));
+    fixture.speeds.recordReport(busy, reportOf(6, 2), fixture.clock.now());
     CHECK(fixture.placer.place(fixture.makeConstraints()).outcome == PickOutcome::NoRoom);
     fixture.registry.put(upstreamRecord("free", "b1"));
     CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("free"));
-    fixture.speeds.recordReport(busy, reportOf(0, 0));
+    fixture.speeds.recordReport(busy, reportOf(0, 0), fixture.clock.now());
     CHECK(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("busy"));
 }
 
@@ -234,7 +240,7 @@
     PlacementFixture fixture;
     for (const auto *id : { "slow", "usual" }) {
         fixture.registry.put(upstreamRecord(id));
-        fixture.speeds.recordReport(upstreamRecord(id), reportOf(2, 0, id == std::string("slow") ? 250 : 100));
+        fixture.speeds.recordReport(upstreamRecord(id), reportOf(2, 0, id == std::string("slow") ? 250 : 100), fixture.clock.now());
     }
     for (int run = 0; run < 20; ++run) {
         CHECK(fixture.placer.place(fixture.makeConstraints(2550, 8)).run.upstream.id == UpstreamId("usual"));
@@ -259,9 +265,10 @@
         fixture.speeds.recordServiceTime(record, ReportedLoad { 1, 0, 6, 100 }, milliseconds(30));
     }
     auto placeWith = [&](std::uint32_t slowSlowness, std::uint32_t usualRequests) {
-        fixture.speeds.recordReport(slow, ReportedLoad { 0, 0, 6, slowSlowness });
-        fixture.speeds.recordReport(usual, ReportedLoad { std::min(usualRequests, 6U), usualRequests - std::min(usualRequests, 6U), 6, 100 });
-        fixture.speeds.recordReport(far, ReportedLoad { 0, 0, 6, 100 });
+        fixture.speeds.recordReport(slow, ReportedLoad { 0, 0, 6, slowSlowness }, fixture.clock.now());
+        fixture.speeds.recordReport(
+            usual, ReportedLoad { std::min(usualRequests, 6U), usualRequests - std::min(usualRequests, 6U), 6, 100 }, fixture.clock.now());
+        fixture.speeds.recordReport(far, ReportedLoad { 0, 0, 6, 100 }, fixture.clock.now());
         return fixture.placer.place(fixture.makeConstraints(0, 0)).run.upstream.id.value();
     };
     CHECK(placeWith(100, 3) == "slow");
@@ -283,7 +290,8 @@
     PlacementFixture fixture;
     for (const auto *id : { "fails", "works" }) {
         fixture.registry.put(upstreamRecord(id));
-        fixture.speeds.recordReport(upstreamRecord(id), reportOf(id == std::string("fails") ? 0 : 4, 0, id == std::string("fails") ? 50 : 100));
+        fixture.speeds.recordReport(
+            upstreamRecord(id), reportOf(id == std::string("fails") ? 0 : 4, 0, id == std::string("fails") ? 50 : 100), fixture.clock.now());
     }
     REQUIRE(fixture.placer.place(fixture.makeConstraints()).run.upstream.id == UpstreamId("fails"));
     for (int failure = 0; failure < 5; ++failure) {
