--- a/Libraries/LibCore/MemoryAccount.cpp
+++ b/Libraries/LibCore/MemoryAccount.cpp
@@ -106,7 +106,7 @@
     if (longest == nullptr) {
         return false;
     }
-    this->ask(*longest);
+    this->requestRelease(*longest);
     return true;
 }
 
@@ -170,11 +170,11 @@
         }
     }
     if (largest != nullptr) {
-        this->ask(*largest);
+        this->requestRelease(*largest);
     }
 }
 
-void MemoryAccount::ask(Client &client)
+void MemoryAccount::requestRelease(Client &client)
 {
     client.isReleaseRequested = true;
     ++this->requests;
--- a/Libraries/LibCore/MemoryAccount.h
+++ b/Libraries/LibCore/MemoryAccount.h
@@ -115,7 +115,7 @@
     void subtract(MemoryPurpose purpose, std::uint64_t bytes);
     bool hasWaitedLongEnough(const Client &client) const;
     void askLargestWaiting();
-    void ask(Client &client);
+    void requestRelease(Client &client);
 
     const Clock &clock;
     MemoryLimits limits;
--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -92,7 +92,7 @@
     return PlacementConstraints { *work.route, *work.pool, work.footprint, work.allowedRegions, retryState.excludedUpstreams };
 }
 
-void UpstreamDialer::rejectIfHopeless(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const
+void UpstreamDialer::rejectIfUnservable(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const
 {
     if (this->dependencies.drain.isDraining()) {
         throw Error(ResultCode::ShuttingDown, RunState::NotRun, "the node shuts down before capacity is free", shutdownRetryAfter);
@@ -144,9 +144,9 @@
                 }
                 return std::move(result.run);
             }
-            this->rejectIfHopeless(work, result, waitDeadline);
+            this->rejectIfUnservable(work, result, waitDeadline);
         } else if (this->dependencies.drain.isDraining()) {
-            this->rejectIfHopeless(work, PlacementResult(), waitDeadline);
+            this->rejectIfUnservable(work, PlacementResult(), waitDeadline);
         }
         hasWaited = true;
         DescriptorPoller poller;
--- a/Libraries/LibForward/UpstreamDialer.h
+++ b/Libraries/LibForward/UpstreamDialer.h
@@ -70,7 +70,7 @@
     PlacedRun awaitTurn(const AdmittedRequest &work, CallerChannel &caller) const;
     [[noreturn]] void rejectWaiting(const AdmittedRequest &work, const WaitStep &step) const;
     /** Throws if the result of a placement shows that waiting any longer is of no use. */
-    void rejectIfHopeless(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const;
+    void rejectIfUnservable(const AdmittedRequest &work, const PlacementResult &result, TimePoint waitDeadline) const;
     PlacedRun awaitCapacity(const AdmittedRequest &work, const RetryState &retryState, CallerChannel &caller) const;
 
     const ForwardDependencies &dependencies;
--- a/Libraries/LibGateway/RolloutController.cpp
+++ b/Libraries/LibGateway/RolloutController.cpp
@@ -260,10 +260,10 @@
 {
     auto lifetime = std::min<Duration>(contactLifetime, this->limits.rollbackTime * 3 / 5);
     auto now = this->dependencies.clock.now();
-    if (!rollout.isOrderKnown || !this->dependencies.sync.hasReports() || now >= rollout.endsAt || now >= rollout.peerHeardAt + lifetime) {
+    if (!rollout.isOrderKnown || !this->dependencies.sync.hasReports() || now >= rollout.endsAt || now >= rollout.lastPeerReportAt + lifetime) {
         return false;
     }
-    return !this->dependencies.fleet.isHierarchical() || now < rollout.evidence.otherDomainsHeardAt() + lifetime;
+    return !this->dependencies.fleet.isHierarchical() || now < rollout.evidence.lastRemoteReportAt() + lifetime;
 }
 
 VersionFilter RolloutController::filterFor(const PoolId &pool) const
@@ -498,7 +498,7 @@
             }
             rollout.startedAt = startedAt;
         }
-        rollout.peerHeardAt = now;
+        rollout.lastPeerReportAt = now;
         rollout.hosts[peer] = now;
         rollout.domains.insert(domain);
         rollout.evidence.merge(report, domain);
--- a/Libraries/LibGateway/RolloutController.h
+++ b/Libraries/LibGateway/RolloutController.h
@@ -22,7 +22,7 @@
 
 namespace Lovageward {
 
-/** Tells whether all records of the topics that a roll-out depends on were read. */
+/** Reports whether all records of the topics that a roll-out depends on were read. */
 class RecordSync
 {
 public:
@@ -50,7 +50,7 @@
  * Rolls versions out: exposes a small share of a pool's requests to the target version, judges it by the evidence of all nodes, and promotes it or rolls
  * it back. There is no leader: each node decides by the evidence that it has, phases are sent to the peers at once, and nodes that learn of different
  * phases keep the later one, so a decision is never revoked. The first final report in the store decides between nodes that were cut off from each other.
- * A node sends nothing to the target version before it has read the orders and the reports, and unless it has heard of the roll-out from a peer (in a
+ * A node sends nothing to the target version before it has read the orders and the reports, and unless it has a recent report of the roll-out from a peer (in a
  * large fleet also from the other failure domains) within the last seconds. Load patterns: versions that fail or are slow from the start, later, under
  * load or on one route; nodes that are killed, paused or cut off at any step; a store that is unavailable. Thread-safe; step() is called by one thread
  * and calls the store without holding the mutex. Lock order: its mutex, then the leaf locks of the registry and the load tracker.
@@ -118,7 +118,7 @@
         std::optional<RolloutState> finalState;
         bool isRunningReported = false;
         TimePoint nextWriteAt;
-        TimePoint peerHeardAt;
+        TimePoint lastPeerReportAt;
         /** Hosts and domains that have reported the roll-out, for the ranks of the writers. */
         std::map<HostId, TimePoint> hosts;
         std::set<FailureDomainId> domains;
--- a/Libraries/LibGateway/RolloutEvidence.cpp
+++ b/Libraries/LibGateway/RolloutEvidence.cpp
@@ -15,7 +15,7 @@
 constexpr Duration startTolerance = milliseconds(5);
 constexpr Duration paceTolerance = milliseconds(1);
 
-/** Time after which a report no longer tells the present runs of its sender. Two lost digests don't reach it. */
+/** Time after which a report no longer describes the current runs of its sender. Two lost digests don't reach it. */
 constexpr Duration coverageLifetime = seconds(3);
 
 /** Stands for all routes beyond the limit of routes that are counted separately. */
@@ -135,7 +135,7 @@
 {
     raise(source.totals, report.totals);
     source.coverage = Coverage { report.nodeCount, report.baselineRuns };
-    source.heardAt = now;
+    source.reportedAt = now;
 }
 
 void RolloutEvidence::merge(const RolloutReport &report, const FailureDomainId &domain)
@@ -148,7 +148,7 @@
         return;
     }
     mergeInto(report.scope == RolloutScope::Domain ? this->domains[domain] : this->otherDomains, report, now);
-    this->remoteHeardAt = now;
+    this->remoteReportedAt = now;
 }
 
 RolloutTotals RolloutEvidence::group() const
@@ -183,7 +183,7 @@
 {
     Coverage sum;
     for (const auto &[id, source] : sources) {
-        if (this->clock.now() < source.heardAt + coverageLifetime) {
+        if (this->clock.now() < source.reportedAt + coverageLifetime) {
             sum.nodeCount += source.coverage.nodeCount;
             sum.baselineRuns += source.coverage.baselineRuns;
         }
@@ -205,7 +205,7 @@
 {
     auto sum = this->groupCoverage();
     auto remote = this->domainCoverage();
-    if (this->clock.now() < this->otherDomains.heardAt + coverageLifetime && this->otherDomains.coverage.nodeCount > remote.nodeCount) {
+    if (this->clock.now() < this->otherDomains.reportedAt + coverageLifetime && this->otherDomains.coverage.nodeCount > remote.nodeCount) {
         remote = this->otherDomains.coverage;
     }
     return Coverage { sum.nodeCount + remote.nodeCount, sum.baselineRuns + remote.baselineRuns };
@@ -215,7 +215,7 @@
 {
     auto now = this->clock.now();
     return static_cast<std::size_t>(
-        std::count_if(this->domains.begin(), this->domains.end(), [&](const auto &domain) { return now < domain.second.heardAt + coverageLifetime; }));
+        std::count_if(this->domains.begin(), this->domains.end(), [&](const auto &domain) { return now < domain.second.reportedAt + coverageLifetime; }));
 }
 
 }
--- a/Libraries/LibGateway/RolloutEvidence.h
+++ b/Libraries/LibGateway/RolloutEvidence.h
@@ -73,9 +73,9 @@
     std::size_t liveDomainCount() const;
 
     /** Time of the last report about the nodes of other failure domains. */
-    TimePoint otherDomainsHeardAt() const
+    TimePoint lastRemoteReportAt() const
     {
-        return this->remoteHeardAt;
+        return this->remoteReportedAt;
     }
 
 private:
@@ -83,7 +83,7 @@
     {
         RolloutTotals totals;
         Coverage coverage;
-        TimePoint heardAt;
+        TimePoint reportedAt;
     };
 
     RouteCounts &countsOf(std::uint64_t route);
@@ -100,7 +100,7 @@
     std::map<std::uint64_t, Source> processes;
     std::map<FailureDomainId, Source> domains;
     Source otherDomains;
-    TimePoint remoteHeardAt;
+    TimePoint remoteReportedAt;
 };
 
 }
--- a/Libraries/LibGateway/UpstreamSpeedTracker.h
+++ b/Libraries/LibGateway/UpstreamSpeedTracker.h
@@ -75,7 +75,7 @@
 
 /**
  * Tracks the load and the speed that upstreams report in their responses, and selects the reports that peers need. A report describes the moment at
- * which the response arrived: requests that it counts beyond those known then are load from nodes that this node doesn't hear from; requests that are
+ * which the response arrived: requests that it counts beyond those known then are load from nodes that don't report to this node; requests that are
  * known to have started or ended since are added or subtracted. Load pattern: nodes of several failure domains that place runs on the same
  * engine, each knowing the others' loads only as sums that are seconds old, on machines that are slow for a fraction of a second at a time.
  * Thread-safe; its mutex is a leaf lock.
--- a/Libraries/LibGateway/WaitingRequests.h
+++ b/Libraries/LibGateway/WaitingRequests.h
@@ -65,10 +65,10 @@
 /**
  * The requests of this node that wait for capacity, in one ordered list per pool. In order: requests that can still be in time; a higher priority;
  * teams with a smaller share of the recent capacity; the earliest latest start; the least work. The first one of each set of regions, and the
- * first one that isn't held for others, try to be placed, the others wait, so that freed capacity isn't taken by whoever happens to ask first. Nothing starves:
- * a request that can't be placed in time becomes late, every eighth placement is given to the one that became late first, and otherwise a late request gains
- * one priority class and one level of its team's share each time that its target latency passes. Load patterns: bursts of long generations beside short urgent
- * requests, one team with half of the traffic. Thread-safe. Lock order: its mutex, then that of Counters.
+ * first one that isn't held for others, try to be placed, the others wait, so that freed capacity isn't taken by the request that happens to try first. Nothing
+ * starves: a request that can't be placed in time becomes late, every eighth placement is given to the one that became late first, and otherwise a late request
+ * gains one priority class and one level of its team's share each time that its target latency passes. Load patterns: bursts of long generations beside short
+ * urgent requests, one team with half of the traffic. Thread-safe. Lock order: its mutex, then that of Counters.
  */
 class WaitingRequests
 {
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -75,7 +75,7 @@
     std::atomic<TaskThread *> directoryThread = nullptr;
 };
 
-/** Tells from the followers which topics were read. */
+/** Reports, from the state of the followers, which topics were read. */
 class FollowerSync final : public RecordSync
 {
 public:
