LibForward: Keep connections open while a new one gets its thread

A connection that was accepted, but had no thread for a moment, counted as waiting for a place. Meanwhile every response said Connection: close, and idle connections were closed, in ordinary traffic with free threads. Requests that a caller sent ahead on such a connection were lost. Connections now wait only if more are accepted than there are threads.

--- a/Libraries/LibForward/GatewayConnection.cpp
+++ b/Libraries/LibForward/GatewayConnection.cpp
@@ -91,12 +91,10 @@
 
 GatewayConnection::GatewayConnection(const Poco::Net::StreamSocket &socket, GatewayContext &context) : Poco::Net::TCPServerConnection(socket), context(context)
 {
-    ++this->context.servedConnections;
 }
 
 GatewayConnection::~GatewayConnection()
 {
-    --this->context.servedConnections;
     --this->context.acceptedConnections;
 }
 
--- a/Libraries/LibForward/GatewayConnection.h
+++ b/Libraries/LibForward/GatewayConnection.h
@@ -16,8 +16,9 @@
 /** State that all connections of a gateway share. */
 struct GatewayContext
 {
-    explicit GatewayContext(const ForwardDependencies &dependencies)
+    GatewayContext(const ForwardDependencies &dependencies, std::size_t maximumConnections)
         : dependencies(dependencies)
+        , maximumConnections(maximumConnections)
         , admission(dependencies.random, dependencies.outputLengths)
         , unaryForwarder(dependencies)
         , streamForwarder(dependencies)
@@ -27,6 +28,8 @@
     }
 
     const ForwardDependencies &dependencies;
+    /** Largest number of connections that have a thread at the same time. */
+    std::size_t maximumConnections;
     RequestAdmission admission;
     UnaryForwarder unaryForwarder;
     StreamForwarder streamForwarder;
@@ -36,9 +39,7 @@
     std::atomic<std::size_t> activeRequests = 0;
     /** Connections that have sent no complete request yet. */
     std::atomic<std::size_t> newConnections = 0;
-    /** Accepted connections, and those of them that have a thread. */
     std::atomic<std::size_t> acceptedConnections = 0;
-    std::atomic<std::size_t> servedConnections = 0;
 
     /** Asks the longest idle connection to close, because another one needs its place. */
     void closeLongestIdle() const
@@ -50,10 +51,10 @@
         }
     }
 
-    /** True while accepted connections wait for a thread. */
+    /** True while accepted connections wait because all threads are in use, not for the moment that a connection takes to get its thread. */
     bool hasWaitingConnections() const
     {
-        return this->acceptedConnections > this->servedConnections;
+        return this->acceptedConnections > this->maximumConnections;
     }
 };
 
--- a/Libraries/LibForward/GatewayServer.cpp
+++ b/Libraries/LibForward/GatewayServer.cpp
@@ -83,7 +83,7 @@
 GatewayServer::GatewayServer(const ForwardDependencies &dependencies, std::string listenAddress, int maximumConnections)
     : listenAddress(std::move(listenAddress))
     , maximumConnections(maximumConnections)
-    , context(dependencies)
+    , context(dependencies, static_cast<std::size_t>(maximumConnections))
     , threadPool("callers", idleThreads, maximumConnections, threadIdleSeconds, threadStackBytes)
 {
 }
