--- a/Libraries/LibForward/UpstreamDialer.cpp
+++ b/Libraries/LibForward/UpstreamDialer.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Lovageward {
 
@@ -148,7 +149,9 @@
         } else if (this->dependencies.drain.isDraining()) {
             this->rejectIfUnservable(work, PlacementResult(), waitDeadline);
         }
-        hasWaited = true;
+        if (!std::exchange(hasWaited, true)) {
+            this->dependencies.events.write("wait_begin", { { "request", work.request.id.value() }, { "priority", work.priority } });
+        }
         DescriptorPoller poller;
         auto callerIndex = poller.add(caller.descriptor());
         poller.add(signal.descriptor());
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -9,7 +9,9 @@
 #include <Support/FakeFleet.h>
 
 #include <condition_variable>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace Lovageward {
@@ -56,6 +58,30 @@
     }
 };
 
+/** Counts the lines of each event, so that a test waits for an event instead of polling. */
+class CountingEventLog final : public EventLog
+{
+public:
+    void write(std::string_view event, std::initializer_list<LogField> /*fields*/) override
+    {
+        std::lock_guard<std::mutex> guard(this->mutex);
+        ++this->counts[std::string(event)];
+        this->changed.notify_all();
+    }
+
+    /** Waits until the event was written `count` times in total. */
+    void await(const std::string &event, std::size_t count)
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait(lock, [&] { return this->counts[event] >= count; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, std::size_t> counts;
+};
+
 /**
  * A gateway on loopback. Routes to services: /plain/ (idempotent), /once/ (at most once), /patient/ (long target latency), /feed/ (stream).
  * Routes to engines, all streams: /long/, /patient-long/ (long target latency), /resumable/.
@@ -132,7 +158,7 @@
 
     SystemClock clock;
     SeededRandom random { 1 };
-    NullEventLog events;
+    CountingEventLog events;
     Counters counters;
     ConfigHolder config;
     DrainState drain;
--- a/Tests/LibForward/TestCapacityWait.cpp
+++ b/Tests/LibForward/TestCapacityWait.cpp
@@ -17,15 +17,6 @@
         this->occupation = std::make_unique<LoadReservation>(this->gateway.loadTracker, UpstreamId("e1"), Footprint { 29'500, 0, 0 }, RunKind::Resumed);
     }
 
-    void awaitCount(std::size_t count)
-    {
-        auto until = this->gateway.clock.now() + seconds(10);
-        while (this->gateway.waitingRequests.count() != count && this->gateway.clock.now() < until) {
-            std::this_thread::sleep_for(milliseconds(2));
-        }
-        REQUIRE(this->gateway.waitingRequests.count() == count);
-    }
-
     ScriptedUpstream engine { [](ScriptedConnection &connection, const std::string &request) { continueStream(connection, request, 3); } };
     GatewayFixture gateway;
     std::unique_ptr<LoadReservation> occupation;
@@ -41,7 +32,7 @@
     RawCaller second(fixture.gateway);
     first.request("/long/plan", "r1");
     second.request("/long/plan", "r2");
-    fixture.awaitCount(2);
+    fixture.gateway.events.await("wait_begin", 2);
     CHECK_FALSE(first.isReadableWithin(Poco::Timespan(1, 0)));
     fixture.occupation.reset();
     CHECK(isCompleteStream(first.readUntil("0\r\n\r\n"), 3));
@@ -54,9 +45,10 @@
     WaitFixture fixture;
     RawCaller caller(fixture.gateway);
     caller.request("/patient-long/plan", "r1");
-    fixture.awaitCount(1);
+    fixture.gateway.events.await("wait_begin", 1);
     caller.close();
-    fixture.awaitCount(0);
+    fixture.gateway.events.await("caller_gone", 1);
+    CHECK(fixture.gateway.waitingRequests.count() == 0);
     fixture.occupation.reset();
     CHECK(fixture.engine.requests().empty());
 }
@@ -68,7 +60,7 @@
     RawCaller second(fixture.gateway);
     first.request("/patient-long/plan", "r1");
     second.request("/patient-long/plan", "r2");
-    fixture.awaitCount(2);
+    fixture.gateway.events.await("wait_begin", 2);
     fixture.gateway.drain.begin(fixture.gateway.clock.now() + seconds(30));
     for (auto *caller : { &first, &second }) {
         CHECK(caller->readUntil("}").starts_with("HTTP/1.1 503"));
