LibGateway: Split the codec of digests, the follower and the roll-out controller by job

Reports on upstreams are encoded in UpstreamReportCodec; FeedFollower and RolloutController keep one class, with the records, eras, placement and reports in sources of their own. The code is moved, not changed.

--- a/Libraries/LibGateway/FeedFollower.cpp
+++ b/Libraries/LibGateway/FeedFollower.cpp
@@ -39,23 +39,9 @@
 /** Longest time between a digest that reports new records and their arrival through a relay. */
 constexpr Duration batchArrivalTime = milliseconds(120);
 
-/**
- * Time for which keys are kept that the listing of a new era lacks. Operators and upstreams write again what was lost, within a few seconds. A drain or an
- * upstream that is kept for too long costs some capacity, one that is dropped too early breaks a promise.
- */
-constexpr Duration restorationGrace = seconds(10);
-
 /** Limit of the received batches that wait for the next step. It is reached only while a step waits for the store; dropped records are pulled later. */
 constexpr std::size_t maximumReceivedBatches = 64;
 
-std::string_view topicName(FeedTopic topic)
-{
-    if (topic == FeedTopic::Status) {
-        return "status";
-    }
-    return topic == FeedTopic::Operators ? "operators" : "upstreams";
-}
-
 }
 
 FeedFollower::FeedFollower(const Clock &clock,
@@ -100,7 +86,7 @@
             this->recordAnswer(this->clock.now() - hopAgeAllowance);
             this->applyPage(batch.page);
             this->events.write("peer_records",
-                               { { "topic", topicName(this->topic) }, { "records", batch.page.records.size() }, { "offset", batch.page.nextOffset } });
+                               { { "topic", feedTopicName(this->topic) }, { "records", batch.page.records.size() }, { "offset", batch.page.nextOffset } });
         }
     }
 }
@@ -159,7 +145,7 @@
         return this->isListed ? this->nextStoreReadAt : this->clock.now();
     } catch (const Error &error) {
         if (error.code() == ResultCode::RecordsExpired) {
-            this->events.write("feed_expired", { { "topic", topicName(this->topic) }, { "offset", this->nextOffset } });
+            this->events.write("feed_expired", { { "topic", feedTopicName(this->topic) }, { "offset", this->nextOffset } });
             this->isListed = false;
             this->mustRelist = true;
             return this->clock.now();
@@ -177,60 +163,6 @@
     return this->clock.now() + pauseAfterFailure;
 }
 
-void FeedFollower::leaveOlderEra()
-{
-    auto era = this->targets.storeEras.current();
-    auto listedEra = this->targets.mirror.nextPosition(this->topic).era;
-    if (!this->isListed || era <= listedEra) {
-        return;
-    }
-    this->events.write("store_restored", { { "topic", topicName(this->topic) }, { "era", era.value() }, { "listed_era", listedEra.value() } });
-    this->isListed = false;
-    this->mustRelist = false;
-    this->ownListingAt.reset();
-    this->pullAt.reset();
-    this->nextListingAt = this->clock.now();
-    // Digests must not state the time of a read of the old era together with a position in the new one.
-    this->lastReadTime = 0;
-}
-
-void FeedFollower::acceptEra(StoreEra era)
-{
-    this->targets.storeEras.record(era);
-    if (era < this->targets.storeEras.current()) {
-        throw Error(ResultCode::LogUnavailable, RunState::NotRun, "a response of an older era of the store is discarded");
-    }
-}
-
-void FeedFollower::enterEra(const FeedPage &page)
-{
-    this->applyRecords(page.records);
-    this->nextOffset = page.nextOffset;
-    this->targets.mirror.advanceTo(this->topic, page.nextPosition());
-    auto olderKeys = this->targets.mirror.keysOfOlderEras(this->topic).size();
-    this->olderKeysUntil = this->clock.now() + restorationGrace;
-    this->events.write("store_era",
-                       { { "topic", topicName(this->topic) }, { "era", page.era.value() }, { "records", page.records.size() }, { "missing_keys", olderKeys } });
-}
-
-void FeedFollower::removeKeysOfOlderEras()
-{
-    auto now = this->clock.now();
-    if (!this->olderKeysUntil || now < *this->olderKeysUntil) {
-        return;
-    }
-    // While the store is unavailable nothing can be written again.
-    if (!this->isListed || this->storeOutages.isOutageOngoing() || now < this->storeOutages.removalGraceUntil()) {
-        this->olderKeysUntil = now + restorationGrace;
-        return;
-    }
-    this->olderKeysUntil.reset();
-    auto position = this->targets.mirror.nextPosition(this->topic);
-    for (auto &key : this->targets.mirror.keysOfOlderEras(this->topic)) {
-        this->apply(FeedRecord { std::move(key), {}, std::max<std::uint64_t>(position.offset, 1) - 1, position.era });
-    }
-}
-
 bool FeedFollower::shouldWaitForPeers()
 {
     if (!this->peers.isDiscoveryComplete()) {
@@ -297,7 +229,7 @@
         this->targets.mirror.advanceTo(this->topic, page.nextPosition());
     }
     this->markListed();
-    this->events.write("feed_listed", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
+    this->events.write("feed_listed", { { "topic", feedTopicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
 }
 
 void FeedFollower::readNewRecords()
@@ -331,7 +263,7 @@
             this->fallbackReadAt = now + this->peers.drawStoreCallJitter();
             this->events.write(
                 "readers_silent",
-                { { "topic", topicName(this->topic) }, { "read_in_ms", std::chrono::duration_cast<milliseconds>(*this->fallbackReadAt - now).count() } });
+                { { "topic", feedTopicName(this->topic) }, { "read_in_ms", std::chrono::duration_cast<milliseconds>(*this->fallbackReadAt - now).count() } });
         }
         return now < *this->fallbackReadAt ? this->fallbackReadAt : std::nullopt;
     }
@@ -366,92 +298,6 @@
     return true;
 }
 
-void FeedFollower::apply(const FeedRecord &record)
-{
-    auto previous = this->targets.mirror.find(this->topic, record.key);
-    if (!this->targets.mirror.putIfNewer(this->topic, record)) {
-        return;
-    }
-    try {
-        auto change = this->decoder.decode(this->topic, record, this->clock.now());
-        if (auto *entry = change ? std::get_if<UpstreamRecord>(&*change) : nullptr) {
-            entry->era = record.era;
-        }
-        if (change && previous && this->isOutdated(*change, record, *previous)) {
-            // Peers that read the mirror must not learn the older value either.
-            this->targets.mirror.replaceValue(this->topic, record.key, previous->value);
-            this->events.write("record_outdated", { { "topic", topicName(this->topic) }, { "key", record.key }, { "offset", record.offset } });
-        }
-        if (change) {
-            this->applyChange(*change, record);
-        }
-    } catch (const std::exception &error) {
-        this->events.write("record_ignored", { { "topic", topicName(this->topic) }, { "key", record.key }, { "reason", error.what() } });
-        if (this->topic == FeedTopic::Upstreams) {
-            // The current state of the upstream is unknown, so it isn't used.
-            this->targets.registry.remove(UpstreamId(record.key), record.era);
-        }
-    }
-}
-
-bool FeedFollower::isOutdated(const FeedChange &change, const FeedRecord &record, const FeedRecord &previous) const
-{
-    if (const auto *config = std::get_if<std::shared_ptr<const GatewayConfig>>(&change)) {
-        auto active = this->targets.config.current();
-        return active && (*config)->version() < active->version() && previous.era < record.era;
-    }
-    const auto *entry = std::get_if<UpstreamRecord>(&change);
-    return entry != nullptr && this->targets.registry.isOutdated(*entry);
-}
-
-void FeedFollower::applyChange(const FeedChange &change, const FeedRecord &record)
-{
-    if (const auto *config = std::get_if<std::shared_ptr<const GatewayConfig>>(&change)) {
-        auto isNewer = this->targets.config.updateIfNewer(*config);
-        this->events.write("config", { { "version", (*config)->version().value() }, { "offset", record.offset }, { "in_force", isNewer } });
-    } else if (const auto *drain = std::get_if<DrainChange>(&change)) {
-        this->targets.registry.setDrained(drain->domain, drain->isDrained);
-        this->events.write("drain", { { "domain", drain->domain.value() }, { "drained", drain->isDrained }, { "offset", record.offset } });
-    } else if (const auto *entry = std::get_if<UpstreamRecord>(&change)) {
-        if (this->targets.registry.put(*entry) && !this->isBulkUpdate) {
-            this->events.write("upstream",
-                               { { "upstream", entry->id.value() },
-                                 { "boot", entry->boot.value() },
-                                 { "pool", entry->pool.value() },
-                                 { "domain", entry->failureDomain.value() },
-                                 { "draining", entry->isDraining },
-                                 { "offset", record.offset } });
-        }
-    } else if (const auto *removal = std::get_if<UpstreamRemoval>(&change)) {
-        auto graceUntil = this->storeOutages.removalGraceUntil();
-        auto isDeferred = this->clock.now() < graceUntil;
-        if (isDeferred) {
-            this->targets.registry.scheduleRemoval(removal->upstream, graceUntil, record.era);
-        } else {
-            this->targets.registry.remove(removal->upstream, record.era);
-        }
-        this->events.write("upstream_removed", { { "upstream", removal->upstream.value() }, { "offset", record.offset }, { "doubtful", isDeferred } });
-    } else if (this->targets.rollouts != nullptr) {
-        this->applyRolloutChange(change);
-    }
-}
-
-void FeedFollower::applyRolloutChange(const FeedChange &change)
-{
-    if (const auto *order = std::get_if<RolloutOrder>(&change)) {
-        this->targets.rollouts->applyOrder(*order);
-    } else if (const auto *status = std::get_if<RolloutStatus>(&change)) {
-        this->targets.rollouts->applyStatus(*status);
-    }
-}
-
-void FeedFollower::removeUnlisted(const FeedPage &page)
-{
-    for (auto &missing : this->targets.mirror.keysMissingFrom(this->topic, page.records)) {
-        this->apply(FeedRecord { std::move(missing), {}, std::max<std::uint64_t>(page.nextOffset, 1) - 1, page.era });
-    }
-}
-
 void FeedFollower::recordSuccessfulRead()
 {
     auto now = this->clock.now();
@@ -464,7 +310,7 @@
 {
     auto isOutage = this->storeOutages.recordFailedRead(startedAt);
     if (!this->readsFailSince || isOutage) {
-        this->events.write("store_lost", { { "topic", topicName(this->topic) }, { "reason", reason }, { "outage", isOutage } });
+        this->events.write("store_lost", { { "topic", feedTopicName(this->topic) }, { "reason", reason }, { "outage", isOutage } });
     }
     this->readsFailSince = this->readsFailSince.value_or(startedAt);
 }
@@ -475,7 +321,7 @@
         return;
     }
     auto lostTime = std::chrono::duration_cast<milliseconds>(this->clock.now() - *this->readsFailSince);
-    this->events.write("store_regained", { { "topic", topicName(this->topic) }, { "lost_ms", lostTime.count() } });
+    this->events.write("store_regained", { { "topic", feedTopicName(this->topic) }, { "lost_ms", lostTime.count() } });
     this->readsFailSince.reset();
 }
 
@@ -491,7 +337,7 @@
 {
     if (auto outage = this->storeOutages.recordAnswer(answeredAt)) {
         auto duration = std::chrono::duration_cast<milliseconds>(outage->endedAt - outage->startedAt);
-        this->events.write("store_outage", { { "topic", topicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "read" } });
+        this->events.write("store_outage", { { "topic", feedTopicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "read" } });
     }
 }
 
@@ -499,7 +345,7 @@
 {
     if (this->storeOutages.recordPeerReport(report)) {
         auto duration = std::chrono::duration_cast<milliseconds>(report.startAge - report.endAge);
-        this->events.write("store_outage", { { "topic", topicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "peer" } });
+        this->events.write("store_outage", { { "topic", feedTopicName(this->topic) }, { "outage_ms", duration.count() }, { "source", "peer" } });
     }
 }
 
@@ -519,9 +365,9 @@
             this->applyPage(page);
         }
         this->isSynced = this->isSynced || page.nextOffset > 0;
-        this->events.write("peer_pull", { { "topic", topicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
+        this->events.write("peer_pull", { { "topic", feedTopicName(this->topic) }, { "records", page.records.size() }, { "offset", page.nextOffset } });
     } catch (const Error &error) {
-        this->events.write("peer_pull_failed", { { "topic", topicName(this->topic) }, { "reason", error.what() } });
+        this->events.write("peer_pull_failed", { { "topic", feedTopicName(this->topic) }, { "reason", error.what() } });
     }
 }
 
--- a/Libraries/LibGateway/PeerDigest.cpp
+++ b/Libraries/LibGateway/PeerDigest.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/PeerDigest.h>
 
 #include <LibGateway/RolloutReportCodec.h>
+#include <LibGateway/UpstreamReportCodec.h>
 #include <LibPeer/Compression.h>
 #include <LibPeer/MessageReader.h>
 #include <LibPeer/MessageWriter.h>
@@ -42,9 +43,6 @@
 /** Number of topics in digests of versions without roll-outs. */
 constexpr std::size_t topicsWithoutStatus = 2;
 
-/** Limit of the values in an array to which newer versions can append. */
-constexpr std::size_t maximumFields = 64;
-
 /** Shortest interval of full states, which make up for lost load changes. */
 constexpr Duration minimumInterval = milliseconds(250);
 
@@ -60,20 +58,6 @@
 /** Largest age of the start of an outage that is sent; longer ones are clamped. */
 constexpr Duration maximumOutageAge = minutes(60);
 
-/** Largest age of a response with or without a rate limit that is sent; longer ones are clamped. */
-constexpr Duration maximumRateLimitAge = minutes(1);
-
-/** Limits of a suspected part in a digest: its crashes, of which the newest are sent, their age, and the number of parts before it. */
-constexpr std::size_t maximumReportedCrashes = 6;
-constexpr Duration maximumCrashAge = minutes(60);
-constexpr std::uint32_t maximumPartPosition = 1'000;
-
-/** Limits of the reported loads in a digest: their number, and their age, beyond which they are clamped. */
-constexpr std::size_t maximumSpeedReportsPerDigest = 2 * maximumSpeedReports;
-constexpr Duration maximumSpeedReportAge = minutes(1);
-
-constexpr auto maximumScaledRateLimit = static_cast<std::uint64_t>(maximumRateLimit * rateLimitScale);
-
 std::vector<UpstreamLoadReport> selectLargestShares(std::vector<UpstreamLoadReport> shares)
 {
     if (shares.size() > maximumShares) {
@@ -126,13 +110,13 @@
 std::optional<FleetSummary> readSummary(MessageReader &reader)
 {
     std::optional<FleetSummary> summary;
-    auto fields = reader.beginArray(0, maximumFields);
+    auto fields = reader.beginArray(0, maximumDigestFields);
     if (fields >= 2) {
         summary.emplace();
         summary->nodeCount = static_cast<std::size_t>(reader.number(maximumNodes));
         summary->areas.resize(reader.beginArray(0, maximumAreas));
         for (auto &area : summary->areas) {
-            reader.beginArray(6, maximumFields);
+            reader.beginArray(6, maximumDigestFields);
             area.domain = FailureDomainId(reader.text());
             area.pool = PoolId(reader.text());
             area.load = readLoad(reader);
@@ -143,7 +127,7 @@
     if (fields >= 3) {
         summary->upstreams.resize(reader.beginArray(0, maximumSummaryUpstreams));
         for (auto &upstream : summary->upstreams) {
-            reader.beginArray(5, maximumFields);
+            reader.beginArray(5, maximumDigestFields);
             upstream.upstreamHash = reader.number();
             upstream.load = readLoad(reader);
             reader.endArray();
@@ -170,7 +154,7 @@
     MessageReader reader(inflatedBytes);
     std::vector<FeedRecord> records(reader.beginArray(0, maximumBatchBytes));
     for (auto &record : records) {
-        reader.beginArray(3, maximumFields);
+        reader.beginArray(3, maximumDigestFields);
         record.key = reader.text(maximumBatchBytes);
         record.value = reader.bytes(maximumBatchBytes);
         record.offset = reader.number();
@@ -194,7 +178,7 @@
 
 void readBatch(MessageReader &reader, PeerDigest &digest)
 {
-    auto fields = reader.beginArray(0, maximumFields);
+    auto fields = reader.beginArray(0, maximumDigestFields);
     if (fields >= 5) {
         auto &batch = digest.batch.emplace();
         batch.topic = static_cast<FeedTopic>(reader.number(feedTopicCount - 1));
@@ -210,108 +194,6 @@
     reader.endArray();
 }
 
-void writeLeavingUpstreams(MessageWriter &writer, const std::vector<UpstreamShutdownNotice> &leaves)
-{
-    auto count = std::min(leaves.size(), maximumLeavingUpstreams);
-    writer.array(count);
-    for (std::size_t position = 0; position < count; ++position) {
-        writer.array(2).text(leaves[position].upstream.value()).text(leaves[position].boot.value());
-    }
-}
-
-std::vector<UpstreamShutdownNotice> readLeavingUpstreams(MessageReader &reader)
-{
-    std::vector<UpstreamShutdownNotice> leaves(reader.beginArray(0, maximumLeavingUpstreams));
-    for (auto &leave : leaves) {
-        reader.beginArray(2, maximumFields);
-        leave.upstream = UpstreamId(reader.text());
-        leave.boot = BootId(reader.text());
-        reader.endArray();
-    }
-    reader.endArray();
-    return leaves;
-}
-
-void writeRateLimits(MessageWriter &writer, const std::vector<UpstreamRateLimitReport> &reports)
-{
-    auto count = std::min(reports.size(), maximumRateLimits);
-    writer.array(count);
-    for (std::size_t position = 0; position < count; ++position) {
-        const auto &report = reports[position];
-        writer.array(5).text(report.upstream.value()).text(report.boot.value()).flag(report.requestsPerSecond.has_value());
-        writer.number(static_cast<std::uint64_t>(std::llround(report.requestsPerSecond.value_or(0) * rateLimitScale)));
-        writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(report.age, Duration(0), maximumRateLimitAge) / milliseconds(1)));
-    }
-}
-
-std::vector<UpstreamRateLimitReport> readRateLimits(MessageReader &reader)
-{
-    std::vector<UpstreamRateLimitReport> reports(reader.beginArray(0, maximumRateLimits));
-    for (auto &report : reports) {
-        reader.beginArray(5, maximumFields);
-        report.upstream = UpstreamId(reader.text());
-        report.boot = BootId(reader.text());
-        auto isLimited = reader.flag();
-        auto requestsPerSecond = static_cast<double>(reader.number(maximumScaledRateLimit)) / rateLimitScale;
-        report.requestsPerSecond = isLimited ? std::optional<double>(requestsPerSecond) : std::nullopt;
-        report.age = milliseconds(reader.number(static_cast<std::uint64_t>(maximumRateLimitAge / milliseconds(1))));
-        reader.endArray();
-    }
-    reader.endArray();
-    return reports;
-}
-
-void writeAge(MessageWriter &writer, Duration age, Duration maximumAge)
-{
-    writer.number(static_cast<std::uint64_t>(std::clamp<Duration>(age, Duration(0), maximumAge) / milliseconds(1)));
-}
-
-Duration readAge(MessageReader &reader, Duration maximumAge)
-{
-    return milliseconds(reader.number(static_cast<std::uint64_t>(maximumAge / milliseconds(1))));
-}
-
-void writeSuspectedParts(MessageWriter &writer, const std::vector<PromptPartReport> &reports)
-{
-    auto count = std::min(reports.size(), maximumSuspectedParts);
-    writer.array(count);
-    for (std::size_t position = 0; position < count; ++position) {
-        const auto &report = reports[position];
-        writer.array(5).number(report.part).number(std::min(report.position, maximumPartPosition)).flag(report.successAge.has_value());
-        writeAge(writer, report.successAge.value_or(Duration(0)), maximumCrashAge);
-        auto crashes = std::min(report.crashes.size(), maximumReportedCrashes);
-        writer.array(crashes);
-        for (std::size_t crash = 0; crash < crashes; ++crash) {
-            writer.array(2).number(report.crashes[crash].process);
-            writeAge(writer, report.crashes[crash].age, maximumCrashAge);
-        }
-    }
-}
-
-std::vector<PromptPartReport> readSuspectedParts(MessageReader &reader)
-{
-    std::vector<PromptPartReport> reports(reader.beginArray(0, maximumSuspectedParts));
-    for (auto &report : reports) {
-        reader.beginArray(5, maximumFields);
-        report.part = reader.number();
-        report.position = static_cast<std::uint32_t>(reader.number(maximumPartPosition));
-        auto hasSucceeded = reader.flag();
-        auto successAge = readAge(reader, maximumCrashAge);
-        report.successAge = hasSucceeded ? std::optional(successAge) : std::nullopt;
-        report.crashes.resize(reader.beginArray(0, maximumReportedCrashes));
-        for (auto &crash : report.crashes) {
-            reader.beginArray(2, maximumFields);
-            crash.process = reader.number();
-            crash.age = readAge(reader, maximumCrashAge);
-            reader.endArray();
-        }
-        reader.endArray();
-        reader.endArray();
-    }
-    reader.endArray();
-    return reports;
-}
-
 /** An empty array stands for no outage of the topic. */
 void writeStoreOutages(MessageWriter &writer, const PeerDigest &digest)
 {
@@ -337,7 +219,7 @@
 /** A sender that follows fewer topics sends fewer eras. */
 void readEras(MessageReader &reader, PeerDigest &digest)
 {
-    auto count = reader.beginArray(1, maximumFields);
+    auto count = reader.beginArray(1, maximumDigestFields);
     digest.knownEra = StoreEra(reader.number());
     for (std::size_t topic = 0; topic < std::min(count - 1, digest.eras.size()); ++topic) {
         digest.eras[topic] = StoreEra(reader.number());
@@ -347,10 +229,10 @@
 
 void readStoreOutages(MessageReader &reader, PeerDigest &digest)
 {
-    auto topics = reader.beginArray(topicsWithoutStatus, maximumFields);
+    auto topics = reader.beginArray(topicsWithoutStatus, maximumDigestFields);
     for (std::size_t topic = 0; topic < std::min(topics, feedTopicCount); ++topic) {
         auto &outage = digest.storeOutages[topic];
-        if (reader.beginArray(0, maximumFields) >= 2) {
+        if (reader.beginArray(0, maximumDigestFields) >= 2) {
             outage.emplace();
             outage->startAge = readAge(reader, maximumOutageAge);
             outage->endAge = readAge(reader, maximumOutageAge);
@@ -360,39 +242,6 @@
     reader.endArray();
 }
 
-/** A slowness of zero stands for none. */
-void writeSpeedReports(MessageWriter &writer, const std::vector<UpstreamSpeedReport> &reports)
-{
-    auto count = std::min(reports.size(), maximumSpeedReportsPerDigest);
-    writer.array(count);
-    for (std::size_t position = 0; position < count; ++position) {
-        const auto &report = reports[position];
-        writer.array(7).number(report.upstreamHash).number(report.bootHash).number(report.running).number(report.waiting);
-        writer.number(report.slowness.value_or(0));
-        writeAge(writer, report.age, maximumSpeedReportAge);
-        writer.flag(report.isFromOtherDomain);
-    }
-}
-
-std::vector<UpstreamSpeedReport> readSpeedReports(MessageReader &reader)
-{
-    std::vector<UpstreamSpeedReport> reports(reader.beginArray(0, maximumSpeedReportsPerDigest));
-    for (auto &report : reports) {
-        reader.beginArray(7, maximumFields);
-        report.upstreamHash = reader.number();
-        report.bootHash = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
-        report.running = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
-        report.waiting = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
-        auto slowness = static_cast<std::uint32_t>(reader.number(maximumReportedFigure));
-        report.slowness = slowness > 0 ? std::optional(slowness) : std::nullopt;
-        report.age = readAge(reader, maximumSpeedReportAge);
-        report.isFromOtherDomain = reader.flag();
-        reader.endArray();
-    }
-    reader.endArray();
-    return reports;
-}
-
 }
 
 Duration fullStateInterval(std::size_t peers)
@@ -447,18 +296,18 @@
 {
     MessageReader reader(bytes);
     PeerDigest digest;
-    auto fields = reader.beginArray(fieldCountWithoutLeavingUpstreams, maximumFields);
+    auto fields = reader.beginArray(fieldCountWithoutLeavingUpstreams, maximumDigestFields);
     digest.host = HostId(reader.text());
     digest.failureDomain = FailureDomainId(reader.text());
     digest.isLeaving = reader.flag();
     digest.isRelay = reader.flag();
-    auto offsets = reader.beginArray(topicsWithoutStatus, maximumFields);
+    auto offsets = reader.beginArray(topicsWithoutStatus, maximumDigestFields);
     for (std::size_t topic = 0; topic < std::min(offsets, feedTopicCount); ++topic) {
         digest.nextOffsets[topic] = reader.number();
     }
     reader.endArray();
     digest.readAges.fill(maximumReadAge);
-    auto ages = reader.beginArray(topicsWithoutStatus, maximumFields);
+    auto ages = reader.beginArray(topicsWithoutStatus, maximumDigestFields);
     for (std::size_t topic = 0; topic < std::min(ages, feedTopicCount); ++topic) {
         digest.readAges[topic] = milliseconds(reader.number(static_cast<std::uint64_t>(maximumReadAge / milliseconds(1))));
     }
@@ -466,7 +315,7 @@
     digest.loadScope = static_cast<LoadScope>(reader.number(static_cast<std::uint64_t>(LoadScope::Full)));
     digest.shares.resize(reader.beginArray(0, maximumShares));
     for (auto &share : digest.shares) {
-        reader.beginArray(6, maximumFields);
+        reader.beginArray(6, maximumDigestFields);
         share.upstreamHash = reader.number();
         share.load = readLoad(reader);
         share.tokenTime = Duration(reader.number(static_cast<std::uint64_t>(maximumTokenTime.count())));
@@ -475,7 +324,7 @@
     reader.endArray();
     digest.knownPeers.resize(reader.beginArray(0, maximumPeers));
     for (auto &peer : digest.knownPeers) {
-        reader.beginArray(3, maximumFields);
+        reader.beginArray(3, maximumDigestFields);
         peer.host = HostId(reader.text());
         peer.failureDomain = FailureDomainId(reader.text());
         peer.address = reader.text();
--- a/Libraries/LibGateway/PeerDigest.h
+++ b/Libraries/LibGateway/PeerDigest.h
@@ -105,6 +105,9 @@
 /** Limit of an encoded digest, which is one datagram. */
 inline constexpr std::size_t maximumDigestBytes = 8192;
 
+/** Limit of the values in an array of a digest to which newer versions can append. */
+inline constexpr std::size_t maximumDigestFields = 64;
+
 /** Limit of the load shares in one digest. A node uses few upstreams at a time; beyond the limit the largest shares are sent. */
 inline constexpr std::size_t maximumShares = 64;
 
--- a/Libraries/LibGateway/RolloutController.cpp
+++ b/Libraries/LibGateway/RolloutController.cpp
@@ -1,8 +1,5 @@
 #include <LibGateway/RolloutController.h>
 
-#include <LibCore/Error.h>
-#include <LibMembership/RendezvousHash.h>
-
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -17,20 +14,6 @@
 /** Interval at which versions of all pools are counted and the exposed upstreams are chosen. */
 constexpr Duration versionInterval = seconds(1);
 
-/** Time without a message about the roll-out after which a node sends nothing to the target version. Less than the time in which a rollback has to work. */
-constexpr Duration contactLifetime = seconds(3);
-
-/** Interval of the reports to the group: a report of four routes has about 150 bytes, so that 16 peers receive 2.5 KB/s from a node. */
-constexpr Duration minimumReportInterval = milliseconds(250);
-constexpr Duration reportIntervalPerPeer = milliseconds(60);
-
-/** Interval of the reports between relays, which have two peers in each domain: at the group's interval a relay of 21 domains had 70 KB/s. */
-constexpr Duration minimumRelayReportInterval = milliseconds(500);
-constexpr Duration relayReportIntervalPerDomain = milliseconds(50);
-
-/** Time after the end of an order for which peers still learn of it. */
-constexpr Duration reportingTimeAfterEnd = seconds(10);
-
 /** Shortest time in a stage, and the target responses of all nodes in it, before the next stage. */
 constexpr Duration minimumStageTime = seconds(2);
 constexpr std::uint64_t minimumStageResponses = 10;
@@ -57,26 +40,6 @@
 constexpr Duration minimumCompletionMargin = seconds(3);
 constexpr Duration maximumCompletionMargin = seconds(8);
 
-/** Connections that an upstream loses within this time after the first one belong to the same crash and count once. */
-constexpr Duration crashTime = seconds(2);
-
-constexpr Duration boardCallTimeout = milliseconds(700);
-constexpr Duration writeRetryDelay = milliseconds(400);
-/** Delays by rank, so that usually one node writes a report. */
-constexpr Duration delayPerHostRank = milliseconds(400);
-constexpr Duration delayPerDomainRank = milliseconds(100);
-constexpr Duration maximumWriteDelay = seconds(2);
-
-std::uint64_t rankScore(const std::string &name, const std::string &key)
-{
-    return XXH64(name.data(), name.size(), XXH64(key.data(), key.size(), 0));
-}
-
-bool isFinal(RolloutState state)
-{
-    return state != RolloutState::Running;
-}
-
 std::string_view phaseName(RolloutPhase phase)
 {
     switch (phase) {
@@ -92,15 +55,11 @@
     return "rolled_back";
 }
 
-RolloutCounts targetSum(const RolloutTotals &totals)
-{
-    RolloutCounts sum;
-    for (const auto &[route, counts] : totals) {
-        sum += counts.target;
-    }
-    return sum;
 }
 
+std::uint64_t RolloutController::rankScore(const std::string &name, const std::string &key)
+{
+    return XXH64(name.data(), name.size(), XXH64(key.data(), key.size(), 0));
 }
 
 RolloutController::RolloutController(
@@ -256,265 +215,6 @@
     }
 }
 
-bool RolloutController::hasContact(const Rollout &rollout) const
-{
-    auto lifetime = std::min<Duration>(contactLifetime, this->limits.rollbackTime * 3 / 5);
-    auto now = this->dependencies.clock.now();
-    if (!rollout.isOrderKnown || !this->dependencies.sync.hasReports() || now >= rollout.endsAt || now >= rollout.lastPeerReportAt + lifetime) {
-        return false;
-    }
-    return !this->dependencies.fleet.isHierarchical() || now < rollout.evidence.lastRemoteReportAt() + lifetime;
-}
-
-VersionFilter RolloutController::filterFor(const PoolId &pool) const
-{
-    VersionFilter filter;
-    auto blocked = this->blockedVersions.find(pool);
-    if (blocked != this->blockedVersions.end()) {
-        filter.blocked = blocked->second;
-    }
-    auto rollout = this->rollouts.find(pool);
-    if (rollout != this->rollouts.end() && rollout->second.finalState != RolloutState::Completed) {
-        filter.blocked.insert(rollout->second.target);
-    }
-    auto established = this->establishedVersions.find(pool);
-    if (established != this->establishedVersions.end()) {
-        filter.allowed = established->second;
-    }
-    return filter;
-}
-
-VersionRule RolloutController::beginPlacement(const PoolId &pool, const RouteId &route, bool isFirstAttempt)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    VersionRule rule;
-    rule.filter = this->filterFor(pool);
-    auto found = this->rollouts.find(pool);
-    if (found == this->rollouts.end() || found->second.finalState || !this->hasContact(found->second)) {
-        return rule;
-    }
-    auto &rollout = found->second;
-    if (rollout.phase == RolloutPhase::Promoting || rollout.phase == RolloutPhase::Completed) {
-        rule.target = TargetSelection { rollout.target, {} };
-    } else if (rollout.phase == RolloutPhase::Exposing && isFirstAttempt && !rollout.targets.empty()) {
-        // A request of a route with enough responses leaves the budget to a route that lacks them.
-        const auto &own = rollout.evidence.own();
-        auto counts = own.find(RolloutEvidence::hashRoute(route));
-        auto isScarce = counts == own.end() || counts->second.target.responses == 0;
-        auto hasScarceRoute = std::any_of(own.begin(), own.end(), [](const auto &entry) { return entry.second.target.responses == 0; });
-        if (rollout.exposure.tryTake(this->dependencies.clock.now(), !isScarce && hasScarceRoute)) {
-            rule.target = TargetSelection { rollout.target, rollout.targets };
-            rule.isExposure = true;
-        }
-    }
-    return rule;
-}
-
-void RolloutController::cancelExposure(const PoolId &pool)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    auto found = this->rollouts.find(pool);
-    if (found != this->rollouts.end()) {
-        found->second.exposure.giveBack();
-    }
-}
-
-VersionFilter RolloutController::copyFilter(const PoolId &pool, const UpstreamRecord &runner) const
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    auto found = this->rollouts.find(pool);
-    if (found != this->rollouts.end() && !found->second.finalState && found->second.phase >= RolloutPhase::Promoting
-        && found->second.phase != RolloutPhase::RolledBack && this->hasContact(found->second) && runner.version != found->second.target) {
-        VersionFilter filter;
-        filter.allowed = std::set<UpstreamVersion> { found->second.target };
-        return filter;
-    }
-    return this->filterFor(pool);
-}
-
-bool RolloutController::mayContinueOn(const UpstreamRecord &upstream) const
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    if (this->filterFor(upstream.pool).allows(upstream.version)) {
-        return true;
-    }
-    auto found = this->rollouts.find(upstream.pool);
-    auto isPromoted = found != this->rollouts.end() && !found->second.finalState && found->second.target == upstream.version
-        && (found->second.phase == RolloutPhase::Promoting || found->second.phase == RolloutPhase::Completed);
-    return isPromoted && this->hasContact(found->second);
-}
-
-std::unique_ptr<RolloutObservation> RolloutController::observe(const RouteId &route, const UpstreamRecord &upstream, bool isFirstAttempt)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    auto found = this->rollouts.find(upstream.pool);
-    if (found == this->rollouts.end() || found->second.finalState) {
-        return nullptr;
-    }
-    auto &rollout = found->second;
-    auto isTarget = upstream.version == rollout.target;
-    if (isFirstAttempt) {
-        ++rollout.requests;
-        rollout.exposure.addRequest(rollout.stage);
-    }
-    rollout.exposedRequests += isTarget ? 1 : 0;
-    auto now = this->dependencies.clock.now();
-    ObservedRun run {
-        upstream.pool, rollout.order, route, upstream.id, isTarget ? RolloutSide::Target : RolloutSide::Baseline, now >= upstream.coldUntil, now
-    };
-    return std::make_unique<RolloutObservation>(this->dependencies.clock, *this, std::move(run));
-}
-
-RolloutController::Rollout *RolloutController::findRun(const ObservedRun &run)
-{
-    auto found = this->rollouts.find(run.pool);
-    return found != this->rollouts.end() && found->second.order == run.order ? &found->second : nullptr;
-}
-
-void RolloutController::recordStart(const ObservedRun &run, Duration latency)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    if (auto *rollout = this->findRun(run)) {
-        rollout->evidence.recordStart(run.route, run.side, latency, run.judgesLatency);
-    }
-}
-
-void RolloutController::recordPace(const ObservedRun &run, Duration interval)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    if (auto *rollout = this->findRun(run)) {
-        rollout->evidence.recordPace(run.route, run.side, interval, run.judgesLatency);
-    }
-}
-
-void RolloutController::recordFailure(const ObservedRun &run, bool isConnectionLost)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    auto *rollout = this->findRun(run);
-    if (rollout == nullptr) {
-        return;
-    }
-    if (isConnectionLost) {
-        auto now = this->dependencies.clock.now();
-        auto &until = rollout->crashUntil[run.upstream];
-        if (now < until) {
-            return;
-        }
-        until = now + crashTime;
-    }
-    rollout->evidence.recordFailure(run.route, run.side);
-}
-
-void RolloutController::recordAbandoned(const ObservedRun &run, Duration waited)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    if (auto *rollout = this->findRun(run)) {
-        rollout->evidence.recordAbandoned(run.route, run.side, waited);
-    }
-}
-
-RolloutReport RolloutController::makeReport(const Rollout &rollout, RolloutScope scope) const
-{
-    RolloutReport report;
-    report.pool = rollout.pool;
-    report.order = rollout.order;
-    report.target = rollout.target;
-    report.phase = rollout.phase;
-    report.stage = rollout.stage;
-    report.age = std::max<Duration>(Duration(0), this->dependencies.clock.now() - rollout.startedAt);
-    report.scope = scope;
-    report.process = this->process;
-    auto ownRuns = this->localBaselineRuns(rollout);
-    if (scope == RolloutScope::Process) {
-        report.baselineRuns = ownRuns;
-        report.totals = rollout.evidence.own();
-        return report;
-    }
-    auto coverage = scope == RolloutScope::Domain ? rollout.evidence.groupCoverage() : rollout.evidence.domainCoverage();
-    report.nodeCount = coverage.nodeCount + (scope == RolloutScope::Domain ? 1 : 0);
-    report.baselineRuns = coverage.baselineRuns + (scope == RolloutScope::Domain ? ownRuns : 0);
-    report.totals = scope == RolloutScope::Domain ? rollout.evidence.group() : rollout.evidence.reportedDomains();
-    while (report.totals.size() > maximumRolloutRoutes) {
-        report.totals.erase(std::prev(report.totals.end()));
-    }
-    return report;
-}
-
-DueRolloutReports RolloutController::takeDueReports(std::size_t groupPeers, bool isRelay)
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    DueRolloutReports due;
-    auto now = this->dependencies.clock.now();
-    if (now < this->reportDueAt) {
-        return due;
-    }
-    auto isRelayReportDue = isRelay && now >= this->relayReportDueAt;
-    std::size_t domainCount = 0;
-    for (const auto &[pool, rollout] : this->rollouts) {
-        domainCount = std::max(domainCount, rollout.domains.size());
-        if (rollout.finalState && now >= std::max(rollout.endsAt, rollout.phaseBeganAt) + reportingTimeAfterEnd) {
-            continue;
-        }
-        due.group.push_back(this->makeReport(rollout, RolloutScope::Process));
-        if (isRelayReportDue) {
-            due.relays.push_back(this->makeReport(rollout, RolloutScope::Domain));
-            if (rollout.evidence.liveDomainCount() > 0) {
-                due.group.push_back(this->makeReport(rollout, RolloutScope::OtherDomains));
-            }
-        }
-    }
-    auto interval = std::max<Duration>(minimumReportInterval, reportIntervalPerPeer * static_cast<int>(groupPeers));
-    if (isRelayReportDue) {
-        this->relayReportDueAt = now + std::max<Duration>(minimumRelayReportInterval, relayReportIntervalPerDomain * static_cast<int>(domainCount));
-    }
-    this->reportDueAt = due.group.empty() ? TimePoint::max() : now + interval;
-    return due;
-}
-
-TimePoint RolloutController::nextReportAt() const
-{
-    std::lock_guard<std::mutex> guard(this->mutex);
-    return this->reportDueAt;
-}
-
-void RolloutController::receiveReport(const HostId &peer, const FailureDomainId &domain, const RolloutReport &report)
-{
-    {
-        std::lock_guard<std::mutex> guard(this->mutex);
-        auto now = this->dependencies.clock.now();
-        auto found = this->rollouts.find(report.pool);
-        if (found != this->rollouts.end() && found->second.order > report.order) {
-            return;
-        }
-        auto isKnown = found != this->rollouts.end() && found->second.order == report.order;
-        auto &rollout = isKnown ? found->second : this->beginRollout(report.pool, report.order, report.target, now);
-        if (report.target != rollout.target) {
-            return;
-        }
-        auto startedAt = now - report.age;
-        if (startedAt < rollout.startedAt) {
-            if (rollout.isOrderKnown) {
-                rollout.endsAt -= rollout.startedAt - startedAt;
-            }
-            rollout.startedAt = startedAt;
-        }
-        rollout.lastPeerReportAt = now;
-        rollout.hosts[peer] = now;
-        rollout.domains.insert(domain);
-        rollout.evidence.merge(report, domain);
-        auto stage = std::min(report.stage, RolloutExposure::lastStage);
-        if (stage > rollout.stage) {
-            rollout.stage = stage;
-            rollout.stageBeganAt = now;
-            rollout.stageResponses = targetSum(rollout.evidence.all()).responses;
-        }
-        if (report.phase > rollout.phase && !rollout.finalState) {
-            this->setPhase(rollout, report.phase, fmt::format("reported by {}", peer.value()));
-        }
-    }
-    this->notifyListener();
-}
-
 void RolloutController::notifyListener()
 {
     {
@@ -709,64 +409,6 @@
     set("fleet_slow_streams", sum.slowPaces);
 }
 
-Duration RolloutController::writeDelay(const Rollout &rollout) const
-{
-    auto key = fmt::format("{}/{}", rollout.pool.value(), rollout.order.value());
-    auto now = this->dependencies.clock.now();
-    auto ownScore = RendezvousHash::score(this->host, key);
-    auto hostRank = std::count_if(rollout.hosts.begin(), rollout.hosts.end(), [&](const auto &peer) {
-        return now < peer.second + contactLifetime && RendezvousHash::score(peer.first, key) > ownScore;
-    });
-    auto ownDomainScore = rankScore(this->location.failureDomain.value(), key);
-    auto domainRank
-        = std::count_if(rollout.domains.begin(), rollout.domains.end(), [&](const auto &domain) { return rankScore(domain.value(), key) > ownDomainScore; });
-    return std::min<Duration>(hostRank * delayPerHostRank + domainRank * delayPerDomainRank, maximumWriteDelay);
-}
-
-std::optional<RolloutStatus> RolloutController::takeDueWrite(Rollout &rollout)
-{
-    auto now = this->dependencies.clock.now();
-    auto isEnded = rollout.phase >= RolloutPhase::Completed;
-    auto isDue = !rollout.finalState && (isEnded || (rollout.isOrderKnown && !rollout.isRunningReported && this->dependencies.sync.hasReports()));
-    if (!isDue || now < rollout.nextWriteAt) {
-        return std::nullopt;
-    }
-    rollout.nextWriteAt = now + writeRetryDelay + this->writeDelay(rollout);
-    auto state = RolloutState::Running;
-    if (isEnded) {
-        state = rollout.phase == RolloutPhase::Completed ? RolloutState::Completed : RolloutState::RolledBack;
-    }
-    return RolloutStatus { rollout.pool, rollout.target, state, rollout.order };
-}
-
-void RolloutController::write(const RolloutStatus &status)
-{
-    try {
-        const auto &clock = this->dependencies.clock;
-        auto newest = this->dependencies.board.readNewest(status.pool, clock.now() + boardCallTimeout);
-        auto isNewer = newest.status && newest.status->order && *newest.status->order > *status.order;
-        auto isDecided = newest.status && newest.status->order == status.order && (isFinal(newest.status->state) || newest.status->state == status.state);
-        if (isNewer) {
-            return;
-        }
-        if (!isDecided) {
-            auto result = this->dependencies.board.writeAt(status, newest.end, clock.now() + boardCallTimeout);
-            this->dependencies.events.write("rollout_status_written",
-                                            { { "pool", status.pool.value() },
-                                              { "version", status.target.value() },
-                                              { "state", static_cast<int>(status.state) },
-                                              { "at", newest.end },
-                                              { "written", result == StatusWriteResult::Written } });
-            if (result != StatusWriteResult::Written) {
-                return;
-            }
-        }
-        this->applyStatus(isDecided ? *newest.status : status);
-    } catch (const Error &error) {
-        this->dependencies.events.write("rollout_status_failed", { { "pool", status.pool.value() }, { "reason", error.what() } });
-    }
-}
-
 TimePoint RolloutController::step()
 {
     std::vector<RolloutStatus> writes;
--- a/Libraries/LibGateway/RolloutController.h
+++ b/Libraries/LibGateway/RolloutController.h
@@ -91,6 +91,9 @@
     std::optional<RolloutPhase> phase(const PoolId &pool) const;
 
 private:
+    /** Time without a message about the roll-out after which a node sends nothing to the target version. Less than the time in which a rollback has to work. */
+    static constexpr Duration contactLifetime = seconds(3);
+
     struct Rollout
     {
         Rollout(RolloutEvidence evidence, RolloutExposure exposure) : evidence(std::move(evidence)), exposure(exposure)
@@ -135,6 +138,8 @@
         std::optional<TimePoint> idleSince;
     };
 
+    /** Rendezvous rank of a host, domain or upstream for the key. */
+    static std::uint64_t rankScore(const std::string &name, const std::string &key);
     /** Whether the order is older than that of the roll-out, or the same one written again after a restoration of the store. */
     static bool isKnownOrder(const Rollout &rollout, const RolloutOrder &order);
     Rollout &beginRollout(const PoolId &pool, RolloutOrderId order, const UpstreamVersion &target, TimePoint startedAt);
--- a/Libraries/LibGateway/RolloutEvidence.cpp
+++ b/Libraries/LibGateway/RolloutEvidence.cpp
@@ -218,4 +218,13 @@
         std::count_if(this->domains.begin(), this->domains.end(), [&](const auto &domain) { return now < domain.second.reportedAt + coverageLifetime; }));
 }
 
+RolloutCounts targetSum(const RolloutTotals &totals)
+{
+    RolloutCounts sum;
+    for (const auto &[route, counts] : totals) {
+        sum += counts.target;
+    }
+    return sum;
+}
+
 }
--- a/Libraries/LibGateway/RolloutEvidence.h
+++ b/Libraries/LibGateway/RolloutEvidence.h
@@ -103,4 +103,7 @@
     TimePoint remoteReportedAt;
 };
 
+/** Counts of the target version on all routes. */
+RolloutCounts targetSum(const RolloutTotals &totals);
+
 }
--- a/Libraries/LibGateway/RolloutRecords.h
+++ b/Libraries/LibGateway/RolloutRecords.h
@@ -42,6 +42,12 @@
     RolledBack = 2,
 };
 
+/** Whether the roll-out has ended. */
+constexpr bool isFinal(RolloutState state)
+{
+    return state != RolloutState::Running;
+}
+
 /** The newest report about the roll-outs of a pool in the store. */
 struct RolloutStatus
 {
--- a/Libraries/LibGateway/StateFeed.h
+++ b/Libraries/LibGateway/StateFeed.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,15 @@
 
 inline constexpr std::size_t feedTopicCount = 3;
 
+/** Name of the topic in log lines. */
+constexpr std::string_view feedTopicName(FeedTopic topic)
+{
+    if (topic == FeedTopic::Status) {
+        return "status";
+    }
+    return topic == FeedTopic::Operators ? "operators" : "upstreams";
+}
+
 /** Position in a topic of the store. After a restoration offsets are assigned again, so positions are ordered by era first. */
 struct FeedPosition
 {
