Review: Name the sources of the cases .cc and .hh, and format them

The gateway of a case is now ended with its player (PR_SET_PDEATHSIG), after a player that was killed during the work left one behind.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,5 +1,5 @@
 // A header field whose value is an encoded word (RFC 2047) that holds a line break and a whole request.
-#include "StandIns.h"
+#include "StandIns.hh"
 
 using namespace Review;
 
--- a/review/standins-2/StandIns.hh
+++ b/review/standins-2/StandIns.hh
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -63,7 +64,9 @@
 class Record
 {
 public:
-    explicit Record(const std::string &file) : output(file, std::ios::trunc) {}
+    explicit Record(const std::string &file) : output(file, std::ios::trunc)
+    {
+    }
 
     void write(const std::string &line)
     {
@@ -117,8 +120,13 @@
 class Connection
 {
 public:
-    explicit Connection(int descriptor) : descriptor(descriptor) {}
-    ~Connection() { this->close(); }
+    explicit Connection(int descriptor) : descriptor(descriptor)
+    {
+    }
+    ~Connection()
+    {
+        this->close();
+    }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
@@ -252,7 +260,10 @@
         return word;
     }
 
-    int status() const { return std::atoi(this->part(1).c_str()); }
+    int status() const
+    {
+        return std::atoi(this->part(1).c_str());
+    }
 };
 
 /** Parses a head strictly, as RFC 9112 has it. */
@@ -331,7 +342,7 @@
         return message;
     }
     return take(static_cast<std::size_t>(std::strtoul(message.get("Content-Length").c_str(), nullptr, 10)), message.body) ? std::optional(message)
-                                                                                                                         : std::nullopt;
+                                                                                                                          : std::nullopt;
 }
 
 inline int listenOn(const std::string &ip, int port, int backlog = 512)
@@ -389,7 +400,10 @@
         }).detach();
     }
 
-    std::string address() const { return this->ip + ":" + std::to_string(this->port); }
+    std::string address() const
+    {
+        return this->ip + ":" + std::to_string(this->port);
+    }
 
     std::string ip;
     int port = 0;
@@ -414,7 +428,9 @@
 class Store final : public Server
 {
 public:
-    explicit Store(const std::string &ip) : Server(ip) {}
+    explicit Store(const std::string &ip) : Server(ip)
+    {
+    }
 
     void put(const std::string &topic, const std::string &key, const std::string &value)
     {
@@ -533,7 +549,9 @@
 class Runner : public Server
 {
 public:
-    Runner(const std::string &ip, std::string id, Record &record, int workMs) : Server(ip), id(std::move(id)), record(record), workMs(workMs) {}
+    Runner(const std::string &ip, std::string id, Record &record, int workMs) : Server(ip), id(std::move(id)), record(record), workMs(workMs)
+    {
+    }
 
     std::vector<Run> runs()
     {
@@ -616,7 +634,8 @@
             + ",\"keyless\":false,\"sticky\":false,\"resumable\":false,\"allowedRegions\":[]}";
     };
     return "{\"version\":7,\"routes\":[" + route("r-book", "/book/", "non_idempotent", 1) + "," + route("r-look", "/look/", "idempotent", 2)
-        + "],\"services\":[{\"name\":\"" + service + "\",\"healthPath\":\"/health\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,"
+        + "],\"services\":[{\"name\":\"" + service
+        + "\",\"healthPath\":\"/health\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,"
           "\"coldPerS\":0.0}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
           "\"tenants\":[{\"name\":\"tenant-a\",\"apiKeys\":[\""
         + keyA + "\"],\"allowedRegions\":[]},{\"name\":\"tenant-b\",\"apiKeys\":[\"" + keyB + "\"],\"allowedRegions\":[]}]}";
@@ -638,6 +657,8 @@
         std::ofstream(settings) << this->fillTemplate(root + "/platform/node.settings.template", storeAddress, site);
         this->process = ::fork();
         if (this->process == 0) {
+            // The gateway ends with the player, whatever ends that.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int log = ::open((folder + "/gateway.log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
@@ -688,7 +709,10 @@
         return false;
     }
 
-    void signal(int number) const { ::kill(this->process, number); }
+    void signal(int number) const
+    {
+        ::kill(this->process, number);
+    }
 
     /** True once the process has ended; `status` is then that of waitpid(). */
     bool hasEnded()
@@ -699,7 +723,10 @@
         return this->ended;
     }
 
-    std::unique_ptr<Connection> connect() const { return Connection::open(this->ip, this->port); }
+    std::unique_ptr<Connection> connect() const
+    {
+        return Connection::open(this->ip, this->port);
+    }
 
     std::string ip;
     int port = 0;
