--- a/review/standins-2/StandIns.hh
+++ b/review/standins-2/StandIns.hh
@@ -811,6 +811,7 @@
         }
         this->temporary = pattern;
         std::signal(SIGPIPE, SIG_IGN);
+        nowMs();
     }
 
     ~CaseRun()
