LibHttp1: Reject field names that aren't tokens

Cause: everything up to the colon was taken for the name, so the field wasn't found by the framing and the request counted as one without a body. Folded lines and names with control characters passed in the same way.

Change: a name is a token, as RFC 9112, section 5.1, asks. Otherwise a request gets 400 and a closed connection, and a response fails its call with unknown run state.

--- a/Libraries/LibHttp1/HeadDecoder.cpp
+++ b/Libraries/LibHttp1/HeadDecoder.cpp
@@ -53,9 +53,10 @@
             if (colon == std::string_view::npos) {
                 this->fail("a header field has no colon");
             }
+            // Also rejects whitespace before the colon and folded lines, which recipients read in different ways.
             auto name = FieldName::parse(line.substr(0, colon));
             if (!name) {
-                this->fail("the name of a header field is malformed");
+                this->fail("the name of a header field is not a token");
             }
             auto value = FieldValue::parse(trimWhitespace(line.substr(colon + 1)));
             if (!value) {
--- a/Libraries/LibHttp1/Syntax.cpp
+++ b/Libraries/LibHttp1/Syntax.cpp
@@ -81,7 +81,7 @@
 
 bool FieldNameRule::matches(std::string_view text)
 {
-    return !text.empty() && isFieldContent(text) && text.find(':') == std::string_view::npos;
+    return isToken(text);
 }
 
 bool FieldValueRule::matches(std::string_view text)
--- a/Libraries/LibHttp1/Syntax.h
+++ b/Libraries/LibHttp1/Syntax.h
@@ -69,7 +69,7 @@
 /** Visible ASCII without a fragment (RFC 9112, section 3.2). */
 using RequestTarget = CheckedText<RequestTargetRule>;
 using ReasonPhrase = CheckedText<ReasonPhraseRule>;
-/** Field content without a colon. */
+/** A token (RFC 9110, section 5.1). */
 using FieldName = CheckedText<FieldNameRule>;
 /** Field content without whitespace at its ends (RFC 9110, section 5.5). */
 using FieldValue = CheckedText<FieldValueRule>;
--- a/Tests/LibForward/TestMessageHeads.cpp
+++ b/Tests/LibForward/TestMessageHeads.cpp
@@ -12,6 +12,22 @@
     "=?utf-8?Q?a=0D=0AContent-Length:_0=0D=0A=0D=0AGET_/hidden_HTTP/1.1=0D=0AId:_hidden=0D=0A=0D=0A?=",
 };
 
+/** Field lines that recipients read in different ways (RFC 9112, sections 5.1 and 5.2). Each states a body of eight bytes to some of them. */
+const std::vector<std::string> ambiguousLines {
+    "Content-Length : 8\r\n",
+    "Content-Length\t: 8\r\n",
+    " Content-Length: 8\r\n",
+    "Note: a\r\n Content-Length: 8\r\n",
+    "Note: a\r\n\tContent-Length: 8\r\n",
+    "Content-Length\x0b: 8\r\n",
+    "Content-Length\r: 8\r\n",
+    "Note: a\nContent-Length: 8\r\n",
+    "Note: a\rContent-Length: 8\r\n",
+    "Content-Length 8\r\n",
+    ": 8\r\n",
+    "Content\xc2\xa0Length: 8\r\n",
+};
+
 }
 
 // Guards against requests smuggled in encoded words (RFC 2047), which have no meaning in HTTP: decoded, their line breaks ended the head.
@@ -67,3 +83,42 @@
         CHECK(stream.find("hidden HTTP") == std::string::npos);
     }
 }
+
+// Guards against smuggled requests: a length with a space before its colon wasn't taken for one, and the body was read as the next request.
+TEST_CASE("A request with a field line that recipients read in different ways is rejected, and its connection is closed")
+{
+    for (const auto &line : ambiguousLines) {
+        CAPTURE(line);
+        ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "done"); });
+        GatewayFixture fixture;
+        fixture.add("s1", upstream, "services");
+        RawCaller caller(fixture);
+        caller.send("POST /once/book HTTP/1.1\r\nHost: test\r\nId: r1\r\n" + line
+                    + "\r\nPOST /once/hidden HTTP/1.1\r\nHost: test\r\nId: r2\r\nContent-Length: 0\r\n\r\n");
+        auto response = caller.readAll();
+        CHECK(response.starts_with("HTTP/1.1 400"));
+        CHECK(response.find("\"not_run\"") != std::string::npos);
+        CHECK(response.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(upstream.requests().empty());
+    }
+}
+
+// Guards against a body that is forwarded with another length than the upstream meant.
+TEST_CASE("A response with a field line that recipients read in different ways fails the request with unknown run state")
+{
+    for (const auto &line : ambiguousLines) {
+        for (const auto *path : { "/once/book", "/long/plan" }) {
+            CAPTURE(line, path);
+            ScriptedUpstream upstream([&](ScriptedConnection &connection, const std::string & /*request*/) {
+                connection.send("HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n" + line + "\r\nthe body");
+            });
+            GatewayFixture fixture;
+            fixture.add("s1", upstream, std::string(path) == "/long/plan" ? "engines" : "services");
+            RawCaller caller(fixture);
+            caller.request(path, "r1");
+            auto response = caller.readUntil("run_state");
+            CHECK(response.starts_with("HTTP/1.1 502"));
+            CHECK(response.find("\"unknown\"") != std::string::npos);
+        }
+    }
+}
