LibHttp, LibForward: Read the heads of all requests with LibHttp1

What callers saw: the product's own interface took a key in an encoded word, and read the body after "Content-Length : N" as the next request; so did the administration, readiness, metrics and control addresses.

Change: ServerSession is the server side of one connection, with the decoder and encoder of LibHttp1. CallerConnection uses it, and so does RequestServer, which takes the place of POCO's HTTPServer for the rare requests of operators, load balancers and peers. After a request that can't be read, the connection ends. A request at these addresses has a deadline as a whole, by ConnectionGuard.

--- a/Libraries/LibHttp/AdministrationServer.h
+++ b/Libraries/LibHttp/AdministrationServer.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <LibHttp/AdministrationApi.h>
-
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
+#include <LibHttp/RequestServer.h>
 
 #include <memory>
 
@@ -51,8 +49,8 @@
 
 private:
     AdministrationApi api;
-    Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<RequestHandler> handler;
+    std::unique_ptr<RequestServer> server;
 };
 
 }
--- a/Libraries/LibHttp/CallerRequest.h
+++ b/Libraries/LibHttp/CallerRequest.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-
-#include <Poco/Net/HTTPRequest.h>
+#include <LibHttp1/MessageHead.h>
 
 #include <string>
 
@@ -11,14 +10,14 @@
 /** A complete request of a caller. */
 struct CallerRequest
 {
-    const Poco::Net::HTTPRequest &head;
+    RequestHead head;
     std::string body;
     TimePoint arrivedAt;
 
     /** Value of a header, or an empty text. */
     std::string header(const std::string &name) const
     {
-        return this->head.get(name, std::string());
+        return this->head.fields.get(name);
     }
 };
 
--- a/Libraries/LibHttp/CallerRouter.cpp
+++ b/Libraries/LibHttp/CallerRouter.cpp
@@ -19,7 +19,7 @@
 
 void requireMethod(const CallerRequest &request, const std::string &method)
 {
-    if (request.head.getMethod() != method) {
+    if (request.head.method.value() != method) {
         throw Error(ResultCode::BadRequest, RunState::NotRun, "the path needs the method " + method);
     }
 }
@@ -72,7 +72,7 @@
 
 void CallerRouter::route(const CallerRequest &request, ResponseWriter &response)
 {
-    const auto &uri = request.head.getURI();
+    const auto &uri = request.head.target.value();
     auto path = uri.substr(0, uri.find('?'));
     if (path == "/healthz") {
         response.writeWhole(200, "text/plain", "ok\n");
--- a/Libraries/LibHttp/CallerServer.cpp
+++ b/Libraries/LibHttp/CallerServer.cpp
@@ -1,11 +1,11 @@
 #include <LibHttp/CallerServer.h>
 
 #include <LibHttp/CallerConnection.h>
-#include <LibHttp/ClientSession.h>
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerParams.h>
 #include <Poco/ThreadPool.h>
 
 #include <thread>
@@ -25,29 +25,24 @@
 class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    ConnectionFactory(Poco::Net::HTTPServerParams::Ptr params, CallerConnectionContext &context, CallerRouter &router, ConnectionGuard &guard)
-        : params(std::move(params)), context(context), router(router), guard(guard)
+    ConnectionFactory(CallerConnectionContext &context, CallerRouter &router, ConnectionGuard &guard) : context(context), router(router), guard(guard)
     {
     }
 
     Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
     {
-        return new CallerConnection(socket, this->params, this->context, this->router, this->guard);
+        return new CallerConnection(socket, this->context, this->router, this->guard);
     }
 
 private:
-    Poco::Net::HTTPServerParams::Ptr params;
     CallerConnectionContext &context;
     CallerRouter &router;
     ConnectionGuard &guard;
 };
 
-Poco::Net::HTTPServerParams::Ptr serverParameters(const CallerServerSettings &settings)
+Poco::Net::TCPServerParams::Ptr serverParameters(const CallerServerSettings &settings)
 {
-    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    // POCO waits this long for the first and for each further request; ConnectionGuard bounds a request that has begun.
-    params->setTimeout(toTimespan(settings.idleConnectionTimeout));
-    params->setKeepAliveTimeout(toTimespan(settings.idleConnectionTimeout));
+    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
     params->setMaxThreads(settings.maximumThreads);
     params->setMaxQueued(settings.maximumQueuedConnections);
     return params;
@@ -108,7 +103,7 @@
         Poco::Net::ServerSocket socket;
         socket.bind(Poco::Net::SocketAddress(state.context.settings.listenAddress), true);
         socket.listen(listenBacklog);
-        Poco::Net::TCPServerConnectionFactory::Ptr factory(new ConnectionFactory(params, state.context, state.router, state.guard));
+        Poco::Net::TCPServerConnectionFactory::Ptr factory(new ConnectionFactory(state.context, state.router, state.guard));
         state.server = std::make_unique<Poco::Net::TCPServer>(factory, state.threads, socket, params);
         state.server->start();
     } catch (const Poco::Exception &error) {
--- a/Libraries/LibHttp/CompletionHandler.cpp
+++ b/Libraries/LibHttp/CompletionHandler.cpp
@@ -43,7 +43,7 @@
 
 void CompletionHandler::handle(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response)
 {
-    if (request.head.has("Last-Event-ID")) {
+    if (request.head.fields.has("Last-Event-ID")) {
         this->resume(kind, team, request, response);
         return;
     }
--- a/Libraries/LibHttp/ResponseWriter.cpp
+++ b/Libraries/LibHttp/ResponseWriter.cpp
@@ -1,57 +1,50 @@
 #include <LibHttp/ResponseWriter.h>
 
 #include <LibHttp/ErrorBody.h>
+#include <LibHttp1/HeadEncoder.h>
 
-#include <Poco/Exception.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 
 namespace Lovageward {
 
-ResponseWriter::ResponseWriter(Poco::Net::HTTPServerResponse &response, const Poco::Net::StreamSocket &connected, std::string requestId)
-    : response(response), socket(connected), requestId(std::move(requestId))
+ResponseWriter::ResponseWriter(ServerSession &session, std::string requestId) : session(session), requestId(std::move(requestId))
 {
-    this->response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
 }
 
-ResponseWriter::ResponseWriter(Poco::Net::HTTPServerResponse &response,
-                               const Poco::Net::StreamSocket &connected,
-                               std::string requestId,
-                               const Poco::Net::HTTPRequest &request)
-    : ResponseWriter(response, connected, std::move(requestId))
+ResponseWriter::ResponseWriter(ServerSession &session, std::string requestId, const RequestHead &request) : ResponseWriter(session, std::move(requestId))
 {
-    this->isHeadOnly = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
-    this->canBeChunked = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
+    this->isHeadOnly = request.method.value() == "HEAD";
+    this->canBeChunked = request.version == HttpVersion::Http11;
 }
 
-void ResponseWriter::beginResponse(int status, const std::string &contentType, const HeaderFields &fields)
+bool ResponseWriter::begin(int status, HeaderFields fields, std::string_view body)
 {
-    this->response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-    this->response.setContentType(contentType);
-    this->response.set("X-Request-Id", this->requestId);
-    this->response.setKeepAlive(!this->isLast);
-    for (const auto &[name, value] : fields) {
-        this->response.set(name.value(), value.value());
+    using Poco::Net::HTTPResponse;
+    this->isStarted = true;
+    fields.add("X-Request-Id", this->requestId);
+    if (this->isLast) {
+        fields.add("Connection", "close");
     }
-    this->stream = &this->response.send();
-    this->isBroken = !this->stream->good();
+    ReasonPhrase reason(HTTPResponse::getReasonForStatus(static_cast<HTTPResponse::HTTPStatus>(status)));
+    auto bytes = encodeHead(ResponseHead { status, std::move(reason), std::move(fields) });
+    return this->send(bytes.append(body));
 }
 
 bool ResponseWriter::send(std::string_view bytes)
 {
-    if (!this->isBroken) {
-        this->stream->write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        this->stream->flush();
-        this->isBroken = !this->stream->good();
-    }
+    this->isBroken = this->isBroken || !this->session.write(bytes);
     return !this->isBroken;
 }
 
 void ResponseWriter::writeWhole(int status, const std::string &contentType, std::string_view body, const HeaderFields &fields)
 {
-    this->response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    this->beginResponse(status, contentType, fields);
-    this->send(this->isHeadOnly ? std::string_view() : body);
+    auto allFields = fields;
+    allFields.add("Content-Type", contentType);
+    allFields.add("Content-Length", std::to_string(body.size()));
+    this->begin(status, std::move(allFields), this->isHeadOnly ? std::string_view() : body);
 }
 
 void ResponseWriter::writeError(const Error &error, const std::string &resumeId)
@@ -66,51 +59,44 @@
 
 bool ResponseWriter::beginEventStream()
 {
+    constexpr int okStatus = 200;
     this->isStreaming = true;
     // A caller without chunks sees the end of the stream by the end of the connection.
     this->isLast = this->isLast || !this->canBeChunked;
-    this->response.setChunkedTransferEncoding(this->canBeChunked);
-    // Proxies on the way must not buffer the events.
     HeaderFields fields;
+    fields.add("Content-Type", "text/event-stream; charset=utf-8");
     fields.add("Cache-Control", "no-cache");
+    // Proxies on the way must not buffer the events.
     fields.add("X-Accel-Buffering", "no");
-    this->beginResponse(200, "text/event-stream; charset=utf-8", fields);
-    return !this->isBroken;
+    if (this->canBeChunked) {
+        fields.add("Transfer-Encoding", "chunked");
+    }
+    return this->begin(okStatus, std::move(fields), {});
 }
 
 bool ResponseWriter::writePart(std::string_view part)
 {
-    return this->send(part);
+    if (part.empty() || !this->canBeChunked) {
+        return this->send(part);
+    }
+    return this->send(fmt::format("{:x}\r\n{}\r\n", part.size(), part));
 }
 
 void ResponseWriter::endEventStream()
 {
-    this->isStreamEnded = !this->isBroken;
+    this->isStreamEnded = !this->canBeChunked ? !this->isBroken : this->send("0\r\n\r\n");
 }
 
 bool ResponseWriter::isCallerGone()
 {
-    if (this->isBroken) {
-        return true;
-    }
-    try {
-        char byte = 0;
-        return this->socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && this->socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
-    } catch (const Poco::Exception &) {
-        return true;
-    }
+    return this->isBroken || this->session.isClosedByPeer();
 }
 
 bool ResponseWriter::finish()
 {
-    bool isComplete = this->stream != nullptr && !this->isBroken && (!this->isStreaming || this->isStreamEnded);
+    bool isComplete = this->isStarted && !this->isBroken && (!this->isStreaming || this->isStreamEnded);
     if (!isComplete) {
-        try {
-            this->socket.shutdown();
-        } catch (const Poco::Exception &) {
-            // The caller has closed the connection already.
-            return false;
-        }
+        this->session.shutDown();
     }
     return isComplete && !this->isLast;
 }
--- a/Libraries/LibHttp/ResponseWriter.h
+++ b/Libraries/LibHttp/ResponseWriter.h
@@ -1,13 +1,9 @@
 #pragma once
 
 #include <LibCore/Error.h>
-#include <LibHttp1/HeaderFields.h>
+#include <LibHttp/ServerSession.h>
+#include <LibHttp1/MessageHead.h>
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/StreamSocket.h>
-
-#include <ostream>
 #include <string>
 #include <string_view>
 
@@ -18,12 +14,9 @@
 {
 public:
     /** For the answer to a request that could not be read. */
-    ResponseWriter(Poco::Net::HTTPServerResponse &response, const Poco::Net::StreamSocket &connected, std::string requestId);
+    ResponseWriter(ServerSession &session, std::string requestId);
 
-    ResponseWriter(Poco::Net::HTTPServerResponse &response,
-                   const Poco::Net::StreamSocket &connected,
-                   std::string requestId,
-                   const Poco::Net::HTTPRequest &request);
+    ResponseWriter(ServerSession &session, std::string requestId, const RequestHead &request);
 
     const std::string &request() const
     {
@@ -38,7 +31,7 @@
 
     bool hasStarted() const
     {
-        return this->stream != nullptr;
+        return this->isStarted;
     }
 
     void writeWhole(int status, const std::string &contentType, std::string_view body, const HeaderFields &fields = {});
@@ -58,22 +51,21 @@
     bool isCallerGone();
 
     /**
-     * Ends the response and returns true if the connection can carry another request. POCO writes the last chunk of any stream, so the
-     * connection of a stream that was not ended is shut down first and the caller sees that its answer is incomplete.
+     * Ends the response and returns true if the connection can carry another request. The connection of a stream that was not ended is shut down without
+     * the last chunk, so that the caller sees that its answer is incomplete.
      */
     bool finish();
 
 private:
-    void beginResponse(int status, const std::string &contentType, const HeaderFields &fields);
-    /** Writes the bytes and flushes them to the socket. */
+    /** Writes the head and, in the same write, the first bytes of the body. */
+    bool begin(int status, HeaderFields fields, std::string_view body);
     bool send(std::string_view bytes);
 
-    Poco::Net::HTTPServerResponse &response;
-    Poco::Net::StreamSocket socket;
+    ServerSession &session;
     std::string requestId;
     bool isHeadOnly = false;
     bool canBeChunked = true;
-    std::ostream *stream = nullptr;
+    bool isStarted = false;
     bool isLast = false;
     bool isBroken = false;
     bool isStreaming = false;
--- a/Libraries/LibNode/GatewayNode.cpp
+++ b/Libraries/LibNode/GatewayNode.cpp
@@ -211,7 +211,7 @@
                     this->storeEras,
                     { settings.host, settings.location.failureDomain, settings.peerListenAddress })
         , readiness(this->config, this->upstreamFollower, this->drainState)
-        , controlServer(this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
+        , controlServer(this->clock, this->readiness, this->counters, this->feedPageCache, settings.readinessPath)
         , memory(this->clock, settings.memoryLimits)
         , forwardDependencies { this->clock,
                                 this->random,
--- a/Tests/LibHttp/TestRequestBounds.cpp
+++ b/Tests/LibHttp/TestRequestBounds.cpp
@@ -141,3 +141,28 @@
     CHECK(upstream.behaviour.cancelled == 0);
     CHECK(node.dispatcher.released == 1);
 }
+
+// Guards against heads that are read as mail: encoded words (RFC 2047) were decoded, with the line breaks that they hold, and a length with a space before its
+// colon wasn't taken for one, so that the body was read as the next request.
+TEST_CASE("A request whose head breaks the grammar of HTTP is refused, and an encoded word is no key and no length", "[http]")
+{
+    StandInUpstream upstream;
+    ServerFixture node(upstream.address());
+    node.start();
+    const std::string head = "POST /v1/services/lookup HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key\r\n";
+    for (const std::string line : { "Content-Length : 5\r\n",
+                                    "Content-Length\t: 5\r\n",
+                                    " Content-Length: 5\r\n",
+                                    "Note: a\r\n Content-Length: 5\r\n",
+                                    "Note: a\nContent-Length: 5\r\n",
+                                    "Note: a\rb\r\nContent-Length: 5\r\n",
+                                    "Content-Length: =?utf-8?Q?5?=\r\n",
+                                    "Content-Length: 5\r\nContent-Length: 5\r\n",
+                                    "Transfer-Encoding: =?utf-8?Q?chunked?=\r\nContent-Length: 5\r\n" }) {
+        CAPTURE(line);
+        CHECK(answerTo(node, head + line + "\r\nhello", false) == "BadRequest");
+    }
+    CHECK(answerTo(node, "POST /v1/services/lookup HTTP/1.1\r\nHost: a\r\nAuthorization: =?utf-8?Q?Bearer_key?=\r\n\r\n", false) == "Unauthenticated");
+    CHECK(answerTo(node, "POST /v1/services/lookup HTTP/1.1\nHost: a\nAuthorization: Bearer key\n\r\n\r\n", false) == "BadRequest");
+    CHECK(upstream.behaviour.calls == 0);
+}
