LibForward, LibCore: Release a connection only from what it waits for

Cause: the account chose the longest idle connection by what its thread had told it last, and shut down its receiving side. A request that had arrived meanwhile was read and forwarded all the same; then the end that the gateway had caused was taken for that of the caller, and the call was cancelled.

Change: ConnectionPhase holds what a connection does in one atomic value. A release takes effect only from the wait that it found; a connection whose next request has arrived keeps its place, and the next candidate is asked. A request that arrives in the moment of the release isn't forwarded, but refused as not run.

--- a/Libraries/LibCore/MemoryAccount.cpp
+++ b/Libraries/LibCore/MemoryAccount.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/MemoryAccount.h>
 
+#include <algorithm>
 #include <tuple>
+#include <vector>
 
 namespace Lovageward {
 
@@ -96,18 +98,14 @@
 bool MemoryAccount::closeLongestIdle()
 {
     std::lock_guard<std::mutex> guard(this->mutex);
-    Client *longest = nullptr;
+    std::vector<Client *> candidates;
     for (auto &[id, client] : this->clients) {
-        auto isCandidate = client.wait == ClientWait::Idle && this->hasWaitedLongEnough(client);
-        if (isCandidate && (longest == nullptr || client.waitingSince < longest->waitingSince)) {
-            longest = &client;
+        if (client.wait == ClientWait::Idle && this->hasWaitedLongEnough(client)) {
+            candidates.push_back(&client);
         }
     }
-    if (longest == nullptr) {
-        return false;
-    }
-    this->requestRelease(*longest);
-    return true;
+    std::sort(candidates.begin(), candidates.end(), [](const Client *left, const Client *right) { return left->waitingSince < right->waitingSince; });
+    return std::any_of(candidates.begin(), candidates.end(), [this](Client *client) { return this->requestRelease(*client); });
 }
 
 std::uint64_t MemoryAccount::usedBytes() const
@@ -174,11 +172,14 @@
     }
 }
 
-void MemoryAccount::requestRelease(Client &client)
+bool MemoryAccount::requestRelease(Client &client)
 {
+    if (!client.wait || !client.holder->requestRelease(*client.wait)) {
+        return false;
+    }
     client.isReleaseRequested = true;
     ++this->requests;
-    client.holder->requestRelease();
+    return true;
 }
 
 }
--- a/Libraries/LibCore/MemoryAccount.h
+++ b/Libraries/LibCore/MemoryAccount.h
@@ -39,8 +39,11 @@
 public:
     virtual ~MemoryHolder() = default;
 
-    /** Asks the holder to close its connection soon. Called with the account locked, so it must neither block nor call the account. */
-    virtual void requestRelease() = 0;
+    /**
+     * Asks the holder, which waited for what `wait` says, to close its connection soon. Returns false if it waits no longer. Called with the account locked, so
+     * it must neither block nor call the account.
+     */
+    virtual bool requestRelease(ClientWait wait) = 0;
 };
 
 /** Limits of a MemoryAccount. */
@@ -85,7 +88,10 @@
     void beginWait(MemoryClientId client, ClientWait wait);
     void endWait(MemoryClientId client);
 
-    /** Asks the connection that has been idle for longest to close, because a new one needs its place. Returns false if none has been idle long enough. */
+    /**
+     * Asks the connection that has been idle for longest to close, because a new one needs its place. Returns false if none has been idle long enough.
+     * Connections whose next request has arrived keep their place.
+     */
     bool closeLongestIdle();
 
     std::uint64_t usedBytes() const;
@@ -115,7 +121,8 @@
     void subtract(MemoryPurpose purpose, std::uint64_t bytes);
     bool hasWaitedLongEnough(const Client &client) const;
     void askLargestWaiting();
-    void requestRelease(Client &client);
+    /** Returns false if the client no longer waits. */
+    bool requestRelease(Client &client);
 
     const Clock &clock;
     MemoryLimits limits;
--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -43,6 +43,9 @@
 /** Retry-After of a request for which there was no memory; bodies that are being served end within about a second. */
 constexpr Duration memoryRetryAfter = seconds(1);
 
+/** Retry-After of a request that arrived while its connection was being closed; short, because the retry comes on a new connection. */
+constexpr Duration releaseRetryAfter = milliseconds(50);
+
 std::string encodeContinueResponse()
 {
     constexpr int continueStatus = 100;
@@ -115,20 +118,34 @@
     this->dependencies.memory.removeClient(this->memoryClient);
 }
 
-void CallerChannel::requestRelease()
+bool CallerChannel::requestRelease(ClientWait wait)
 {
-    this->isReleaseRequested = true;
+    if (wait == ClientWait::Idle && this->channel.hasUnreceivedBytes()) {
+        return false;
+    }
+    if (!this->phase.release(wait)) {
+        return false;
+    }
     this->channel.shutdownReceiving();
+    return true;
 }
 
-void CallerChannel::rejectIfReleaseRequested() const
+void CallerChannel::rejectIfReleased() const
 {
-    if (this->isReleaseRequested) {
+    if (this->phase.isReleased()) {
         this->dependencies.counters.counter("lovageward_clients_released_total").add();
         throw Error(ResultCode::NoCapacity, RunState::NotRun, "the memory of this unfinished request was needed for others", memoryRetryAfter);
     }
 }
 
+void CallerChannel::rejectLateRequest() const
+{
+    if (!this->channel.buffer().empty() || this->channel.hasUnreceivedBytes()) {
+        this->dependencies.counters.counter("lovageward_clients_released_total").add();
+        throw Error(ResultCode::NoCapacity, RunState::NotRun, "the place of this connection was needed for others", releaseRetryAfter);
+    }
+}
+
 bool CallerChannel::waitFor(DescriptorPoller &poller, TimePoint deadline, ClientWait wait)
 {
     this->dependencies.memory.beginWait(this->memoryClient, wait);
@@ -163,7 +180,7 @@
 
 void CallerChannel::awaitMemory(TimePoint deadline)
 {
-    this->rejectIfReleaseRequested();
+    this->rejectIfReleased();
     if (this->clock.now() >= deadline) {
         this->dependencies.counters.counter("lovageward_memory_rejections_total").add();
         throw Error(ResultCode::NoCapacity, RunState::NotRun, "there is no memory for the body of this request", memoryRetryAfter);
@@ -177,10 +194,15 @@
 std::optional<ReceivedRequest> CallerChannel::readRequest()
 {
     this->releaseBody();
+    this->phase.endServing();
     auto isFirst = !std::exchange(this->hasReceivedRequest, true);
     if (this->channel.buffer().empty() && !(isFirst && this->awaitFirstRequest()) && !this->awaitNextRequest()) {
         return std::nullopt;
     }
+    if (!this->phase.beginReceiving()) {
+        this->rejectLateRequest();
+        return std::nullopt;
+    }
     auto limits = this->limits();
     ReceivedRequest request;
     request.arrivedAt = this->clock.now();
@@ -202,6 +224,9 @@
     if (!this->readBody(request, limits)) {
         return std::nullopt;
     }
+    if (!this->phase.beginServing()) {
+        this->rejectIfReleased();
+    }
     return request;
 }
 
@@ -243,7 +268,7 @@
         }
         auto remainder = this->channel.buffer().size();
         if (!this->receiveMore(this->clock.now() + limits.headTimeout)) {
-            this->rejectIfReleaseRequested();
+            this->rejectIfReleased();
             return false;
         }
         rate.countBytes(this->channel.buffer().size() - remainder, this->clock.now());
--- a/Libraries/LibForward/CallerChannel.h
+++ b/Libraries/LibForward/CallerChannel.h
@@ -5,6 +5,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/MemoryAccount.h>
 #include <LibCore/MinimumDataRate.h>
+#include <LibForward/ConnectionPhase.h>
 #include <LibForward/SocketChannel.h>
 #include <LibGateway/ConfigHolder.h>
 #include <LibGateway/ForwardedRequest.h>
@@ -109,8 +110,11 @@
     /** True if the caller closed its connection. Receives further requests up to the read-ahead limit. Doesn't block. */
     bool isDisconnected();
 
-    /** Called by the account from other threads: the connection is closed, after a rejection if a request has begun. */
-    void requestRelease() override;
+    /**
+     * Called by the account from other threads: the connection is closed, after a rejection if a request has begun. Returns false for a connection whose next
+     * request has arrived, or whose request is being served; its end is never caused from here.
+     */
+    bool requestRelease(ClientWait wait) override;
 
     /**
      * Writes a complete response, to whose head the framing is added. Returns false if the caller disconnected, or if a stream has begun, since no second
@@ -150,7 +154,10 @@
     void reserveBody(std::uint64_t bytes, std::uint64_t largest);
     void awaitMemory(TimePoint deadline);
     void releaseBody();
-    void rejectIfReleaseRequested() const;
+    /** Throws Error(NoCapacity) if the connection was released while a request arrived. */
+    void rejectIfReleased() const;
+    /** Throws Error(NoCapacity) if a request has arrived on a connection that was released while it was idle. */
+    void rejectLateRequest() const;
     /** Polls, and tells the account for that time that this connection waits for its caller. */
     bool waitFor(DescriptorPoller &poller, TimePoint deadline, ClientWait wait);
 
@@ -162,7 +169,7 @@
     MemoryClientId memoryClient;
     /** Bytes reserved for the body of the current request. */
     std::uint64_t reservedBodyBytes = 0;
-    std::atomic<bool> isReleaseRequested = false;
+    ConnectionPhase phase;
     /** True if the read-ahead limit was reached on this connection. */
     bool hasReachedReadAhead = false;
     bool hasClosed = false;
--- a/Libraries/LibForward/SocketChannel.cpp
+++ b/Libraries/LibForward/SocketChannel.cpp
@@ -113,6 +113,12 @@
     return ::poll(&pollDescriptor, 1, 0) > 0;
 }
 
+bool SocketChannel::hasUnreceivedBytes() const
+{
+    char byte = 0;
+    return ::recv(this->descriptor(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void SocketChannel::shutdownReceiving()
 {
     ::shutdown(this->descriptor(), SHUT_RD);
--- a/Tests/LibCore/TestMemoryAccount.cpp
+++ b/Tests/LibCore/TestMemoryAccount.cpp
@@ -11,12 +11,15 @@
 class FakeHolder final : public MemoryHolder
 {
 public:
-    void requestRelease() override
+    bool requestRelease(ClientWait /*wait*/) override
     {
         ++this->requests;
+        return !this->hasStopped;
     }
 
     int requests = 0;
+    /** Whether the holder waits no longer when it is asked. */
+    bool hasStopped = false;
 };
 
 struct AccountFixture
@@ -146,3 +149,25 @@
         }
     }
 }
+
+// Guards against requests that are lost in a burst: the connection that had been idle for longest was closed although its next request had arrived.
+TEST_CASE_METHOD(AccountFixture, "If the longest idle connection waits no longer, the next one is asked to close", "[core]")
+{
+    for (auto *holder : { &this->first, &this->second, &this->third }) {
+        this->account.beginWait(this->account.addClient(*holder), ClientWait::Idle);
+        this->clock.advance(milliseconds(300));
+    }
+    this->first.hasStopped = true;
+    CHECK(this->account.closeLongestIdle());
+    CHECK(this->first.requests == 1);
+    CHECK(this->second.requests == 1);
+    CHECK(this->third.requests == 0);
+    CHECK(this->account.releaseRequests() == 1);
+
+    this->third.hasStopped = true;
+    CHECK_FALSE(this->account.closeLongestIdle());
+    CHECK(this->first.requests == 2);
+    CHECK(this->second.requests == 1);
+    CHECK(this->third.requests == 1);
+    CHECK(this->account.releaseRequests() == 1);
+}
--- a/Tests/LibForward/TestMessageHeads.cpp
+++ b/Tests/LibForward/TestMessageHeads.cpp
@@ -40,7 +40,7 @@
             GatewayFixture fixture;
             fixture.add("s1", upstream, std::string(path) == "/long/plan" ? "engines" : "services");
             RawCaller caller(fixture);
-            caller.request(path, "r1", "Note: " + word + "\r\nOther: before " + word + " after\r\n", "the body");
+            caller.request(path, "r1", fmt::format("Note: {0}\r\nOther: before {0} after\r\n", word), "the body");
             caller.readUntil("seen");
             REQUIRE(upstream.requests().size() == 1);
             auto received = upstream.requests().front();
