--- a/Libraries/LibHttp1/BodyDecoder.cpp
+++ b/Libraries/LibHttp1/BodyDecoder.cpp
@@ -1,5 +1,7 @@
 #include <LibHttp1/BodyDecoder.h>
 
+#include <LibHttp1/HeaderFields.h>
+
 #include <algorithm>
 #include <charconv>
 #include <string_view>
@@ -13,6 +15,55 @@
 /** Digits of the largest chunk size of 64 bits. */
 constexpr std::size_t maximumSizeDigits = 16;
 
+/** Removes a token from the front. Returns false if there is none. */
+bool skipToken(std::string_view &text)
+{
+    auto end = std::find_if_not(text.begin(), text.end(), isTokenCharacter);
+    auto length = static_cast<std::size_t>(end - text.begin());
+    text.remove_prefix(length);
+    return length > 0;
+}
+
+/** Removes a quoted string (RFC 9110, section 5.6.4) from the front. Returns false if there is none. */
+bool skipQuotedString(std::string_view &text)
+{
+    for (std::size_t position = 1; text.starts_with('"') && position < text.size(); ++position) {
+        if (text[position] == '"') {
+            text.remove_prefix(position + 1);
+            return true;
+        }
+        // A backslash quotes the character after it.
+        position += text[position] == '\\' ? 1 : 0;
+    }
+    return false;
+}
+
+/** True for any number of extensions, each a name that a value may follow (RFC 9112, section 7.1.1). Their meaning is ignored. */
+bool areChunkExtensions(std::string_view text)
+{
+    if (!isFieldContent(text)) {
+        return false;
+    }
+    while (!text.empty()) {
+        text = trimWhitespaceAtFront(text);
+        if (!text.starts_with(';')) {
+            return false;
+        }
+        text = trimWhitespaceAtFront(text.substr(1));
+        if (!skipToken(text)) {
+            return false;
+        }
+        auto value = trimWhitespaceAtFront(text);
+        if (value.starts_with('=')) {
+            text = trimWhitespaceAtFront(value.substr(1));
+            if (!skipToken(text) && !skipQuotedString(text)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 }
 
 BodyDecoder::BodyDecoder(BodyFraming framing, std::uint64_t length, const FramingLimits &limits)
@@ -84,7 +135,7 @@
             return State::LimitExceeded;
         }
         this->isComplete = line.empty();
-        return State::Complete;
+        return line.empty() || parseField(line) ? State::Complete : State::Malformed;
     }
     if (this->chunkState == ChunkState::DataEnd) {
         this->chunkState = ChunkState::Size;
@@ -93,8 +144,8 @@
     constexpr int hexadecimal = 16;
     std::uint64_t size = 0;
     auto [rest, problem] = std::from_chars(line.data(), line.data() + line.size(), size, hexadecimal);
-    auto isFollowed = rest != line.data() + line.size() && *rest != ';' && *rest != ' ';
-    if (problem != std::errc() || isFollowed) {
+    auto digits = static_cast<std::size_t>(rest - line.data());
+    if (problem != std::errc() || digits > maximumSizeDigits || !areChunkExtensions(std::string_view(line).substr(digits))) {
         return State::Malformed;
     }
     this->remainingBytes = size;
--- a/Libraries/LibHttp1/HeadDecoder.cpp
+++ b/Libraries/LibHttp1/HeadDecoder.cpp
@@ -50,20 +50,11 @@
     {
         HeaderFields fields;
         for (auto line = this->nextLine(); !line.empty(); line = this->nextLine()) {
-            auto colon = line.find(':');
-            if (colon == std::string_view::npos) {
-                this->fail("a header field has no colon");
+            auto field = parseField(line);
+            if (!field) {
+                this->fail(fmt::format("the line of {} bytes is not a header field", line.size()));
             }
-            // Also rejects whitespace before the colon and folded lines, which recipients read in different ways.
-            auto name = FieldName::parse(line.substr(0, colon));
-            if (!name) {
-                this->fail("the name of a header field is not a token");
-            }
-            auto value = FieldValue::parse(trimWhitespace(line.substr(colon + 1)));
-            if (!value) {
-                this->fail("the header field " + name->value() + " has a control character");
-            }
-            fields.add(std::move(*name), std::move(*value));
+            fields.add(std::move(field->name), std::move(field->value));
         }
         if (!this->rest.empty()) {
             this->fail("bytes follow the empty line");
--- a/Libraries/LibHttp1/HeaderFields.cpp
+++ b/Libraries/LibHttp1/HeaderFields.cpp
@@ -27,6 +27,18 @@
 
 }
 
+std::optional<HeaderField> parseField(std::string_view line)
+{
+    auto colon = line.find(':');
+    // Whitespace before the colon and folded lines aren't tokens either. Recipients read them in different ways.
+    auto name = FieldName::parse(line.substr(0, colon));
+    auto value = FieldValue::parse(colon == std::string_view::npos ? std::string_view() : trimWhitespace(line.substr(colon + 1)));
+    if (colon == std::string_view::npos || !name || !value) {
+        return std::nullopt;
+    }
+    return HeaderField { std::move(*name), std::move(*value) };
+}
+
 void HeaderFields::add(FieldName name, FieldValue value)
 {
     this->fields.push_back(HeaderField { std::move(name), std::move(value) });
--- a/Libraries/LibHttp1/HeaderFields.h
+++ b/Libraries/LibHttp1/HeaderFields.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp1/Syntax.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,9 @@
     FieldValue value;
 };
 
+/** Parses a field line without its end (RFC 9112, section 5). Returns nothing for a line that isn't one, such as a folded one. */
+std::optional<HeaderField> parseField(std::string_view line);
+
 /** Header fields in the order of the message. A name may occur several times. Names are compared without regard to case. */
 class HeaderFields
 {
--- a/Libraries/LibHttp1/Syntax.cpp
+++ b/Libraries/LibHttp1/Syntax.cpp
@@ -48,11 +48,17 @@
     });
 }
 
-std::string_view trimWhitespace(std::string_view text)
+std::string_view trimWhitespaceAtFront(std::string_view text)
 {
     while (!text.empty() && isWhitespace(text.front())) {
         text.remove_prefix(1);
     }
+    return text;
+}
+
+std::string_view trimWhitespace(std::string_view text)
+{
+    text = trimWhitespaceAtFront(text);
     while (!text.empty() && isWhitespace(text.back())) {
         text.remove_suffix(1);
     }
--- a/Libraries/LibHttp1/Syntax.h
+++ b/Libraries/LibHttp1/Syntax.h
@@ -13,6 +13,8 @@
 /** True for printable ASCII, space, tab and bytes from 0x80: what field values and reason phrases consist of (RFC 9110, section 5.5). */
 bool isFieldContent(std::string_view text);
 
+std::string_view trimWhitespaceAtFront(std::string_view text);
+
 /** Removes spaces and tabs at both ends. */
 std::string_view trimWhitespace(std::string_view text);
 
--- a/Tests/LibHttp1/TestBodyDecoder.cpp
+++ b/Tests/LibHttp1/TestBodyDecoder.cpp
@@ -48,8 +48,30 @@
 {
     for (const std::string bytes : { "x\r\n", "-1\r\n", "5\r\nhelloX\r\n", "\r\n", "ffffffffffffffffff\r\n", "5 x5\r\nhell" }) {
         CAPTURE(bytes);
-        auto state = decodeInPieces(BodyFraming::Chunked, 0, bytes, bytes.size()).state;
-        CHECK((state == BodyDecoder::State::Malformed || bytes == "5 x5\r\nhell"));
+        CHECK(decodeInPieces(BodyFraming::Chunked, 0, bytes, bytes.size()).state == BodyDecoder::State::Malformed);
+    }
+}
+
+// Guards against chunks and trailers that recipients read in different ways.
+TEST_CASE("Chunk extensions and trailer fields that break the grammar are rejected")
+{
+    auto stateOf = [](const std::string &bytes) { return decodeInPieces(BodyFraming::Chunked, 0, bytes, bytes.size()).state; };
+    for (const std::string extension : { "", ";a", ";a=b", " ; a = b", ";a=\"b;\\\"c\"", ";a;b=c;d=\"\"" }) {
+        CAPTURE(extension);
+        CHECK(stateOf("1" + extension + "\r\nx\r\n0" + extension + "\r\nTrailer: a b\r\n\r\n") == BodyDecoder::State::Complete);
+    }
+    for (const std::string extension :
+         { " ", "\t", ";", ";=", ";a=", ";a=\"b", ";a=b c", ";a\nb", ";a=\rb", ";a=\"\n\"", "x;", ",a", "=a", "\n", ";a=\"b\\\"" }) {
+        CAPTURE(extension);
+        CHECK(stateOf("1" + extension + "\r\nx\r\n0\r\n\r\n") == BodyDecoder::State::Malformed);
+    }
+    for (const std::string trailer : { "Trailer : a", " Trailer: a", "Trailer", ": a", "Trailer: a\nb", "Trailer: a\rb", "Trailer: a\r\n folded" }) {
+        CAPTURE(trailer);
+        CHECK(stateOf("0\r\n" + trailer + "\r\n\r\n") == BodyDecoder::State::Malformed);
+    }
+    for (const std::string size : { "+1", "0x1", " 1", "1h", "1\n", "00000000000000001" }) {
+        CAPTURE(size);
+        CHECK(stateOf(size + "\r\nx\r\n0\r\n\r\n") == BodyDecoder::State::Malformed);
     }
 }
 
--- a/Tests/platform/TestPlatformProtocol.cpp
+++ b/Tests/platform/TestPlatformProtocol.cpp
@@ -56,6 +56,25 @@
     CHECK(request.promptParts[1].tokens == TokenCount(410));
 }
 
+// Guards against a time near 2^63 milliseconds that overflowed into one that had passed, and against sums of token counts that overflow.
+TEST_CASE("Numbers out of range are bounded before they become times or token counts")
+{
+    auto decode = [](const std::string &lines) {
+        return PlatformProtocol().decodeRequest(decodeRequestHead("POST / HTTP/1.1\r\nHost: a\r\nX-Request-Attempt: 1\r\n" + lines + "\r\n"),
+                                                TimePoint(seconds(100)));
+    };
+    for (const auto *number : { "9223372036854775807", "9223372036854775808", "18446744073709551615", "18446744073709551616", "600001" }) {
+        CAPTURE(number);
+        CHECK(decode(fmt::format("X-Deadline-Ms: {}\r\n", number)).deadline == TimePoint(seconds(700)));
+        auto prompt = decode(fmt::format("X-Token-Count: {0},{0}\r\nX-Length-Hint: {0}\r\nX-Prompt-Prefix: a:{0}\r\n", number));
+        CHECK(prompt.promptTokens.value() <= 1'000'000'000);
+        CHECK(prompt.maximumOutputTokens.value() <= 1'000'000'000);
+        CHECK(prompt.expectedOutputTokens.value_or(TokenCount(0)).value() <= 1'000'000'000);
+        CHECK(prompt.promptParts.front().tokens.value() <= 1'000'000'000);
+    }
+    CHECK(decode("X-Deadline-Ms: 0\r\n").deadline == TimePoint(seconds(100)));
+}
+
 TEST_CASE("A request without an id is rejected")
 {
     CHECK_THROWS_AS(PlatformProtocol().decodeRequest(decodeRequestHead("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), TimePoint()), Error);
