--- a/Tests/LibHttp1/TestBodyDecoder.cpp
+++ b/Tests/LibHttp1/TestBodyDecoder.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp1/MessageFraming.h>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace Lovageward;
 
@@ -58,7 +59,7 @@
     auto stateOf = [](const std::string &bytes) { return decodeInPieces(BodyFraming::Chunked, 0, bytes, bytes.size()).state; };
     for (const std::string extension : { "", ";a", ";a=b", " ; a = b", ";a=\"b;\\\"c\"", ";a;b=c;d=\"\"" }) {
         CAPTURE(extension);
-        CHECK(stateOf("1" + extension + "\r\nx\r\n0" + extension + "\r\nTrailer: a b\r\n\r\n") == BodyDecoder::State::Complete);
+        CHECK(stateOf(fmt::format("1{0}\r\nx\r\n0{0}\r\nTrailer: a b\r\n\r\n", extension)) == BodyDecoder::State::Complete);
     }
     for (const std::string extension :
          { " ", "\t", ";", ";=", ";a=", ";a=\"b", ";a=b c", ";a\nb", ";a=\rb", ";a=\"\n\"", "x;", ",a", "=a", "\n", ";a=\"b\\\"" }) {
--- a/Tests/LibHttp1/fuzz/HeadFuzzer.cpp
+++ b/Tests/LibHttp1/fuzz/HeadFuzzer.cpp
@@ -229,7 +229,7 @@
     auto bytes = this->mutate();
     for (const auto &problem : { this->checkRequest(bytes), this->checkResponse(bytes), this->checkChunks(bytes) }) {
         if (!problem.empty()) {
-            return problem + ":\n" + bytes;
+            return fmt::format("{}:\n{}", problem, bytes);
         }
     }
     return {};
