LibHttp: Discard the rest of a refused request by a clock that can't jump

ServerSession::discardRest() bounded its time by the time of day, which may jump by seconds; each receive and the number of bytes had bounds of their own. It now uses the steady clock.

--- a/Libraries/LibHttp/ServerSession.cpp
+++ b/Libraries/LibHttp/ServerSession.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp1/HeadDecoder.h>
 #include <LibHttp1/HeadEncoder.h>
 
+#include <Poco/Clock.h>
 #include <Poco/Exception.h>
 #include <fmt/format.h>
 
@@ -148,7 +149,7 @@
 {
     try {
         this->socket.shutdownSend();
-        Poco::Timestamp begin;
+        Poco::Clock begin;
         std::size_t discarded = 0;
         std::array<char, receiveBytes> block {};
         this->socket.setReceiveTimeout(Poco::Timespan(discardMicroseconds));
