--- a/Tests/platform/clients/TestClients.cpp
+++ b/Tests/platform/clients/TestClients.cpp
@@ -66,7 +66,7 @@
 /** Streams requested one after another without waiting for responses, each with a head near the limit. */
 ClientScript pipelinedScript()
 {
-    // POCO takes up to 8,192 bytes for the value of a field.
+    // The head stays within the default limit of 16,384 bytes.
     constexpr std::size_t paddingBytes = 7'500;
     constexpr std::size_t requests = 400;
     auto padding = fmt::format("X-Padding: {0}\r\nX-Padding: {0}\r\nContent-Length: 0\r\n", std::string(paddingBytes, 'p'));
