LibDispatch: Give the work in the queue a type name of its own

Callers of a node (`lovageward`) saw the connection close without an answer at their first service call or generation, and the process was gone: signal 11.

Cause: since two structs are named Lovageward::WaitingRequest, one in LibDispatch and one in LibGateway. Both libraries are linked into one program, so the linker keeps one of the two implicit destructors for both. DispatchCore::submit() ran the destructor of the other struct (gdb: free(0x70) below WaitingRequest::~WaitingRequest, WaitingRequests.h:31, called from DispatchCore.cpp:53).

Change: LibDispatch's struct is WaitingWork.

--- a/Libraries/LibDispatch/DispatchCore.cpp
+++ b/Libraries/LibDispatch/DispatchCore.cpp
@@ -187,7 +187,7 @@
     }
 }
 
-void DispatchCore::shortenDeadlineWithoutUpstream(WaitingRequest &work) const
+void DispatchCore::shortenDeadlineWithoutUpstream(WaitingWork &work) const
 {
     // A retry that excludes every upstream can only wait for a new one, which is given less time than a wait for capacity.
     if (work.entry.isRestricted && this->placer.usableUpstreams(work.placement).empty()) {
@@ -216,7 +216,7 @@
     }
 }
 
-void DispatchCore::consumeBudgets(const WaitingRequest &work, bool isRetry)
+void DispatchCore::consumeBudgets(const WaitingWork &work, bool isRetry)
 {
     const auto &team = work.entry.team;
     if (this->teamLimiter.requestCount(team) >= work.maximumConcurrent) {
@@ -234,7 +234,7 @@
     this->teamLimiter.tryAcquire(team, work.maximumConcurrent);
 }
 
-void DispatchCore::enqueue(WaitingRequest work)
+void DispatchCore::enqueue(WaitingWork work)
 {
     auto ticket = work.entry.ticket;
     this->lastTicket = ticket.value();
@@ -386,7 +386,7 @@
     return Error(code, RunState::NotRun, message, base + jitter);
 }
 
-WaitingRequest DispatchCore::removeWaiting(TicketId ticket)
+WaitingWork DispatchCore::removeWaiting(TicketId ticket)
 {
     auto found = this->waitingRequests.find(ticket);
     auto waiting = std::move(found->second);
--- a/Libraries/LibDispatch/DispatchCore.h
+++ b/Libraries/LibDispatch/DispatchCore.h
@@ -101,10 +101,10 @@
 
     void refuseExpired();
     void checkAcceptsWork();
-    void shortenDeadlineWithoutUpstream(WaitingRequest &work) const;
+    void shortenDeadlineWithoutUpstream(WaitingWork &work) const;
     void checkQueueLimits(const QueueEntry &entry);
-    void consumeBudgets(const WaitingRequest &work, bool isRetry);
-    void enqueue(WaitingRequest work);
+    void consumeBudgets(const WaitingWork &work, bool isRetry);
+    void enqueue(WaitingWork work);
     void tryPlaceArrival(const QueueEntry &entry);
 
     void placeWaiting(const ResourceId &resource);
@@ -122,7 +122,7 @@
 
     void refuse(TicketId ticket, ResultCode code, const std::string &message, Duration retryAfter);
     Error makeRefusal(ResultCode code, const std::string &message, Duration retryAfter);
-    WaitingRequest removeWaiting(TicketId ticket);
+    WaitingWork removeWaiting(TicketId ticket);
 
     DispatchSettings settings;
     const Clock &clock;
@@ -134,7 +134,7 @@
     FairQueue queue;
     TeamLimiter teamLimiter;
     RetryBudget retryBudget;
-    std::unordered_map<TicketId, WaitingRequest> waitingRequests;
+    std::unordered_map<TicketId, WaitingWork> waitingRequests;
     std::multimap<RequestId, TicketId> ticketsByRequest;
     std::unordered_map<PlacementId, RunningPlacement> runningPlacements;
     std::map<ResourceId, ResourceState> resources;
--- a/Libraries/LibDispatch/WaitingRequest.h
+++ b/Libraries/LibDispatch/WaitingWork.h
@@ -10,7 +10,7 @@
 namespace Lovageward {
 
 /** A request in the queue with all data needed to place it. */
-struct WaitingRequest
+struct WaitingWork
 {
     QueueEntry entry;
     RequestId request;
--- a/Libraries/LibDispatch/WorkResolver.cpp
+++ b/Libraries/LibDispatch/WorkResolver.cpp
@@ -24,7 +24,7 @@
 
 }
 
-WaitingRequest WorkResolver::resolve(const WorkItem &item, TicketId ticket)
+WaitingWork WorkResolver::resolve(const WorkItem &item, TicketId ticket)
 {
     auto team = this->configuration.team(item.team);
     if (!team) {
@@ -34,7 +34,7 @@
     if (!workClass) {
         throw makeNotRunError(ResultCode::UnknownWorkClass, fmt::format("work class {} doesn't exist", item.workClass.value()));
     }
-    WaitingRequest work;
+    WaitingWork work;
     work.request = item.request;
     work.model = item.model;
     work.pool = item.kind == CallKind::Service ? item.pool : PoolId();
@@ -64,7 +64,7 @@
     return work;
 }
 
-void WorkResolver::refresh(WaitingRequest &work)
+void WorkResolver::refresh(WaitingWork &work)
 {
     auto offset = this->configuration.appliedOffset();
     if (offset == work.resolvedOffset) {
--- a/Libraries/LibDispatch/WorkResolver.h
+++ b/Libraries/LibDispatch/WorkResolver.h
@@ -2,7 +2,7 @@
 
 #include <LibConfig/Configuration.h>
 #include <LibDispatch/Dispatcher.h>
-#include <LibDispatch/WaitingRequest.h>
+#include <LibDispatch/WaitingWork.h>
 
 #include <map>
 #include <vector>
@@ -18,10 +18,10 @@
     }
 
     /** Throws Error with NotRun: Forbidden, UnknownWorkClass or UnknownModel if the team, work class or model doesn't exist. */
-    WaitingRequest resolve(const WorkItem &item, TicketId ticket);
+    WaitingWork resolve(const WorkItem &item, TicketId ticket);
 
     /** Resolves the pools again if the configuration has changed, so that waiting requests follow the change. */
-    void refresh(WaitingRequest &work);
+    void refresh(WaitingWork &work);
 
 private:
     std::vector<PoolId> poolsOf(const ModelId &model, const PoolId &pool);
