LibForward, LibGateway: Reserve memory for the unfinished events of streams

Cause: the bytes of an unfinished event left the accounted buffer of the call for that of EventStreamParser, which no account knew: up to event-bytes for each stream, twice that while the string doubled, and a copy of each complete event.

Change: StreamRelay reserves memory before it appends, gives the parser's buffer exactly that capacity, and sends events from it. Without memory the upstream's socket isn't read, and after memory-wait-ms the call ends like one that broke off. Events up to 16 KB need none.

The new case "An event for which there is no memory ..." needs the counter and the reservation of this change, so it wasn't run before it.

--- a/Libraries/LibForward/StreamRelay.cpp
+++ b/Libraries/LibForward/StreamRelay.cpp
@@ -12,6 +12,15 @@
 /** Longest interval between checks whether the upstream is leaving. */
 constexpr Duration leaveCheckInterval = milliseconds(100);
 
+/** Interval between two attempts to reserve memory for an event. */
+constexpr Duration memoryCheckInterval = milliseconds(15);
+
+/** Bytes of an unfinished event that the charge of the caller's connection covers. */
+constexpr std::size_t unreservedEventBytes = 16'384;
+
+/** Step in which the memory of an unfinished event grows at least. */
+constexpr std::size_t eventMemoryStep = 65'536;
+
 /** Time for which a run has to produce output before it counts as evidence that its prompt doesn't crash engines. */
 constexpr Duration soundOutputTime = seconds(2);
 
@@ -33,6 +42,7 @@
     , caller(caller)
     , isKeepAlive(isKeepAlive)
     , events(dependencies.responseLimits.eventBytes)
+    , eventMemory(dependencies.memory, MemoryPurpose::Event)
     , timing(dependencies.clock, work.request.arrivedAt)
 {
     if (work.request.lastEventId) {
@@ -134,7 +144,7 @@
             return outcome;
         }
     }
-    if (state == UpstreamCall::State::Complete || state == UpstreamCall::State::Failed) {
+    if ((state == UpstreamCall::State::Complete || state == UpstreamCall::State::Failed) && !this->eventMemoryDeadline) {
         return this->handleCallEnd();
     }
     // A stream that has begun may go on until the process exits.
@@ -159,11 +169,12 @@
 {
     DescriptorPoller poller;
     auto callerIndex = poller.add(this->caller.descriptor());
-    poller.add(this->takeover ? -1 : this->call->descriptor());
+    poller.add(this->takeover || this->eventMemoryDeadline ? -1 : this->call->descriptor());
     poller.add(this->migration ? this->migration->descriptor() : -1);
     poller.add(this->takeover ? this->takeover->call->descriptor() : -1);
     poller.add(this->replacement ? this->replacement->attempt.call->descriptor() : -1);
-    poller.wait(this->dependencies.clock, std::min(this->work.deadline, this->dependencies.clock.now() + leaveCheckInterval));
+    auto checkInterval = this->eventMemoryDeadline ? memoryCheckInterval : leaveCheckInterval;
+    poller.wait(this->dependencies.clock, std::min(this->work.deadline, this->dependencies.clock.now() + checkInterval));
     if (poller.isReadable(callerIndex) && this->caller.isDisconnected()) {
         this->call->cancel();
         if (this->takeover) {
@@ -236,8 +247,49 @@
     return this->hasSentHead && this->caller.sendChunk(event.bytes);
 }
 
+bool StreamRelay::reserveEvent()
+{
+    auto bytes = this->events.capacityFor(this->call->body().size());
+    if (bytes <= std::max<std::uint64_t>(unreservedEventBytes, this->eventMemory.bytes())) {
+        return true;
+    }
+    // Doubling copies each byte a bounded number of times, and an event that exceeds its limit is ended before it needs more than the received bytes.
+    auto largest = std::max(bytes, this->dependencies.responseLimits.eventBytes);
+    auto capacity = std::clamp<std::size_t>(2 * this->eventMemory.bytes(), bytes + eventMemoryStep, largest + eventMemoryStep);
+    if (!this->eventMemory.tryGrow(capacity)) {
+        return false;
+    }
+    this->events.reserve(capacity);
+    return true;
+}
+
+StreamRelay::StepResult StreamRelay::awaitEventMemory()
+{
+    auto now = this->dependencies.clock.now();
+    if (!this->eventMemoryDeadline) {
+        this->eventMemoryDeadline = now + this->dependencies.connectionLimits.memoryWait;
+    }
+    if (now < *this->eventMemoryDeadline) {
+        return StepResult::Continue;
+    }
+    this->dependencies.counters.counter("lovageward_event_memory_exhausted_total").add();
+    this->call->cancel();
+    return this->recover("there is no memory for an unfinished event");
+}
+
+void StreamRelay::discardPartialEvent()
+{
+    this->events.discardPartialEvent();
+    this->eventMemory.reset();
+    this->eventMemoryDeadline.reset();
+}
+
 StreamRelay::StepResult StreamRelay::forwardEvents()
 {
+    if (!this->reserveEvent()) {
+        return this->awaitEventMemory();
+    }
+    this->eventMemoryDeadline.reset();
     try {
         this->events.append(this->call->body());
         this->call->body().clear();
@@ -260,6 +312,10 @@
             }
             this->reportProgress();
         }
+        if (this->eventMemory.bytes() > 0 && this->events.capacityFor(0) == 0) {
+            this->events.releaseEmptyBuffer();
+            this->eventMemory.reset();
+        }
     } catch (const Error &error) {
         this->call->cancel();
         return this->recover(error.what());
@@ -398,7 +454,7 @@
     this->triedTargets.clear();
     this->nextStallCheckAt = TimePoint();
     this->tokenTimeSampler.emplace(this->dependencies.clock, this->dependencies.tokenTimes, this->placement.upstream.id);
-    this->events.discardPartialEvent();
+    this->discardPartialEvent();
     this->lastEventAt = this->dependencies.clock.now();
 }
 
@@ -420,7 +476,7 @@
     this->hasProcessedHead = false;
     this->eventsBeforeCall = this->timing.eventCount();
     this->tokenTimeSampler.emplace(this->dependencies.clock, this->dependencies.tokenTimes, this->placement.upstream.id);
-    this->events.discardPartialEvent();
+    this->discardPartialEvent();
     this->lastEventAt = this->dependencies.clock.now();
     return true;
 }
--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/MemoryReservation.h>
 #include <LibForward/ResponseInspector.h>
 #include <LibForward/RunMigration.h>
 #include <LibForward/RunOutcomeRecorder.h>
@@ -70,6 +71,11 @@
     std::optional<PlacedRun> reserveBackup(ForwardOptions &options, const UpstreamRecord &runner);
     ForwardOptions makeOptions() const;
     bool sendEvent(const StreamEvent &event);
+    /** Reserves memory so that the received bytes can join the unfinished event. Returns false if there is none. */
+    bool reserveEvent();
+    /** Leaves the rest of the event to the kernel until there is memory for it, and ends the call if there is none in time. */
+    StepResult awaitEventMemory();
+    void discardPartialEvent();
     bool isStalled() const;
     /** Offers the run to its backup or to another upstream. The stalled upstream may still go on meanwhile. */
     StepResult handleStall();
@@ -128,6 +134,10 @@
     /** Earliest time at which the stalled stream is handled again. */
     TimePoint nextStallCheckAt;
     EventStreamParser events;
+    /** Memory of the unfinished event. */
+    MemoryReservation eventMemory;
+    /** Time at which the call is ended unless there is memory for its event by then; set while there is none. */
+    std::optional<TimePoint> eventMemoryDeadline;
     /** The response head of the current call was validated. */
     bool hasProcessedHead = false;
     /** The response head was sent to the caller. */
--- a/Libraries/LibGateway/EventStreamParser.cpp
+++ b/Libraries/LibGateway/EventStreamParser.cpp
@@ -58,6 +58,32 @@
     this->buffer.append(bytes);
 }
 
+std::size_t EventStreamParser::capacityFor(std::size_t addedBytes) const
+{
+    return this->buffer.size() - this->eventStart + addedBytes;
+}
+
+void EventStreamParser::reserve(std::size_t bytes)
+{
+    if (bytes <= this->buffer.capacity()) {
+        return;
+    }
+    // std::string::reserve() may allocate twice the size.
+    std::string larger;
+    larger.reserve(bytes);
+    larger.append(this->buffer, this->eventStart, std::string::npos);
+    this->buffer.swap(larger);
+    this->eventStart = 0;
+}
+
+void EventStreamParser::releaseEmptyBuffer()
+{
+    if (this->eventStart == this->buffer.size()) {
+        this->buffer = std::string();
+        this->eventStart = 0;
+    }
+}
+
 std::optional<StreamEvent> EventStreamParser::parseNext()
 {
     constexpr std::string_view eventEnd = "\n\n";
@@ -77,7 +103,7 @@
     }
     end += eventEnd.size();
     StreamEvent event;
-    event.bytes = this->buffer.substr(this->eventStart, end - this->eventStart);
+    event.bytes = std::string_view(this->buffer).substr(this->eventStart, end - this->eventStart);
     this->eventStart = end;
     this->searchedBytes = 0;
     this->commentBytes = 0;
@@ -98,7 +124,7 @@
 
 void EventStreamParser::discardPartialEvent()
 {
-    this->buffer.clear();
+    this->buffer = std::string();
     this->eventStart = 0;
     this->searchedBytes = 0;
     this->commentBytes = 0;
--- a/Libraries/LibGateway/EventStreamParser.h
+++ b/Libraries/LibGateway/EventStreamParser.h
@@ -11,8 +11,8 @@
 struct StreamEvent
 {
     std::uint64_t id = 0;
-    /** The event as received, with its end and the comments before it. */
-    std::string bytes;
+    /** The event as received, with its end and the comments before it. Valid until the parser's next change. */
+    std::string_view bytes;
 };
 
 /**
@@ -29,6 +29,15 @@
 
     void append(std::string_view bytes);
 
+    /** Size in bytes of the buffer that is needed to append the given number of bytes without growing. */
+    std::size_t capacityFor(std::size_t addedBytes) const;
+
+    /** Gives the buffer the capacity, in bytes, if that is more than now. */
+    void reserve(std::size_t bytes);
+
+    /** Frees the buffer if no bytes are in it. */
+    void releaseEmptyBuffer();
+
     /**
      * Returns the next complete event, or nullopt until more bytes arrive. Throws Error(OffsetGap) if the id isn't the successor of the last one, and
      * Error(AnswerMismatch) if the event has no id or is longer than `maximumEventBytes`.
--- a/Tests/LibForward/TestResponseLimits.cpp
+++ b/Tests/LibForward/TestResponseLimits.cpp
@@ -1,4 +1,5 @@
 #include "GatewayFixture.h"
+#include "StreamScripts.h"
 
 #include <Support/ResidentMemory.h>
 
@@ -147,6 +148,56 @@
     CHECK_FALSE(response.ends_with("0\r\n\r\n"));
 }
 
+// Guards against a node that exceeds its memory under events without an end: unfinished events weren't in its account.
+TEST_CASE("An event for which there is no memory isn't received further, and its stream is truncated while others go on")
+{
+    ScriptedUpstream endless([&](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        connection.sendEvent(0);
+        connection.sendEndlessly("5\r\nbytes\r\n");
+    });
+    ScriptedUpstream sound([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        sendEvents(connection, 0, 3);
+        connection.endStream();
+    });
+    GatewayFixture fixture;
+    fixture.add("e1", endless);
+    fixture.add("s1", sound, "services");
+    auto account = fixture.memory.totalBytes();
+    // Both callers' connections and calls fit, and no event beyond them.
+    constexpr std::uint64_t connections = 400'000;
+    fixture.memory.chargeShared(MemoryPurpose::Body, account - connections);
+    RawCaller caller(fixture);
+    caller.request("/long/plan", "r1");
+    auto response = caller.readAll();
+    CHECK(response.find("data: e0\n\n") != std::string::npos);
+    CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+    CHECK(fixture.counters.counter("lovageward_event_memory_exhausted_total").value() == 1);
+    RawCaller other(fixture);
+    other.request("/feed/lines", "r2");
+    CHECK(isCompleteStream(other.readUntil("0\r\n\r\n"), 3));
+    CHECK(fixture.memory.usedBytes(MemoryPurpose::Event) == 0);
+}
+
+TEST_CASE("A request whose response would find no memory is rejected as not run, before it reaches an upstream")
+{
+    ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) { connection.respond(200, request, "answer"); });
+    GatewayFixture fixture;
+    fixture.add("s1", upstream, "services");
+    fixture.memory.chargeShared(MemoryPurpose::Body, fixture.memory.totalBytes());
+    RawCaller caller(fixture);
+    caller.request("/once/book", "r1");
+    auto response = caller.readUntil("run_state");
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Retry-After: 1.000") != std::string::npos);
+    CHECK(upstream.requests().empty());
+    fixture.memory.releaseShared(MemoryPurpose::Body, fixture.memory.totalBytes());
+    RawCaller later(fixture);
+    later.request("/once/book", "r2");
+    CHECK(later.readUntil("answer").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("An error response to a stream request whose body never ends fails at the deadline")
 {
     ScriptedUpstream upstream([](ScriptedConnection &connection, const std::string &request) {
