LibRelay, LibHttp: Reserve memory for the parsed form of a generation request

What callers saw: 20 requests of legal size end a node. A body of 1 MiB with very many small JSON values takes up 117 MB once POCO has parsed it, and the parsed form was kept for as long as the request waited and ran.

Cause: the account and the limits know the length of a body, not what its parsed form takes up: 980 bytes for each {"a":1}.

Change: measureJson() estimates the parsed form in one pass, whose result is reserved before the body is parsed; the copy that the engine receives is reserved, too, and the parsed form is freed before the request waits. A body with more than max-json-values (20,000) is refused with 413 before it is parsed; a dialogue of 1,000 messages has 7,000.

--- a/Libraries/LibHttp/CallerServerSettings.h
+++ b/Libraries/LibHttp/CallerServerSettings.h
@@ -18,6 +18,8 @@
     /** "IP:port"; port 0 lets the kernel choose one. */
     std::string listenAddress = "127.0.0.1:0";
     std::size_t maximumBodyBytes = 1'048'576;
+    /** JSON values of a body, names of members included; each may take up a hundred times its length once it is parsed. */
+    std::size_t maximumJsonValues = 20'000;
     std::size_t maximumHeaderBytes = 16'384;
     std::size_t maximumHeaderFields = 64;
     /** A request must have arrived completely this long after its first byte, and a caller must take written bytes within it. */
--- a/Libraries/LibHttp/CompletionHandler.cpp
+++ b/Libraries/LibHttp/CompletionHandler.cpp
@@ -1,7 +1,11 @@
 #include <LibHttp/CompletionHandler.h>
 
+#include <LibHttp/ConnectionMemory.h>
 #include <LibHttp/JsonAnswerSink.h>
 #include <LibHttp/SseAnswerSink.h>
+#include <LibRelay/JsonFootprint.h>
+
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -9,6 +13,9 @@
 
 namespace {
 
+/** Bytes of a body's copy, and of its parsed form, that the fixed charge of a connection covers. */
+constexpr std::uint64_t unreservedBytes = 16'384;
+
 /** Engines run higher priorities first: a class with a shorter target, such as a short verdict, goes before a long story. */
 int priorityOf(const WorkClass &workClass)
 {
@@ -47,8 +54,35 @@
         this->resume(kind, team, request, response);
         return;
     }
-    auto completion = this->parser.parse(kind, request.body, request.header("X-Work-Class"));
-    this->start(completion, this->classOf(completion), team, request, response);
+    // The body that the engine receives is a copy.
+    MemoryReservation copyMemory(this->parts.memory, MemoryPurpose::Body);
+    this->reserve(copyMemory, request.body.size());
+    MemoryReservation parsedMemory(this->parts.memory, MemoryPurpose::Body);
+    auto completion = this->parse(kind, request, parsedMemory);
+    auto workClass = this->classOf(completion);
+    auto task = this->taskFor(completion, workClass, team, request);
+    // The parsed form isn't needed while the request waits and runs.
+    completion.body.reset();
+    parsedMemory.reset();
+    this->start(completion, workClass, std::move(task), response);
+}
+
+void CompletionHandler::reserve(MemoryReservation &memory, std::uint64_t bytes) const
+{
+    if (bytes > unreservedBytes && !memory.tryGrow(bytes)) {
+        this->parts.counters.counter("lovageward_memory_rejections_total").add();
+        throw Error(ResultCode::NoCapacity, RunState::NotRun, "there is no memory to read the body of this request", memoryRetryAfter);
+    }
+}
+
+CompletionRequest CompletionHandler::parse(CompletionKind kind, const CallerRequest &request, MemoryReservation &memory) const
+{
+    auto footprint = measureJson(request.body);
+    if (footprint.values > this->settings.maximumJsonValues) {
+        throw Error(ResultCode::BodyTooLarge, RunState::NotRun, fmt::format("the body has more than {} JSON values", this->settings.maximumJsonValues));
+    }
+    this->reserve(memory, footprint.bytes);
+    return this->parser.parse(kind, request.body, request.header("X-Work-Class"));
 }
 
 WorkClass CompletionHandler::classOf(const CompletionRequest &completion) const
@@ -88,10 +122,8 @@
     return task;
 }
 
-void CompletionHandler::start(
-    const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request, ResponseWriter &response)
+void CompletionHandler::start(const CompletionRequest &completion, const WorkClass &workClass, RelayTask task, ResponseWriter &response)
 {
-    auto task = this->taskFor(completion, workClass, team, request);
     task.item.request = RequestId(response.request());
     SseAnswerSink streamed(response);
     JsonAnswerSink whole(response, completion.kind, workClass.id.value(), completion.promptTokens, this->parts.clock.wallNow());
@@ -107,7 +139,11 @@
         throw Error(ResultCode::Forbidden, RunState::NotRun, "the resume token belongs to another team");
     }
     // A reconnecting event source may send no body; then the answer is streamed.
-    bool isStreamed = request.body.empty() || this->parser.parse(kind, request.body, request.header("X-Work-Class")).isStreamed;
+    auto isStreamed = true;
+    if (!request.body.empty()) {
+        MemoryReservation parsedMemory(this->parts.memory, MemoryPurpose::Body);
+        isStreamed = this->parse(kind, request, parsedMemory).isStreamed;
+    }
     if (!isStreamed && point.from.value() > 0) {
         throw Error(ResultCode::BadRequest, RunState::NotRun, "an answer can be continued in its middle only with \"stream\": true");
     }
--- a/Libraries/LibHttp/CompletionHandler.h
+++ b/Libraries/LibHttp/CompletionHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Backoff.h>
+#include <LibCore/MemoryReservation.h>
 #include <LibHttp/CallerRequest.h>
 #include <LibHttp/CallerServer.h>
 #include <LibHttp/ResponseWriter.h>
@@ -19,7 +20,11 @@
     void handle(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response);
 
 private:
-    void start(const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request, ResponseWriter &response);
+    /** Throws Error(NoCapacity) if the memory isn't there. */
+    void reserve(MemoryReservation &memory, std::uint64_t bytes) const;
+    /** Reserves `memory` for the parsed form before it parses the body. */
+    CompletionRequest parse(CompletionKind kind, const CallerRequest &request, MemoryReservation &memory) const;
+    void start(const CompletionRequest &completion, const WorkClass &workClass, RelayTask task, ResponseWriter &response);
     void resume(CompletionKind kind, const Team &team, const CallerRequest &request, ResponseWriter &response);
     WorkClass classOf(const CompletionRequest &completion) const;
     RelayTask taskFor(const CompletionRequest &completion, const WorkClass &workClass, const Team &team, const CallerRequest &request) const;
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -32,6 +32,7 @@
     CallerServerSettings result;
     result.listenAddress = settings.listenAddress;
     result.maximumBodyBytes = settings.maximumBodyBytes;
+    result.maximumJsonValues = settings.maximumJsonValues;
     result.maximumThreads = static_cast<int>(settings.maximumConnections);
     result.resumeKey = settings.resumeKey;
     result.relay.tokenGapTimeout = settings.tokenGapLimit;
--- a/Libraries/LibNode/NodeSettings.cpp
+++ b/Libraries/LibNode/NodeSettings.cpp
@@ -79,6 +79,7 @@
         { "link-megabits", "rate of the link between regions in megabits per second", "30", wholeNumberCheck(1, 1'000'000) },
         { "max-body-bytes", "maximum size of a request body in bytes", "1048576", wholeNumberCheck(1'024, 1 << 28) },
         { "max-connections", "maximum number of open caller connections, each of which uses a thread", "1000", wholeNumberCheck(1, 20'000) },
+        { "max-json-values", "maximum number of JSON values in the body of a generation request", "20000", wholeNumberCheck(100, 100'000'000) },
         { "memory-megabytes", "memory limit of this process in megabytes", "128", wholeNumberCheck(48, 1'000'000) },
         { "digest-fanout", "number of owners in the node's region whose upstreams it uses; 0 for all", "0", wholeNumberCheck(0, 1'000) },
     };
@@ -106,6 +107,7 @@
     settings.maximumBodyBytes = static_cast<std::uint64_t>(reader.number("max-body-bytes"));
     auto budget = makeMemoryBudget(reader.number("memory-megabytes"), { ownMegabytes, callerConnectionBytes });
     settings.memoryLimits = budget.limits;
+    settings.maximumJsonValues = static_cast<std::size_t>(reader.number("max-json-values"));
     settings.maximumConnections = static_cast<std::uint32_t>(std::min(reader.number("max-connections"), budget.maximumConnections));
     settings.digestFanOut = static_cast<std::uint32_t>(reader.number("digest-fanout"));
     checkCombination(settings);
--- a/Libraries/LibNode/NodeSettings.h
+++ b/Libraries/LibNode/NodeSettings.h
@@ -39,6 +39,7 @@
     std::uint32_t maximumConnections = 0;
     std::uint32_t digestFanOut = 0;
     MemoryLimits memoryLimits;
+    std::size_t maximumJsonValues = 0;
 
     bool isEmbedded() const
     {
--- a/Tests/platform/clients/NodeProcess.h
+++ b/Tests/platform/clients/NodeProcess.h
@@ -33,6 +33,12 @@
         return *this->node;
     }
 
+    /** Authorization field of the team's requests. */
+    std::string authorization() const
+    {
+        return "Authorization: Bearer " + this->teamKey + "\r\n";
+    }
+
     /** Calls the service as an ordinary caller, on new connections, until one is answered with 200 or `patience` has passed. */
     bool isOrdinaryRequestServed(std::chrono::milliseconds patience) const;
 
--- a/Tests/platform/clients/TestNodeClients.cpp
+++ b/Tests/platform/clients/TestNodeClients.cpp
@@ -85,6 +85,22 @@
     checkNode(node, crowd);
 }
 
+TEST_CASE("Bodies of very many JSON values at once stay within the memory of a node")
+{
+    // Both forms are valid JSON. One object or number takes up a hundred or twenty times its length once it is parsed.
+    auto element = GENERATE(as<std::string>(), "{\"a\":1}", "1");
+    NodeProcess node({});
+    std::string elements = element;
+    while (elements.size() + element.size() + 100 < largestNodeBody) {
+        elements += "," + element;
+    }
+    auto body = std::make_shared<const std::string>(R"({"model":"lookup","prompt":"a","x":[)" + elements + "]}");
+    auto head = fmt::format("POST /v1/completions HTTP/1.1\r\nHost: node\r\n{}Content-Length: {}\r\n\r\n", node.authorization(), body->size());
+    Crowd crowd(node.ip(), nodeCallerPort);
+    crowd.add(20, { head, body, 1 }, 4);
+    checkNode(node, crowd);
+}
+
 TEST_CASE("Idle and unfinished connections at the administration API leave room for an operator")
 {
     auto text = GENERATE(as<std::string>(), "", "G");
