LibForward: Give a stalled call up only once another upstream has accepted the run

Cause: commitReplacement() cancelled the stalled call 300 ms after the request to its replacement, whatever the replacement had said. One that refuses later, or never responds, left the stream without any call.

Change: the 300 ms run from the head by which the replacement accepts the run; two engines still don't execute a run for longer than 400 ms. Until then both calls stay open and whichever goes on first has the stream. A replacement without any response for 1.5 s is given up only if another upstream can be tried.

The test "A resumable stream whose upstream is silent for good ..." demanded that the silent call be cancelled before the replacement had sent a single byte, which is the fault itself. It now demands it after the head and before the first event of the replacement: as strict in the order, and true to the rule about two engines.

--- a/Libraries/LibForward/StreamRelay.h
+++ b/Libraries/LibForward/StreamRelay.h
@@ -83,6 +83,8 @@
     void beginReplacement();
     /** Decides between the stalled call and its replacement. */
     StepResult advanceReplacement();
+    /** Gives up a second call without response if another upstream can be tried. */
+    void abandonSilentReplacement();
     /** Gives the stalled call up, so that the stream goes on from its replacement. */
     void commitReplacement();
     void abortReplacement(const std::string &reason);
@@ -127,8 +129,10 @@
         UpstreamAttempt attempt;
         /** Events that the caller had received when it was opened. */
         std::uint64_t eventsBefore = 0;
-        /** Time at which the stalled call is given up unless the second one has been refused. */
-        TimePoint commitAt;
+        /** Time at which the stalled call is given up for the second one; set once the second upstream has accepted the run. */
+        std::optional<TimePoint> commitAt;
+        /** Time at which a further upstream is tried if the second one hasn't responded. */
+        TimePoint nextAttemptAt;
     };
     std::optional<Replacement> replacement;
     /** Earliest time at which the stalled stream is handled again. */
--- a/Libraries/LibForward/StreamRelayStall.cpp
+++ b/Libraries/LibForward/StreamRelayStall.cpp
@@ -10,8 +10,8 @@
 /** Time without an event after which a stream counts as stalled: its upstream is lost, or the engine has preempted the run. */
 constexpr Duration stallTimeout = milliseconds(1500);
 
-/** Time for which both calls stay open. Two engines must not execute one run for longer than 400 ms. */
-constexpr Duration replacementTimeout = milliseconds(300);
+/** Time for which both calls stay open once the second upstream has accepted the run. Two engines must not execute one run for longer than 400 ms. */
+constexpr Duration acceptedOverlap = milliseconds(300);
 
 }
 
@@ -53,7 +53,7 @@
     this->retryState.excludedUpstreams.push_back(this->placement.upstream.id);
     try {
         auto opened = this->dialer.open(this->work, this->retryState, this->makeOptions(), this->caller);
-        this->replacement = Replacement { std::move(opened), this->timing.eventCount(), this->dependencies.clock.now() + replacementTimeout };
+        this->replacement = Replacement { std::move(opened), this->timing.eventCount(), std::nullopt, this->dependencies.clock.now() + stallTimeout };
     } catch (const Error &error) {
         this->dependencies.events.write("not_continued", { { "request", this->work.request.id.value() }, { "reason", error.what() } });
     }
@@ -84,13 +84,33 @@
         this->abortReplacement(attempt.call->failureReason());
         return StepResult::Continue;
     }
-    if (attempt.call->body().empty() && this->dependencies.clock.now() < this->replacement->commitAt) {
+    if (!attempt.call->hasHead()) {
+        // A request that waits at the other upstream, or is refused later, is no reason to end a run that may go on.
+        this->abandonSilentReplacement();
+        return StepResult::Continue;
+    }
+    auto now = this->dependencies.clock.now();
+    if (!this->replacement->commitAt) {
+        this->replacement->commitAt = now + acceptedOverlap;
+    }
+    if (attempt.call->body().empty() && now < *this->replacement->commitAt) {
         return StepResult::Continue;
     }
     this->commitReplacement();
     return StepResult::Reopened;
 }
 
+void StreamRelay::abandonSilentReplacement()
+{
+    // Without a further attempt, whichever of the two goes on first has the stream.
+    auto canTryAnother = this->retryState.possibleRuns + 2 < this->work.route->maximumAttempts;
+    if (canTryAnother && this->dependencies.clock.now() >= this->replacement->nextAttemptAt) {
+        ++this->retryState.possibleRuns;
+        this->dependencies.health.recordFailure(this->replacement->attempt.placement.upstream.id, interruptionWeight);
+        this->abortReplacement("the other upstream did not respond in time");
+    }
+}
+
 void StreamRelay::commitReplacement()
 {
     this->call->cancel();
--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -114,7 +114,7 @@
         this->registry.put(record);
     }
 
-    static std::shared_ptr<const GatewayConfig> makeConfig(std::uint64_t version = 1)
+    static std::shared_ptr<const GatewayConfig> makeConfig(std::uint64_t version = 1, std::uint32_t idempotentAttempts = 2)
     {
         std::vector<Route> routes;
         auto add = [&](const std::string &name, const std::string &pool, ExecutionSemantics rule, bool isStream) {
@@ -128,7 +128,7 @@
             route.timeout = seconds(15);
             // Requests wait for capacity for an eighth of the target latency.
             route.targetLatency = name.starts_with("patient") ? Duration(minutes(10)) : Duration(milliseconds(800));
-            route.maximumAttempts = rule == ExecutionSemantics::Idempotent ? 2 : 1;
+            route.maximumAttempts = rule == ExecutionSemantics::Idempotent ? idempotentAttempts : 1;
             route.requiresApiKey = false;
             route.pools = { WeightedPool { PoolId(pool), 1 } };
             routes.push_back(route);
--- a/Tests/LibForward/TestStreamStalls.cpp
+++ b/Tests/LibForward/TestStreamStalls.cpp
@@ -109,8 +109,11 @@
         cancelled.open();
     });
     ScriptedUpstream other([&](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        // The other upstream has accepted the run, so the silent one is cancelled before the first event.
         cancelled.await();
-        continueStream(connection, request, 4);
+        sendEvents(connection, 2, 4);
+        connection.endStream();
     });
     GatewayFixture fixture;
     fixture.add("e1", engine);
@@ -121,3 +124,55 @@
     CHECK(isCompleteStream(caller.readUntil("0\r\n\r\n"), 4));
     CHECK(ScriptedConnection::field(other.requests().front(), "Last-Event-Id") == "1");
 }
+
+// Guards against a stream that is cut because a replacement was asked: the stalled call was given up after 300 ms, and then the replacement refused
+// (review/10).
+TEST_CASE("A resumable stream whose upstream pauses stays there if its replacement refuses late, or never responds")
+{
+    auto isRefused = GENERATE(true, false);
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        sendEvents(connection, 0, 2);
+        connection.pause(milliseconds(3000));
+        sendEvents(connection, 2, 4);
+        connection.endStream();
+    });
+    ScriptedUpstream other([&](ScriptedConnection &connection, const std::string &request) {
+        if (isRefused) {
+            connection.pause(milliseconds(800));
+            connection.respond(503, request, "", "Not-Run: 1\r\n");
+        } else {
+            connection.awaitClose();
+        }
+    });
+    GatewayFixture fixture;
+    fixture.add("e1", engine);
+    fixture.health.recordFailure(UpstreamId("e2"), 1);
+    fixture.add("e2", other);
+    RawCaller caller(fixture);
+    caller.request("/resumable/verdict", "r1");
+    CHECK(isCompleteStream(caller.readUntil("0\r\n\r\n"), 4));
+    CHECK(engine.requests().size() == 1);
+}
+
+TEST_CASE("A stream whose upstream and first replacement are silent goes on at a third upstream if an attempt is left")
+{
+    auto silent = [](ScriptedConnection &connection, const std::string & /*request*/) { connection.awaitClose(); };
+    ScriptedUpstream engine([](ScriptedConnection &connection, const std::string &request) {
+        connection.beginStream(request);
+        sendEvents(connection, 0, 2);
+        connection.awaitClose();
+    });
+    ScriptedUpstream other(silent);
+    ScriptedUpstream third([](ScriptedConnection &connection, const std::string &request) { continueStream(connection, request, 4); });
+    GatewayFixture fixture;
+    fixture.config.updateIfNewer(GatewayFixture::makeConfig(2, 3));
+    fixture.add("e1", engine);
+    fixture.health.recordFailure(UpstreamId("e2"), 1);
+    fixture.add("e2", other);
+    fixture.health.recordFailure(UpstreamId("e3"), 3);
+    fixture.add("e3", third);
+    RawCaller caller(fixture);
+    caller.request("/resumable/verdict", "r1");
+    CHECK(isCompleteStream(caller.readUntil("0\r\n\r\n"), 4));
+}
