--- a/Tests/LibRelay/TestJsonFootprint.cpp
+++ b/Tests/LibRelay/TestJsonFootprint.cpp
@@ -29,10 +29,11 @@
     }
     text += "]";
     auto before = residentBytes();
-    std::vector<Poco::Dynamic::Var> parsed;
-    for (int copy = 0; copy < 4; ++copy) {
-        parsed.push_back(Poco::JSON::Parser().parse(text));
+    constexpr std::size_t copies = 4;
+    std::vector<Poco::Dynamic::Var> parsed(copies);
+    for (auto &copy : parsed) {
+        copy = Poco::JSON::Parser().parse(text);
     }
     auto after = residentBytes();
-    CHECK(after - std::min(after, before) <= 4 * measureJson(text).bytes);
+    CHECK(after - std::min(after, before) <= copies * measureJson(text).bytes);
 }
