Tests: Let the scripted upstream answer before it has read a request

Change: ScriptedUpstream stands in Tests/Support. RequestReading::HeadOnly runs the script once the head has arrived, with a small receive buffer, so that a large body can't be written to its end. A script can close with unread bytes and can end its bytes without closing. The test gateway's limit on bodies is a parameter, and a test can wait for one of several events.

--- a/Tests/LibForward/GatewayFixture.h
+++ b/Tests/LibForward/GatewayFixture.h
@@ -1,18 +1,20 @@
 #pragma once
 
-#include "ScriptedUpstream.h"
 #include "TestProtocol.h"
 
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibForward/GatewayServer.h>
 #include <Support/FakeFleet.h>
+#include <Support/ScriptedUpstream.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace Lovageward {
 
@@ -76,6 +78,14 @@
         this->changed.wait(lock, [&] { return this->counts[event] >= count; });
     }
 
+    /** Waits until one of the events was written. */
+    void awaitAny(const std::vector<std::string> &alternatives)
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait(
+            lock, [&] { return std::any_of(alternatives.begin(), alternatives.end(), [this](const std::string &event) { return this->counts[event] > 0; }); });
+    }
+
 private:
     std::mutex mutex;
     std::condition_variable changed;
@@ -114,7 +124,8 @@
         this->registry.put(record);
     }
 
-    static std::shared_ptr<const GatewayConfig> makeConfig(std::uint64_t version = 1, std::uint32_t idempotentAttempts = 2)
+    static std::shared_ptr<const GatewayConfig>
+    makeConfig(std::uint64_t version = 1, std::uint32_t idempotentAttempts = 2, std::size_t maximumBodyBytes = 10'000)
     {
         std::vector<Route> routes;
         auto add = [&](const std::string &name, const std::string &pool, ExecutionSemantics rule, bool isStream) {
@@ -151,7 +162,7 @@
         traits.supportsStandbyCopies = true;
         engines.engine = traits;
         CallerLimits limits;
-        limits.maximumBodyBytes = 10'000;
+        limits.maximumBodyBytes = maximumBodyBytes;
         return std::make_shared<const GatewayConfig>(
             ConfigVersion(version), std::move(routes), std::vector<UpstreamPool> { services, engines }, std::vector<GatewayTeam> {}, limits);
     }
--- a/Tests/LibForward/StreamScripts.h
+++ b/Tests/LibForward/StreamScripts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ScriptedUpstream.h"
+#include <Support/ScriptedUpstream.h>
 
 #include <fmt/format.h>
 
--- a/Tests/LibForward/ScriptedUpstream.h
+++ b/Tests/Support/ScriptedUpstream.h
@@ -25,8 +25,8 @@
         this->socket.setReceiveTimeout(Poco::Timespan(20, 0));
     }
 
-    /** Reads a request with its body. Returns an empty string if the peer closed the connection. */
-    std::string readRequest()
+    /** Reads a request up to the end of its head at least. Returns an empty string if the peer closed the connection. */
+    std::string readRequestHead()
     {
         std::string bytes;
         while (bytes.find("\r\n\r\n") == std::string::npos) {
@@ -34,6 +34,16 @@
                 return {};
             }
         }
+        return bytes;
+    }
+
+    /** Reads a request with its body. Returns an empty string if the peer closed the connection. */
+    std::string readRequest()
+    {
+        auto bytes = this->readRequestHead();
+        if (bytes.empty()) {
+            return {};
+        }
         auto headEnd = bytes.find("\r\n\r\n") + 4;
         auto length = std::stoul(field(bytes, "Content-Length", "0"));
         while (bytes.size() < headEnd + length) {
@@ -78,6 +88,18 @@
         this->socket.close();
     }
 
+    /** Closes the connection, which the kernel resets if bytes of the request are unread. */
+    void close()
+    {
+        this->socket.close();
+    }
+
+    /** Ends the bytes that are sent, and keeps the connection open. */
+    void finishSending()
+    {
+        this->socket.shutdownSend();
+    }
+
     /** Waits for the time, or until the peer closes the connection. */
     void pause(Duration time)
     {
@@ -146,14 +168,26 @@
     Poco::Net::StreamSocket socket;
 };
 
+/** How much of a request a ScriptedUpstream reads before it runs its script. */
+enum class RequestReading {
+    Whole,
+    /** The head, and as much of the body as arrives with it. A large body is still being written while the script runs. */
+    HeadOnly,
+};
+
 /** An upstream on loopback that runs a script for each connection. */
 class ScriptedUpstream
 {
 public:
     using Script = std::function<void(ScriptedConnection &connection, const std::string &request)>;
 
-    explicit ScriptedUpstream(Script script) : script(std::move(script)), listener(Poco::Net::SocketAddress("127.0.0.1", 0))
+    explicit ScriptedUpstream(Script script, RequestReading reading = RequestReading::Whole)
+        : script(std::move(script)), reading(reading), listener(Poco::Net::SocketAddress("127.0.0.1", 0))
     {
+        if (reading == RequestReading::HeadOnly) {
+            // Accepted connections inherit the size. By default the kernel would hold a body of some megabytes.
+            this->listener.setReceiveBufferSize(smallReceiveBufferBytes);
+        }
         this->acceptor = std::thread([this] { this->accept(); });
     }
 
@@ -200,7 +234,7 @@
     void serve(const Poco::Net::StreamSocket &socket)
     {
         ScriptedConnection connection(socket);
-        auto request = connection.readRequest();
+        auto request = this->reading == RequestReading::Whole ? connection.readRequest() : connection.readRequestHead();
         if (request.empty()) {
             return;
         }
@@ -215,7 +249,10 @@
         }
     }
 
+    static constexpr int smallReceiveBufferBytes = 4096;
+
     Script script;
+    RequestReading reading;
     Poco::Net::ServerSocket listener;
     std::atomic<bool> isStopping = false;
     std::mutex mutex;
