LibForward: Don't take the end of a failed connection for the end of a response

Cause: the kernel reports an error of a connection to one call only, and to the calls after it an end of the bytes. Here sendmsg() got ECONNRESET, EPIPE (the upstream had ended its bytes before the reset) or ETIMEDOUT (TCP_USER_TIMEOUT, if the upstream reads no more). UpstreamCall then received what had arrived, and took the end after it for the one that completes a body without length.

Change: SocketChannel keeps the first error that a write or a receive gets, and reports a failed connection instead of an orderly end from then on. An error that is pending when the end is received counts as well. So a body without length is complete "unless an error was indicated by the underlying connection" (RFC 9112, section 8). It holds for whatever reads through UpstreamCall: unary and stream routes, moves and all continuations. Whole responses with length or chunks are forwarded as before. A write that runs into its deadline is no error: the end of a response is still the upstream's, since a process that ends with unread bytes resets its connections. The reason in logs and errors now names the error ("the connection failed: Connection reset by peer") where it was "the connection was reset".

--- a/Libraries/LibForward/CallerChannel.cpp
+++ b/Libraries/LibForward/CallerChannel.cpp
@@ -208,7 +208,7 @@
         case SocketChannel::ReceiveResult::Data:
             return true;
         case SocketChannel::ReceiveResult::Closed:
-        case SocketChannel::ReceiveResult::Reset:
+        case SocketChannel::ReceiveResult::Failed:
             this->hasClosed = true;
             return false;
         case SocketChannel::ReceiveResult::WouldBlock:
@@ -263,7 +263,7 @@
         this->hasClosed = this->channel.hasHungUp();
     } else if (!this->hasClosed) {
         auto state = this->channel.receive(this->dependencies.limits.readAheadBytes - this->channel.buffer().size());
-        this->hasClosed = state == SocketChannel::ReceiveResult::Closed || state == SocketChannel::ReceiveResult::Reset;
+        this->hasClosed = state == SocketChannel::ReceiveResult::Closed || state == SocketChannel::ReceiveResult::Failed;
     }
     return this->hasClosed;
 }
--- a/Libraries/LibForward/SocketChannel.cpp
+++ b/Libraries/LibForward/SocketChannel.cpp
@@ -40,6 +40,12 @@
     return static_cast<int>(std::min<std::int64_t>(std::chrono::ceil<milliseconds>(remaining).count(), maximumMilliseconds));
 }
 
+/** True for errors of a non-blocking call that say nothing of the connection. */
+bool isTransientError(int number)
+{
+    return number == EAGAIN || number == EWOULDBLOCK || number == EINTR;
+}
+
 /** Removes `count` bytes and then empty parts from the front of the message. Returns true if bytes are left. */
 bool removeWritten(msghdr &message, std::size_t count)
 {
@@ -80,11 +86,20 @@
         this->receiveBuffer.append(bytes.data(), static_cast<std::size_t>(count));
         return ReceiveResult::Data;
     }
-    if (count == 0) {
-        return ReceiveResult::Closed;
+    if (count < 0 && isTransientError(errno)) {
+        return ReceiveResult::WouldBlock;
+    }
+    // The kernel reports an error to one call only, and an end of the bytes to the calls after it. An end may also hide the pending error of a reset that
+    // followed it.
+    this->recordError(count < 0 ? errno : this->socket.impl()->socketError());
+    return this->connectionError ? ReceiveResult::Failed : ReceiveResult::Closed;
+}
+
+void SocketChannel::recordError(int number)
+{
+    if (!this->connectionError) {
+        this->connectionError = std::error_code(number, std::system_category());
     }
-    auto hasNoData = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return hasNoData ? ReceiveResult::WouldBlock : ReceiveResult::Reset;
 }
 
 bool SocketChannel::writeParts(std::initializer_list<std::string_view> parts, TimePoint deadline)
@@ -104,7 +119,8 @@
             removeWritten(message, static_cast<std::size_t>(count));
             continue;
         }
-        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        if (count < 0 && !isTransientError(errno)) {
+            this->recordError(errno);
             return false;
         }
         auto remaining = deadline - this->clock.now();
--- a/Libraries/LibForward/SocketChannel.h
+++ b/Libraries/LibForward/SocketChannel.h
@@ -7,6 +7,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace Lovageward {
@@ -22,10 +23,10 @@
         Data,
         /** No bytes are available. */
         WouldBlock,
-        /** The peer closed its side of the connection. */
+        /** The peer closed its side of the connection, and no error has occurred on it: all bytes that the peer sent have been received. */
         Closed,
-        /** The connection failed. */
-        Reset,
+        /** The connection failed, in this call or an earlier one; see error(). Bytes that the peer sent may be missing. */
+        Failed,
     };
 
     /** Takes a connected socket and makes it non-blocking. */
@@ -34,13 +35,13 @@
     /** Connects to "IP:port". Throws Poco::Exception if that fails or the deadline passes. */
     static SocketChannel connect(const Clock &clock, const std::string &address, TimePoint deadline);
 
-    /** Appends available bytes, at most `maximumBytes`, to the buffer. Doesn't block. */
+    /** Appends available bytes, at most `maximumBytes`, to the buffer. Bytes that arrived before a failure are still returned as data. Doesn't block. */
     ReceiveResult receive(std::size_t maximumBytes = receiveBytes);
 
     /** True if the peer has closed the connection or reset it. Bytes that weren't received hide a close until they have been received. Doesn't block. */
     bool hasHungUp() const;
 
-    /** Writes all bytes. Returns false if the connection failed or the deadline passed. */
+    /** Writes all bytes. Returns false if the connection failed or the deadline passed; only a failure sets error(). */
     bool write(std::string_view bytes, TimePoint deadline)
     {
         return this->writeParts({ bytes }, deadline);
@@ -50,6 +51,15 @@
     static constexpr std::size_t maximumParts = 4;
     bool writeParts(std::initializer_list<std::string_view> parts, TimePoint deadline);
 
+    /**
+     * Error upon which the connection failed, none if it hasn't: the peer reset it (ECONNRESET, or EPIPE if the peer had closed its side before), or took no
+     * bytes for too long (ETIMEDOUT).
+     */
+    const std::error_code &error() const
+    {
+        return this->connectionError;
+    }
+
     /** Received bytes that weren't consumed yet. The reader erases what it consumes. */
     std::string &buffer()
     {
@@ -73,9 +83,12 @@
     void abort();
 
 private:
+    void recordError(int number);
+
     const Clock &clock;
     Poco::Net::StreamSocket socket;
     std::string receiveBuffer;
+    std::error_code connectionError;
 };
 
 /** A descriptor to wait for. */
--- a/Libraries/LibForward/UpstreamCall.cpp
+++ b/Libraries/LibForward/UpstreamCall.cpp
@@ -72,9 +72,9 @@
                 this->fail("the connection was closed before the response was complete");
             }
             break;
-        case SocketChannel::ReceiveResult::Reset:
+        case SocketChannel::ReceiveResult::Failed:
             this->connectionEnded = true;
-            this->fail("the connection was reset");
+            this->fail(fmt::format("the connection failed: {}", this->channel.error().message()));
             break;
         }
     }
--- a/Libraries/LibForward/UpstreamCall.h
+++ b/Libraries/LibForward/UpstreamCall.h
@@ -43,7 +43,9 @@
     UpstreamCall(const UpstreamCall &) = delete;
     UpstreamCall &operator=(const UpstreamCall &) = delete;
 
-    /** Sends the encoded head and the body of the request. A failed write isn't final, because the upstream may respond before it has read the whole request.
+    /**
+     * Sends the encoded head and the body of the request. A failed write isn't final, because the upstream may respond before it has read the whole request.
+     * But if the connection has failed, a response without length and chunks is incomplete, since only an orderly close marks its end.
      */
     void send(std::string_view head, std::string_view body, TimePoint deadline);
 
