Tests: Send broken answers to all other clients

Outside the gateway's calls to upstreams all answers are read by ClientSession. A write or a receive that gets an error throws there, and the session isn't used again, so no later receive can take the end for an orderly one. No test showed it.

Change: tests only.

--- a/Tests/lovagewardctl/TestControlOverHttp.cpp
+++ b/Tests/lovagewardctl/TestControlOverHttp.cpp
@@ -1,8 +1,10 @@
 #include <LibCore/SystemClock.h>
 #include <LibHttp/AdministrationServer.h>
 #include <LibLog/InMemoryLogService.h>
+#include <Support/BrokenAnswers.h>
 #include <Support/ConfigNode.h>
 #include <Support/ReadOnAppendLog.h>
+#include <Support/ScriptedUpstream.h>
 #include <lovagewardctl/Control.h>
 #include <lovagewardctl/HttpAdminTransport.h>
 
@@ -121,3 +123,32 @@
         }
     }
 }
+
+// Guards against a list that lacks entries, or a change that is reported as accepted, because the bytes received were no whole answer.
+TEST_CASE("A broken answer of the administration API is an error, and for a change an unknown outcome", "[control]")
+{
+    // More than the send buffer of the client and the receive buffer of the node hold together.
+    const std::string upload(8'000'000, 'x');
+    for (const std::string method : { "GET", "PUT" }) {
+        for (const auto &answer : brokenAnswers("Content-Type: application/json\r\n", "{\"items\":[]}\n")) {
+            for (auto reading : { RequestReading::Whole, RequestReading::HeadOnly }) {
+                CAPTURE(method, answer.name, reading == RequestReading::HeadOnly);
+                ScriptedUpstream node(
+                    [&](ScriptedConnection &connection, const std::string & /*request*/) {
+                        connection.send(answer.bytes);
+                        connection.reset();
+                    },
+                    reading);
+                SystemClock clock;
+                HttpAdminTransport transport(clock, node.address(), "op", seconds(15));
+                std::string result;
+                try {
+                    result = transport.call(method, "teams", reading == RequestReading::HeadOnly ? upload : "").body;
+                } catch (const Error &error) {
+                    result = resultName(error.code());
+                }
+                CHECK(result == (method == "GET" ? "PeerUnreachable" : "OutcomeUnknown"));
+            }
+        }
+    }
+}
--- a/Tests/platform/TestPlatformStore.cpp
+++ b/Tests/platform/TestPlatformStore.cpp
@@ -1,5 +1,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/SystemClock.h>
+#include <Support/BrokenAnswers.h>
+#include <Support/ScriptedUpstream.h>
 #include <platform/PlatformDecoder.h>
 #include <platform/PlatformStore.h>
 
@@ -312,3 +314,43 @@
     PlatformStore store(clock, "127.0.0.1:1");
     CHECK_THROWS_AS(store.listNewest(FeedTopic::Operators, std::nullopt, clock.now() + callTimeout), Error);
 }
+
+// Guards against a listing that seems to lack records, and a write that seems to have succeeded, because the store broke off while it answered.
+TEST_CASE("A broken answer of the store is an error, and the next call uses another connection")
+{
+    struct Call
+    {
+        std::string name;
+        std::string answerBody;
+        std::function<void(PlatformStore &store, TimePoint deadline)> call;
+    };
+    const KnownHost host { HostId("n1"), FailureDomainId("a1"), "10.0.0.1:7200" };
+    RolloutStatus status;
+    status.pool = PoolId("p");
+    const std::string listing = R"({"items":[],"end":5,"hasMore":false})";
+    const std::vector<Call> calls {
+        { "listing", listing, [](PlatformStore &store, TimePoint deadline) { store.listNewest(FeedTopic::Upstreams, std::nullopt, deadline); } },
+        { "hosts", listing, [](PlatformStore &store, TimePoint deadline) { store.hosts(deadline); } },
+        { "report", listing, [](PlatformStore &store, TimePoint deadline) { store.readNewest(PoolId("p"), deadline); } },
+        { "read",
+          encodeBigEndian(1, 8) + encodeBigEndian(0, 8) + encodeRecord("key", "value"),
+          [](PlatformStore &store, TimePoint deadline) { store.readFrom(FeedTopic::Upstreams, 0, Duration(0), deadline); } },
+        { "announcement", "", [&](PlatformStore &store, TimePoint deadline) { store.announce(host, deadline); } },
+        { "write", "", [&](PlatformStore &store, TimePoint deadline) { store.writeAt(status, 5, deadline); } },
+    };
+    for (const auto &call : calls) {
+        for (const auto &answer : brokenAnswers("", call.answerBody)) {
+            CAPTURE(call.name, answer.name);
+            ScriptedUpstream standIn([&](ScriptedConnection &connection, const std::string & /*request*/) {
+                connection.send(answer.bytes);
+                connection.reset();
+            });
+            SystemClock clock;
+            PlatformStore store(clock, standIn.address());
+            for (std::size_t requests = 1; requests <= 2; ++requests) {
+                CHECK_THROWS_AS(call.call(store, clock.now() + callTimeout), Error);
+                CHECK(standIn.requests().size() == requests);
+            }
+        }
+    }
+}
