--- a/Tests/LibForward/TestBrokenResponses.cpp
+++ b/Tests/LibForward/TestBrokenResponses.cpp
@@ -116,6 +116,23 @@
     }
 }
 
+// The end of the bytes is the upstream's own, and no error follows it, since the upstream reads the rest of the request.
+TEST_CASE_METHOD(BrokenResponseFixture, "A response without length that is ended in order while the request is being written is whole")
+{
+    for (const auto &path : paths) {
+        CAPTURE(path);
+        auto response = this->playUpload(path, [](ScriptedConnection &connection, const std::string & /*request*/) {
+            connection.send("HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n\r\n" + events);
+            connection.finishSending();
+            connection.awaitClose();
+        });
+        CAPTURE(response);
+        CHECK(response.starts_with("HTTP/1.1 200"));
+        CHECK(response.find("data: e1\n\n") != std::string::npos);
+        CHECK((response.ends_with("0\r\n\r\n") || response.ends_with(events)));
+    }
+}
+
 // The upstream takes no byte of the request for TCP_USER_TIMEOUT, and the write gets ETIMEDOUT.
 TEST_CASE_METHOD(BrokenResponseFixture, "A response without length whose upstream takes no more of the request until the connection times out is broken")
 {
